Set down the shape: folders, core types, kernel, decision cores

Cause: the repository was empty, and everything else hangs on the shape. The kernel knows no plug-in: duties, stages, components, settings sections, counters, events and codecs enter themselves from static objects, and a program is the kernel plus the plug-in sets that it links.

Ruled out: static archives (a linker drops unreferenced registrars, so plug-ins are OBJECT libraries); a central message variant (each new message would touch every part); the CMake file of Debian's Cap'n Proto (it looks for libatomic where gcc does not keep it; pkg-config works).

--- /dev/null
+++ b/include/mulberryrudder/control/inputs.hpp
@@ -0,0 +1,114 @@
+#ifndef MULBERRYRUDDER_CONTROL_INPUTS_HPP
+#define MULBERRYRUDDER_CONTROL_INPUTS_HPP
+
+#include <mulberryrudder/control/log_types.hpp>
+#include <mulberryrudder/core/any_message.hpp>
+#include <mulberryrudder/core/endpoint.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace mulberryrudder::control
+{
+
+/// Numbers an operator's request within one control process.
+using operator_request_id = strong_id<struct operator_request_tag, std::uint64_t>;
+/// Numbers a write to the disk.
+using disk_ticket = strong_id<struct disk_ticket_tag, std::uint64_t>;
+
+/// A message of another instance arrived.
+struct message_arrived
+{
+    envelope message;
+};
+
+/// An operator asks for something; the body is a struct of the component's own.
+struct operator_asked
+{
+    operator_request_id id;
+    any_message body;
+};
+
+/// What the disk held when the process started; always the first input.
+struct disk_recovered
+{
+    bool blank = true; ///< There was no state at all: a new or replaced disk.
+    hard_state state;
+    std::optional<snapshot> base;
+    std::vector<log_entry> entries; ///< Behind the snapshot, without gaps.
+};
+
+/// Everything up to this ticket is synced.
+struct disk_synced
+{
+    disk_ticket ticket;
+};
+
+/// The disk cannot be written; the replica must neither vote nor lead from now on.
+struct disk_failed
+{
+    std::string cause;
+};
+
+/// The operating system asked for a planned stop.
+struct stop_requested
+{
+};
+
+/// All that the control's decision core is told.
+using input = std::variant<message_arrived, operator_asked, disk_recovered, disk_synced,
+                           disk_failed, stop_requested>;
+
+/// Writes to the disk in this order: state, then cut the log from an index on,
+/// then append entries; then sync and tell disk_synced with the ticket.
+struct persist
+{
+    disk_ticket ticket;
+    std::optional<hard_state> state;
+    std::optional<log_index> cut_from;
+    std::vector<log_entry> entries;
+};
+
+/// Replaces the log up to the snapshot's index by the snapshot.
+struct persist_snapshot
+{
+    disk_ticket ticket;
+    snapshot base;
+};
+
+/// Answers an operator's request.
+struct answer_operator
+{
+    operator_request_id id;
+    any_message body;
+};
+
+/// Sends a message to another instance.
+struct send_message
+{
+    envelope message;
+};
+
+/// Tells the peer link where an instance is reached.
+struct learn_instance
+{
+    instance_id id;
+    endpoint peer;
+};
+
+/// The planned stop is complete.
+struct stop_completed
+{
+};
+
+/// All that the control's decision core can ask for.
+using effect = std::variant<persist, persist_snapshot, answer_operator, send_message,
+                            learn_instance, stop_completed>;
+using effects = std::vector<effect>;
+
+} // namespace mulberryrudder::control
+
+#endif
--- /dev/null
+++ b/include/mulberryrudder/control/replicated_log.hpp
@@ -0,0 +1,43 @@
+#ifndef MULBERRYRUDDER_CONTROL_REPLICATED_LOG_HPP
+#define MULBERRYRUDDER_CONTROL_REPLICATED_LOG_HPP
+
+#include <mulberryrudder/control/log_types.hpp>
+#include <mulberryrudder/core/time.hpp>
+
+#include <optional>
+
+namespace mulberryrudder::control
+{
+
+/// Shows the replicated log to the other components.
+///
+/// Thread safety: the decision core's thread.
+class replicated_log
+{
+public:
+    virtual ~replicated_log() = default;
+
+    /// Returns whether this replica leads, has committed an entry of its own term,
+    /// and a majority confirmed it recently enough for it to act at `now`.
+    virtual bool may_act(instant now) const = 0;
+
+    /// Returns until when no other replica can lead; the epoch if this one does not.
+    virtual instant confirmed_until() const = 0;
+
+    virtual term_id term() const = 0;
+
+    /// Returns who leads, as far as this replica knows.
+    virtual std::optional<instance_id> leader() const = 0;
+
+    /// Appends a command. Returns its index; nothing if this replica may not act.
+    /// The command took effect once applied() tells of it with that index and
+    /// term(); another command at that index means that it was lost.
+    virtual std::optional<log_index> propose(any_message command) = 0;
+
+    /// Returns the index of the last entry that was applied.
+    virtual log_index applied_index() const = 0;
+};
+
+} // namespace mulberryrudder::control
+
+#endif
--- /dev/null
+++ b/include/mulberryrudder/kernel/counters.hpp
@@ -0,0 +1,69 @@
+#ifndef MULBERRYRUDDER_KERNEL_COUNTERS_HPP
+#define MULBERRYRUDDER_KERNEL_COUNTERS_HPP
+
+#include <mulberryrudder/kernel/catalogue.hpp>
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace mulberryrudder::kernel
+{
+
+/// Defines a counter. Define it as a static object in the plug-in that counts.
+class counter_kind
+{
+public:
+    /// `name` is lower case with dots, `meaning` a sentence for operators; both
+    /// must be literals.
+    counter_kind(std::string_view name, std::string_view meaning);
+    counter_kind(counter_kind const&) = delete;
+    counter_kind& operator=(counter_kind const&) = delete;
+
+    std::string_view name() const noexcept { return name_; }
+    std::string_view meaning() const noexcept { return meaning_; }
+    std::size_t position() const noexcept { return position_; }
+
+private:
+    std::string_view name_;
+    std::string_view meaning_;
+    std::size_t position_;
+};
+
+/// Holds one instance's value of every defined counter.
+///
+/// Thread safety: add() and value() from any thread.
+class counter_set
+{
+public:
+    /// Precondition: all plug-ins are linked, that is, main has started.
+    counter_set();
+
+    void add(counter_kind const& kind, std::uint64_t n = 1) noexcept
+    {
+        values_[kind.position()].fetch_add(n, std::memory_order_relaxed);
+    }
+    /// Replaces the value, for counters that show a level.
+    void set(counter_kind const& kind, std::uint64_t n) noexcept
+    {
+        values_[kind.position()].store(n, std::memory_order_relaxed);
+    }
+    std::uint64_t value(counter_kind const& kind) const noexcept
+    {
+        return values_[kind.position()].load(std::memory_order_relaxed);
+    }
+
+    /// Returns name and value of each counter, sorted by name.
+    std::vector<std::pair<std::string_view, std::uint64_t>> snapshot() const;
+
+private:
+    std::unique_ptr<std::atomic<std::uint64_t>[]> values_;
+};
+
+} // namespace mulberryrudder::kernel
+
+#endif
--- /dev/null
+++ b/kernel/asio_duty.cpp
@@ -0,0 +1,95 @@
+#include <mulberryrudder/kernel/asio_duty.hpp>
+
+#include <boost/asio/post.hpp>
+
+#include <unistd.h>
+
+namespace mulberryrudder::kernel
+{
+
+namespace
+{
+
+/// Re-arms a periodic timer from its last expiry, so that the period does not drift.
+void rearm(std::shared_ptr<boost::asio::steady_timer> const& timer, span period,
+           std::function<void()> const& work)
+{
+    timer->async_wait(
+        [timer, period, work](boost::system::error_code ec)
+        {
+            if (ec)
+                return;
+            work();
+            auto const next = timer->expiry() + period;
+            timer->expires_at(std::max(next, std::chrono::steady_clock::now()));
+            rearm(timer, period, work);
+        });
+}
+
+} // namespace
+
+asio_duty::asio_duty(duty_name name, duty_parts const& parts)
+    : name_(std::move(name)), parts_(parts), events_(name_, parts_),
+      waker_(parts_.links.waker_of(name_)), wake_descriptor_(loop_)
+{
+}
+
+asio_duty::~asio_duty()
+{
+    // The wiring owns the descriptor, so it must not be closed here.
+    if (wake_descriptor_.is_open())
+        wake_descriptor_.release();
+}
+
+void asio_duty::run()
+{
+    wake_descriptor_.assign(waker_.descriptor());
+    started();
+    boost::asio::post(loop_, [this] { drain_rings(); });
+    wait_for_wake();
+    loop_.run();
+}
+
+void asio_duty::stop()
+{
+    loop_.stop();
+}
+
+void asio_duty::run_every(span period, std::function<void()> const& work)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(loop_, period);
+    timers_.push_back(timer);
+    rearm(timer, period, work);
+}
+
+void asio_duty::wait_for_wake()
+{
+    wake_descriptor_.async_wait(boost::asio::posix::stream_descriptor::wait_read,
+                                [this](boost::system::error_code ec)
+                                {
+                                    if (ec)
+                                        return;
+                                    waker_.consume();
+                                    drain_rings();
+                                    wait_for_wake();
+                                });
+}
+
+void asio_duty::drain_rings()
+{
+    take_messages();
+    waker_.arm();
+    // Other work of the loop gets its turn between two batches.
+    if (any_ring_readable())
+        boost::asio::post(loop_, [this] { drain_rings(); });
+}
+
+bool asio_duty::any_ring_readable() const
+{
+    for (auto const* const it : parts_.links.inbox(name_))
+        if (it->readable())
+            return true;
+    return false;
+}
+
+} // namespace mulberryrudder::kernel
--- /dev/null
+++ b/kernel/counters.cpp
@@ -0,0 +1,28 @@
+#include <mulberryrudder/kernel/counters.hpp>
+
+#include <algorithm>
+
+namespace mulberryrudder::kernel
+{
+
+counter_kind::counter_kind(std::string_view name, std::string_view meaning)
+    : name_(name), meaning_(meaning), position_(catalogue<counter_kind>::instance().add(*this))
+{
+}
+
+counter_set::counter_set()
+    : values_(std::make_unique<std::atomic<std::uint64_t>[]>(
+          catalogue<counter_kind>::instance().kinds().size()))
+{
+}
+
+std::vector<std::pair<std::string_view, std::uint64_t>> counter_set::snapshot() const
+{
+    std::vector<std::pair<std::string_view, std::uint64_t>> out;
+    for (auto const* const it : catalogue<counter_kind>::instance().kinds())
+        out.emplace_back(it->name(), value(*it));
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+} // namespace mulberryrudder::kernel
--- /dev/null
+++ b/kernel/program.cpp
@@ -0,0 +1,164 @@
+#include "command_line.hpp"
+
+#include <mulberryrudder/kernel/duty.hpp>
+#include <mulberryrudder/kernel/program.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <ranges>
+#include <thread>
+
+namespace mulberryrudder::kernel
+{
+
+namespace
+{
+
+/// Runs the duties of one process from the first thread to the last join.
+class process
+{
+public:
+    explicit process(settings config) : config_(std::move(config)) {}
+
+    int run()
+    {
+        // Blocked signals are inherited, so only signal_set's own thread sees them.
+        std::signal(SIGPIPE, SIG_IGN);
+        boost::asio::signal_set signals(loop_, SIGTERM, SIGINT);
+        duties_ = duty_registry::instance().make_all(parts_);
+        for (auto const& it : duties_)
+            it->connect();
+        start_threads();
+        wait_for_signal(signals);
+        loop_.run();
+        stop_threads();
+        return exit_code_;
+    }
+
+private:
+    void start_threads()
+    {
+        for (auto const& it : duties_)
+            threads_.emplace_back([this, duty = it.get()] { run_duty(*duty); });
+    }
+
+    void run_duty(duty& job)
+    {
+        try
+        {
+            job.run();
+        }
+        catch (std::exception const& e)
+        {
+            std::cerr << "duty " << job.name().value() << " failed: " << e.what() << "\n";
+            end(exit_failed);
+        }
+    }
+
+    void wait_for_signal(boost::asio::signal_set& signals)
+    {
+        signals.async_wait(
+            [this, &signals](boost::system::error_code ec, int)
+            {
+                if (ec)
+                    return;
+                if (stop_requested_)
+                    return end(exit_ok);
+                stop_requested_ = true;
+                for (auto const& it : duties_)
+                    it->prepare_stop();
+                wait_for_signal(signals);
+            });
+    }
+
+    void end(int code)
+    {
+        boost::asio::post(loop_,
+                          [this, code]
+                          {
+                              exit_code_ = std::max(exit_code_, code);
+                              loop_.stop();
+                          });
+    }
+
+    /// Stops consumers after producers, so that the log duty, the first, sees the last events.
+    void stop_threads()
+    {
+        for (std::size_t n = duties_.size(); n-- != 0;)
+        {
+            duties_[n]->stop();
+            threads_[n].join();
+        }
+    }
+
+    settings config_;
+    counter_set counters_;
+    wiring links_;
+    boost::asio::io_context loop_{1};
+    duty_parts parts_{.config = config_,
+                      .counters = counters_,
+                      .links = links_,
+                      .end_process = [this](int code) { end(code); }};
+    std::vector<std::unique_ptr<duty>> duties_;
+    std::vector<std::thread> threads_;
+    bool stop_requested_ = false;
+    int exit_code_ = exit_ok;
+};
+
+void print(failures const& failed)
+{
+    for (auto const& it : failed)
+        std::cerr << it.place << ": expected " << it.expected << "\n";
+}
+
+result<settings> load_settings(std::string const& file)
+{
+    BOOST_LEAF_AUTO(text, read_file(file));
+    return parse_settings(text, file);
+}
+
+int run_checked(program_options const& what, settings config)
+{
+    try
+    {
+        return process(std::move(config)).run();
+    }
+    catch (std::exception const& e)
+    {
+        std::cerr << what.name << ": cannot start: " << e.what() << "\n";
+        return exit_failed;
+    }
+}
+
+} // namespace
+
+int run_program(program_options const& what, int argc, char** argv)
+{
+    auto const asked = internal::read_command_line(what, argc, argv);
+    if (asked.exit_code)
+        return *asked.exit_code;
+    return boost::leaf::try_handle_all(
+        [&]() -> result<int>
+        {
+            BOOST_LEAF_AUTO(config, load_settings(asked.settings_file));
+            return asked.check_only ? exit_ok : run_checked(what, std::move(config));
+        },
+        [](failures const& failed)
+        {
+            print(failed);
+            return exit_bad_input;
+        },
+        [&]
+        {
+            std::cerr << what.name << ": the settings could not be read\n";
+            return exit_bad_input;
+        });
+}
+
+} // namespace mulberryrudder::kernel
--- /dev/null
+++ b/scripts/install.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Installs what building and testing need, from Debian's packages only.
+set -euo pipefail
+packages=(
+  g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
+  libboost1.81-dev libboost-log1.81-dev libboost-json1.81-dev libboost-thread1.81-dev
+  libboost-system1.81-dev libboost-filesystem1.81-dev
+  libcapnp-dev capnproto libpopt-dev libcppunit-dev librapidcheck-dev libssl-dev
+  libbenchmark-dev jq strace
+)
+missing=()
+for it in "${packages[@]}"; do
+  dpkg -s "$it" > /dev/null 2>&1 || missing+=("$it")
+done
+[ ${#missing[@]} -eq 0 ] && exit 0
+apt-get update -q
+DEBIAN_FRONTEND=noninteractive apt-get install -y -q "${missing[@]}"
