--- a/include/mulberryrudder/kernel/waker.hpp
+++ b/include/mulberryrudder/kernel/waker.hpp
@@ -22,6 +22,9 @@
     /// Wakes the duty if it is armed. Call it after the message is in the ring.
     void notify() noexcept;
 
+    /// Wakes the duty whether or not it is armed, for a stop.
+    void wake() noexcept;
+
     /// Announces that the duty is about to sleep. The caller must look at its
     /// rings once more afterwards, and sleep only if all are empty.
     void arm() noexcept;
--- a/kernel/waker.cpp
+++ b/kernel/waker.cpp
@@ -25,8 +25,12 @@
     std::atomic_thread_fence(std::memory_order_seq_cst);
     if (!armed_.load(std::memory_order_relaxed))
         return;
-    if (!armed_.exchange(false, std::memory_order_acq_rel))
-        return;
+    if (armed_.exchange(false, std::memory_order_acq_rel))
+        wake();
+}
+
+void waker::wake() noexcept
+{
     std::uint64_t const one = 1;
     [[maybe_unused]] auto const n = ::write(descriptor_, &one, sizeof one);
 }
--- /dev/null
+++ b/plugins/entry_io/caller_http/caller_duty.cpp
@@ -0,0 +1,196 @@
+#include "session.hpp"
+
+#include <mulberryrudder/entry/numbering.hpp>
+#include <mulberryrudder/fleet/instance_settings.hpp>
+#include <mulberryrudder/kernel/asio_duty.hpp>
+#include <mulberryrudder/peer/orders.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <set>
+#include <unordered_map>
+
+namespace mulberryrudder::caller_http
+{
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+
+/// Answers that are written before the sockets have their turn.
+constexpr int batch_size = 256;
+
+entry::refusal_kind const overloaded({.name = "instance_overloaded",
+                                      .counter_name = "refused.instance_overloaded",
+                                      .status = 503,
+                                      .meaning = "The entry instance is behind with its work."});
+kernel::counter_kind const bad_requests("refused.bad_request",
+                                        "Requests that could not be read or were out of limits.");
+kernel::counter_kind const connections_opened("callers.connections_opened",
+                                              "Connections taken from callers and targets.");
+kernel::counter_kind const connections_refused("callers.connections_refused",
+                                               "Connections refused because too many were open.");
+kernel::counter_kind const lookups("lookups.answered", "Look-ups that were answered.");
+
+/// Speaks HTTP with callers and targets: bytes in, inputs out, and back.
+class caller_duty final : public kernel::asio_duty, private session_owner
+{
+public:
+    explicit caller_duty(kernel::duty_parts const& given)
+        : asio_duty(duties::caller_io, given), config_(given.config.get(caller_section)),
+          instance_(given.config.get(fleet::instance_section)),
+          to_decision_(
+              given.links.link<entry::input>(name(), duties::decision, duty_ring_capacity)),
+          answers_(given.links.link<entry::effect>(duties::decision, name(), duty_ring_capacity)),
+          numbers_(instance_.id, fleet::new_boot_id(), entry::number_space::front_end),
+          acceptor_(loop())
+    {
+    }
+
+    void connect() override
+    {
+        tcp::endpoint const where(boost::asio::ip::make_address(instance_.caller.address),
+                                  instance_.caller.port);
+        acceptor_.open(where.protocol());
+        acceptor_.set_option(tcp::acceptor::reuse_address(true));
+        acceptor_.bind(where);
+        acceptor_.listen();
+    }
+
+protected:
+    void started() override { accept(); }
+
+    void take_messages() override
+    {
+        entry::effect it;
+        for (int n = 0; n != batch_size && answers_.try_pop(it); ++n)
+        {
+            if (auto const* const answer = std::get_if<entry::answer_caller>(&it))
+                pass_on(answer->id, encode(answer->id, answer->what));
+            else if (auto const* const found = std::get_if<entry::answer_lookup>(&it))
+                pass_on(found->id, encode(*found));
+            else if (std::holds_alternative<entry::close_idle_callers>(it))
+                close_idle();
+        }
+    }
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept(
+            [this](boost::system::error_code ec, tcp::socket socket)
+            {
+                if (!ec)
+                    open(std::move(socket));
+                accept();
+            });
+    }
+
+    void open(tcp::socket socket)
+    {
+        if (sessions_.size() >= static_cast<std::size_t>(config_.most_connections.count()))
+            return parts().counters.add(connections_refused);
+        parts().counters.add(connections_opened);
+        session_owner& self = *this;
+        auto const it = std::make_shared<session>(std::move(socket), self, monotonic_now());
+        sessions_.insert(it);
+        it->start();
+    }
+
+    void arrived(std::shared_ptr<session> const& from, http_request&& what) override
+    {
+        request_id const id(numbers_.next());
+        decoding const with{
+            .config = config_, .id = id, .client = from->client(), .now = monotonic_now()};
+        auto read = decode(std::move(what), with);
+        std::visit([&](auto& it) { take(from, id, it); }, read);
+    }
+
+    void take(std::shared_ptr<session> const& from, request_id id, entry::request_arrived& it)
+    {
+        submit(from, id, std::move(it));
+    }
+    void take(std::shared_ptr<session> const& from, request_id id, entry::lookup_arrived& it)
+    {
+        parts().counters.add(lookups);
+        submit(from, id, std::move(it));
+    }
+    void take(std::shared_ptr<session> const& from, request_id, entry::announcement& it)
+    {
+        bool const taken = to_decision_.try_push(std::move(it));
+        from->answer(taken ? encode_status(204) : refuse_overloaded());
+    }
+    void take(std::shared_ptr<session> const& from, request_id, counters_asked&)
+    {
+        from->answer(encode(parts().counters));
+    }
+    void take(std::shared_ptr<session> const& from, request_id, health_asked&)
+    {
+        from->answer(encode_status(closing_ ? 503 : 200));
+    }
+    void take(std::shared_ptr<session> const& from, request_id, bad_request& it)
+    {
+        parts().counters.add(bad_requests);
+        from->answer(encode(it));
+    }
+
+    template <class T>
+    void submit(std::shared_ptr<session> const& from, request_id id, T&& what)
+    {
+        if (!to_decision_.try_push(entry::input(std::forward<T>(what))))
+            return from->answer(refuse_overloaded());
+        unanswered_.emplace(id, from);
+        from->expect_answer(id);
+    }
+
+    http_response refuse_overloaded()
+    {
+        parts().counters.add(overloaded.counter());
+        return encode_refusal(overloaded);
+    }
+
+    void pass_on(request_id id, http_response&& what)
+    {
+        auto const it = unanswered_.find(id);
+        if (it == unanswered_.end())
+            return;
+        auto const to = std::move(it->second);
+        unanswered_.erase(it);
+        to->answer(std::move(what));
+    }
+
+    void close_idle()
+    {
+        closing_ = true;
+        auto const all = sessions_;
+        for (auto const& it : all)
+            it->close_if_idle();
+    }
+
+    void caller_gone(request_id id) override
+    {
+        unanswered_.erase(id);
+        // If the ring is full the request runs into its deadline, which is no harm.
+        to_decision_.try_push(entry::caller_gone{id});
+    }
+    void ended(std::shared_ptr<session> const& it) override { sessions_.erase(it); }
+    caller_settings const& config() const override { return config_; }
+    bool closing() const override { return closing_; }
+
+    caller_settings config_;
+    fleet::instance_settings instance_;
+    kernel::ring<entry::input>& to_decision_;
+    kernel::ring<entry::effect>& answers_;
+    entry::numbering numbers_;
+    tcp::acceptor acceptor_;
+    std::set<std::shared_ptr<session>> sessions_;
+    std::unordered_map<request_id, std::shared_ptr<session>> unanswered_;
+    bool closing_ = false;
+};
+
+kernel::duty_registrar<caller_duty> const entered{"caller_io", duty_order::caller_io};
+
+} // namespace
+
+} // namespace mulberryrudder::caller_http
--- /dev/null
+++ b/plugins/entry_io/caller_http/caller_settings.cpp
@@ -0,0 +1,46 @@
+#include "caller_settings.hpp"
+
+namespace mulberryrudder::caller_http
+{
+
+namespace
+{
+
+constexpr kernel::limits header_bytes{256, 1024 * 1024};
+constexpr kernel::limits body_bytes{0, 64 * 1024 * 1024};
+constexpr kernel::limits short_times{10, 600'000};
+constexpr kernel::limits long_times{10, 86'400'000};
+constexpr kernel::limits connection_counts{1, 60'000};
+
+std::optional<std::string> check_callers(caller_settings const& it)
+{
+    if (it.default_deadline > it.most_deadline)
+        return "\"default_deadline\" to be at most \"most_deadline\"";
+    return std::nullopt;
+}
+
+} // namespace
+
+kernel::section<caller_settings> const caller_section{
+    "callers",
+    {
+        field("most_header", &caller_settings::most_header, header_bytes,
+              "Bytes of a request's header at most."),
+        field("most_body", &caller_settings::most_body, body_bytes,
+              "Bytes of a request's body at most."),
+        field("read_limit", &caller_settings::read_limit, short_times,
+              "Milliseconds a caller may take to send one whole request."),
+        field("idle_limit", &caller_settings::idle_limit, long_times,
+              "Milliseconds a connection may stay without a request."),
+        field("connection_lifetime", &caller_settings::connection_lifetime, long_times,
+              "Milliseconds after which a connection is closed behind its current answer."),
+        field("default_deadline", &caller_settings::default_deadline, short_times,
+              "Milliseconds a request may take if its caller states no deadline."),
+        field("most_deadline", &caller_settings::most_deadline, short_times,
+              "Milliseconds a caller may state as deadline at most."),
+        field("most_connections", &caller_settings::most_connections, connection_counts,
+              "Connections of callers and targets that are open at the same time."),
+    },
+    check_callers};
+
+} // namespace mulberryrudder::caller_http
--- /dev/null
+++ b/plugins/entry_io/caller_http/caller_settings.hpp
@@ -0,0 +1,27 @@
+#ifndef MULBERRYRUDDER_PLUGINS_ENTRY_IO_CALLER_HTTP_CALLER_SETTINGS_HPP
+#define MULBERRYRUDDER_PLUGINS_ENTRY_IO_CALLER_HTTP_CALLER_SETTINGS_HPP
+
+#include <mulberryrudder/core/units.hpp>
+#include <mulberryrudder/kernel/settings.hpp>
+
+namespace mulberryrudder::caller_http
+{
+
+/// The `callers` section: limits on what callers and targets may send.
+struct caller_settings
+{
+    byte_count most_header{16 * 1024};
+    byte_count most_body{1024 * 1024};
+    milliseconds read_limit{5000};
+    milliseconds idle_limit{60000};
+    milliseconds connection_lifetime{300000};
+    milliseconds default_deadline{2000};
+    milliseconds most_deadline{30000};
+    connections most_connections{4000};
+};
+
+extern kernel::section<caller_settings> const caller_section;
+
+} // namespace mulberryrudder::caller_http
+
+#endif
--- /dev/null
+++ b/plugins/entry_io/caller_http/session.cpp
@@ -0,0 +1,172 @@
+#include "session.hpp"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace mulberryrudder::caller_http
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+
+client_address address_of(boost::asio::ip::tcp::socket const& socket)
+{
+    client_address out;
+    boost::system::error_code ec;
+    auto const remote = socket.remote_endpoint(ec);
+    if (!ec)
+        parse_client_address(remote.address().to_string(), out);
+    return out;
+}
+
+/// Returns the status for a request that could not be read, or nothing if the
+/// connection is beyond an answer.
+std::optional<std::uint16_t> status_of(boost::system::error_code ec)
+{
+    if (ec == http::error::header_limit)
+        return 431;
+    if (ec == http::error::body_limit)
+        return 413;
+    if (ec == boost::beast::error::timeout)
+        return 408;
+    if (ec.category() == http::make_error_code(http::error::bad_target).category() &&
+        ec != http::error::end_of_stream && ec != http::error::partial_message)
+        return 400;
+    return std::nullopt;
+}
+
+} // namespace
+
+session::session(boost::asio::ip::tcp::socket socket, session_owner& owner, instant now)
+    : stream_(std::move(socket)), owner_(owner), client_(address_of(stream_.socket())),
+      close_after_(now + owner.config().connection_lifetime)
+{
+    boost::system::error_code ec;
+    stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ec);
+}
+
+void session::read()
+{
+    idle_ = true;
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(owner_.config().most_header.count()));
+    parser_->body_limit(static_cast<std::uint64_t>(owner_.config().most_body.count()));
+    if (buf_.size() != 0)
+        return header_read({});
+    // Until the first byte the connection is idle, which may take longer than a request.
+    stream_.expires_after(owner_.config().idle_limit);
+    stream_.async_read_some(buf_.prepare(4096),
+                            [self = shared_from_this()](auto ec, std::size_t n)
+                            {
+                                self->buf_.commit(n);
+                                if (ec)
+                                    return self->end();
+                                self->header_read({});
+                            });
+}
+
+void session::header_read(boost::system::error_code)
+{
+    idle_ = false;
+    stream_.expires_after(owner_.config().read_limit);
+    http::async_read(stream_, buf_, *parser_,
+                     [self = shared_from_this()](auto ec, std::size_t) { self->request_read(ec); });
+}
+
+void session::request_read(boost::system::error_code ec)
+{
+    if (ec)
+        return refuse_unreadable(ec);
+    keep_alive_ = parser_->keep_alive();
+    head_only_ = parser_->get().method() == http::verb::head;
+    stream_.expires_never();
+    owner_.arrived(shared_from_this(), parser_->release());
+}
+
+void session::refuse_unreadable(boost::system::error_code ec)
+{
+    auto const status = status_of(ec);
+    if (!status)
+        return end();
+    keep_alive_ = false;
+    answer(encode(bad_request{.status = *status,
+                              .expected = "a request within the limits: " + ec.message()}));
+}
+
+void session::expect_answer(request_id id)
+{
+    unanswered_ = id;
+    watch_for_close();
+}
+
+/// A readable socket without data is a closed one; a pipelined request is data,
+/// and then the connection is not watched until it is read.
+void session::watch_for_close()
+{
+    if (buf_.size() != 0)
+        return;
+    stream_.socket().async_wait(boost::asio::ip::tcp::socket::wait_read,
+                                [self = shared_from_this(), id = *unanswered_](auto ec)
+                                {
+                                    if (ec || self->unanswered_ != id)
+                                        return;
+                                    boost::system::error_code failed;
+                                    if (self->stream_.socket().available(failed) != 0 && !failed)
+                                        return;
+                                    self->unanswered_.reset();
+                                    self->owner_.caller_gone(id);
+                                    self->end();
+                                });
+}
+
+void session::answer(http_response&& what)
+{
+    if (ended_)
+        return;
+    unanswered_.reset();
+    boost::system::error_code ec;
+    bool const old = monotonic_now() >= close_after_;
+    bool const keep_open = keep_alive_ && !old && !owner_.closing();
+    response_.emplace(std::move(what));
+    response_->keep_alive(keep_open);
+    if (head_only_)
+    {
+        response_->content_length(response_->body().size());
+        response_->body().clear();
+    }
+    else
+        response_->prepare_payload();
+    stream_.expires_after(owner_.config().read_limit);
+    http::async_write(stream_, *response_,
+                      [self = shared_from_this(), keep_open](auto error, std::size_t)
+                      { self->written(error, keep_open); });
+}
+
+void session::written(boost::system::error_code ec, bool keep_open)
+{
+    response_.reset();
+    if (ec || !keep_open)
+        return end();
+    read();
+}
+
+void session::close_if_idle()
+{
+    if (idle_)
+        end();
+}
+
+void session::end()
+{
+    if (ended_)
+        return;
+    ended_ = true;
+    boost::system::error_code ec;
+    stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+    stream_.close();
+    owner_.ended(shared_from_this());
+}
+
+} // namespace mulberryrudder::caller_http
--- /dev/null
+++ b/plugins/entry_io/caller_http/session.hpp
@@ -0,0 +1,87 @@
+#ifndef MULBERRYRUDDER_PLUGINS_ENTRY_IO_CALLER_HTTP_SESSION_HPP
+#define MULBERRYRUDDER_PLUGINS_ENTRY_IO_CALLER_HTTP_SESSION_HPP
+
+#include "answer_codec.hpp"
+#include "caller_settings.hpp"
+
+#include <mulberryrudder/core/client_address.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace mulberryrudder::caller_http
+{
+
+class session;
+
+/// What a session needs of the duty it belongs to.
+class session_owner
+{
+public:
+    virtual ~session_owner() = default;
+
+    /// Takes a request in; the owner answers through session::answer, at once or later.
+    virtual void arrived(std::shared_ptr<session> const& from, http_request&& what) = 0;
+    /// The caller closed its connection while request `id` was unanswered.
+    virtual void caller_gone(request_id id) = 0;
+    virtual void ended(std::shared_ptr<session> const& it) = 0;
+    virtual caller_settings const& config() const = 0;
+    /// Whether connections are to be closed behind their current answer.
+    virtual bool closing() const = 0;
+};
+
+/// One connection of a caller or a target. It reads one request at a time, within
+/// the limits, and reads on only after the request is answered.
+///
+/// Thread safety: the caller duty's thread.
+class session final : public std::enable_shared_from_this<session>
+{
+public:
+    session(boost::asio::ip::tcp::socket socket, session_owner& owner, instant now);
+
+    void start() { read(); }
+
+    /// Answers the current request.
+    void answer(http_response&& what);
+
+    /// Notes which request is unanswered, so that the caller's leaving can be told.
+    void expect_answer(request_id id);
+
+    /// Closes the connection if it is between two requests.
+    void close_if_idle();
+
+    client_address const& client() const { return client_; }
+
+private:
+    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    void read();
+    void header_read(boost::system::error_code ec);
+    void request_read(boost::system::error_code ec);
+    void refuse_unreadable(boost::system::error_code ec);
+    void written(boost::system::error_code ec, bool keep_open);
+    void watch_for_close();
+    void end();
+
+    boost::beast::tcp_stream stream_;
+    session_owner& owner_;
+    client_address client_;
+    instant close_after_; ///< When the connection has lived long enough.
+    boost::beast::flat_buffer buf_;
+    std::optional<parser> parser_;
+    std::optional<http_response> response_;
+    std::optional<request_id> unanswered_;
+    bool keep_alive_ = true;
+    bool head_only_ = false;
+    bool idle_ = true;
+    bool ended_ = false;
+};
+
+} // namespace mulberryrudder::caller_http
+
+#endif
--- /dev/null
+++ b/plugins/entry_io/target_http/connection.cpp
@@ -0,0 +1,151 @@
+#include "connection.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace mulberryrudder::target_http
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+entry::attempt_failure cause_of(boost::system::error_code ec, bool open)
+{
+    if (ec == boost::beast::error::timeout)
+        return open ? entry::attempt_failure::timeout : entry::attempt_failure::connect_timeout;
+    if (!open)
+        return entry::attempt_failure::connect_refused;
+    bool const parsed_wrong =
+        ec.category() == http::make_error_code(http::error::bad_version).category();
+    bool const cut = ec == http::error::end_of_stream || ec == http::error::partial_message;
+    return parsed_wrong && !cut ? entry::attempt_failure::malformed
+                                : entry::attempt_failure::closed;
+}
+
+std::chrono::steady_clock::time_point on_steady_clock(instant when)
+{
+    return std::chrono::steady_clock::time_point(when.time_since_epoch());
+}
+
+} // namespace
+
+connection::connection(boost::asio::io_context& loop, endpoint where, target_settings const& config)
+    : stream_(loop), where_(std::move(where)), config_(config)
+{
+}
+
+void connection::exchange(http_request what, instant deadline, ended done)
+{
+    ++idle_epoch_;
+    request_ = std::move(what);
+    deadline_ = deadline;
+    done_ = std::move(done);
+    cancelled_ = false;
+    reusable_ = false;
+    if (open_)
+        return write();
+    connect();
+}
+
+void connection::connect()
+{
+    tcp::endpoint const where(boost::asio::ip::make_address(where_.address), where_.port);
+    auto const limit = std::min(deadline_, monotonic_now() + config_.connect_limit);
+    stream_.expires_at(on_steady_clock(limit));
+    stream_.async_connect(where, [self = shared_from_this()](auto ec) { self->connected(ec); });
+}
+
+void connection::connected(boost::system::error_code ec)
+{
+    if (ec || cancelled_)
+        return fail(ec, verdict::not_run);
+    open_ = true;
+    stream_.socket().set_option(tcp::no_delay(true), ec);
+    write();
+}
+
+void connection::write()
+{
+    stream_.expires_at(on_steady_clock(deadline_));
+    http::async_write(stream_, request_,
+                      [self = shared_from_this()](auto ec, std::size_t)
+                      {
+                          if (ec)
+                              return self->fail(ec, verdict::may_have_run);
+                          self->read();
+                      });
+}
+
+void connection::read()
+{
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(config_.most_header.count()));
+    parser_->body_limit(static_cast<std::uint64_t>(config_.most_body.count()));
+    if (request_.method() == http::verb::head)
+        parser_->skip(true);
+    http::async_read(stream_, buf_, *parser_,
+                     [self = shared_from_this()](auto ec, std::size_t) { self->reply_read(ec); });
+}
+
+void connection::reply_read(boost::system::error_code ec)
+{
+    if (ec || cancelled_)
+        return fail(ec, verdict::may_have_run);
+    // Bytes behind the reply belong to nothing that was asked, and a reply that
+    // ends with the connection cannot be told from one that was cut.
+    bool const framed = parser_->content_length() || parser_->chunked() || parser_->is_done();
+    if (buf_.size() != 0 || !framed || parser_->need_eof())
+        return fail(http::make_error_code(http::error::bad_content_length), verdict::may_have_run);
+    reusable_ = parser_->keep_alive();
+    stream_.expires_never();
+    finish(parser_->release());
+}
+
+void connection::cancel()
+{
+    cancelled_ = true;
+    stream_.cancel();
+}
+
+void connection::fail(boost::system::error_code ec, verdict run)
+{
+    auto const cause = cancelled_ ? entry::attempt_failure::cancelled : cause_of(ec, open_);
+    close();
+    finish(exchange_failed{.cause = cause, .run = run});
+}
+
+void connection::finish(exchange_end how)
+{
+    auto const done = std::move(done_);
+    done_ = nullptr;
+    if (done)
+        done(std::move(how));
+}
+
+void connection::watch_idle(std::function<void()> closed)
+{
+    auto const epoch = ++idle_epoch_;
+    // Only waits, for a read could take bytes of the next reply.
+    stream_.socket().async_wait(tcp::socket::wait_read,
+                                [self = shared_from_this(), epoch, closed](auto)
+                                {
+                                    if (self->idle_epoch_ != epoch)
+                                        return;
+                                    self->close();
+                                    closed();
+                                });
+}
+
+void connection::close()
+{
+    ++idle_epoch_;
+    open_ = false;
+    reusable_ = false;
+    stream_.close();
+}
+
+} // namespace mulberryrudder::target_http
--- /dev/null
+++ b/plugins/entry_io/target_http/exchange_codec.cpp
@@ -0,0 +1,111 @@
+#include "exchange_codec.hpp"
+
+#include <mulberryrudder/core/header_names.hpp>
+
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/verb.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace mulberryrudder::target_http
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+
+constexpr unsigned http_version = 11;
+
+http::verb verb_of(call_method method)
+{
+    constexpr std::array verbs{http::verb::get,     http::verb::head, http::verb::put,
+                               http::verb::delete_, http::verb::post, http::verb::patch};
+    return verbs[static_cast<std::size_t>(method)];
+}
+
+bool is_passed_on(http::fields::value_type const& it)
+{
+    constexpr std::array held_back{http::field::connection,       http::field::keep_alive,
+                                   http::field::proxy_connection, http::field::te,
+                                   http::field::trailer,          http::field::upgrade,
+                                   http::field::content_length,   http::field::transfer_encoding};
+    if (std::find(held_back.begin(), held_back.end(), it.name()) != held_back.end())
+        return false;
+    return !boost::beast::iequals(it.name_string().substr(0, 9), "Mulberry-");
+}
+
+bool read_number(std::string_view text, std::int64_t& out)
+{
+    auto const* const last = text.data() + text.size();
+    auto const read = std::from_chars(text.data(), last, out);
+    return read.ec == std::errc{} && read.ptr == last && out >= 0;
+}
+
+} // namespace
+
+http_request encode(entry::send_attempt const& what, instant now)
+{
+    auto const& from = *what.content;
+    http_request out(verb_of(from.method), "/" + what.route.value() + from.path, http_version);
+    for (auto const& it : from.fields)
+        out.insert(it.name, it.value);
+    auto const left = std::chrono::ceil<milliseconds>(what.deadline - now);
+    out.set(http::field::host, to_string(what.where));
+    out.set(header_names::request_id, std::to_string(what.request.value()));
+    out.set(header_names::deadline, std::to_string(std::max(left.count(), milliseconds::rep{1})));
+    if (!what.customer.value().empty())
+        out.set(header_names::customer, what.customer.value());
+    out.body() = from.body;
+    out.keep_alive(true);
+    out.prepare_payload();
+    return out;
+}
+
+http_request encode(entry::probe_target const& what)
+{
+    http_request out(http::verb::get, "/health", http_version);
+    out.set(http::field::host, to_string(what.where));
+    out.keep_alive(true);
+    return out;
+}
+
+bool is_reply_to(http_reply const& it, request_id expected)
+{
+    auto const echoed = it.find(header_names::request_id);
+    return echoed == it.end() || echoed->value() == std::to_string(expected.value());
+}
+
+bool says_not_run(http_reply const& it)
+{
+    if (it.result() != http::status::service_unavailable)
+        return false;
+    return it[header_names::not_run] == "true";
+}
+
+std::optional<entry::load_report> read_load(http_reply const& it)
+{
+    std::string_view const text = it[header_names::load];
+    auto const slash = text.find('/');
+    if (slash == std::string_view::npos)
+        return std::nullopt;
+    std::int64_t busy = 0;
+    std::int64_t total = 0;
+    if (!read_number(text.substr(0, slash), busy) || !read_number(text.substr(slash + 1), total))
+        return std::nullopt;
+    return entry::load_report{.busy = slots(busy), .total = slots(total)};
+}
+
+shared_reply decode(http_reply&& from)
+{
+    reply out{.status = static_cast<std::uint16_t>(from.result_int())};
+    for (auto const& it : from)
+        if (is_passed_on(it))
+            out.fields.push_back({std::string(it.name_string()), std::string(it.value())});
+    out.body = std::move(from.body());
+    return std::make_shared<reply const>(std::move(out));
+}
+
+} // namespace mulberryrudder::target_http
--- /dev/null
+++ b/plugins/entry_io/target_http/exchange_codec.hpp
@@ -0,0 +1,39 @@
+#ifndef MULBERRYRUDDER_PLUGINS_ENTRY_IO_TARGET_HTTP_EXCHANGE_CODEC_HPP
+#define MULBERRYRUDDER_PLUGINS_ENTRY_IO_TARGET_HTTP_EXCHANGE_CODEC_HPP
+
+#include <mulberryrudder/entry/effects.hpp>
+#include <mulberryrudder/entry/inputs.hpp>
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+
+namespace mulberryrudder::target_http
+{
+
+using http_request = boost::beast::http::request<boost::beast::http::string_body>;
+using http_reply = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// Encodes an attempt; the customer's name goes with it, the key does not.
+http_request encode(entry::send_attempt const& what, instant now);
+
+/// Encodes a probe.
+http_request encode(entry::probe_target const& what);
+
+/// Returns whether a whole reply is the one to this request: a target that echoes
+/// a request id must echo the right one.
+bool is_reply_to(http_reply const& it, request_id expected);
+
+/// Returns whether the target says that it shed the request without running it.
+bool says_not_run(http_reply const& it);
+
+/// Returns the load that the reply tells, if it does.
+std::optional<entry::load_report> read_load(http_reply const& it);
+
+/// Takes a reply over, without the fields that concern one connection.
+shared_reply decode(http_reply&& from);
+
+} // namespace mulberryrudder::target_http
+
+#endif
--- /dev/null
+++ b/plugins/entry_io/target_http/target_duty.cpp
@@ -0,0 +1,152 @@
+#include "pool.hpp"
+
+#include <mulberryrudder/kernel/asio_duty.hpp>
+#include <mulberryrudder/kernel/outbox.hpp>
+#include <mulberryrudder/peer/orders.hpp>
+
+#include <unordered_map>
+
+namespace mulberryrudder::target_http
+{
+
+namespace
+{
+
+/// Orders that are carried out before the sockets have their turn.
+constexpr int batch_size = 256;
+constexpr milliseconds sweep_period{500};
+constexpr milliseconds flush_period{5};
+
+kernel::counter_kind const connections_opened("targets.exchanges",
+                                              "Requests and probes sent over connections.");
+kernel::counter_kind const
+    pool_exhausted("targets.pool_exhausted",
+                   "Attempts that found all connections to their target in use.");
+kernel::counter_kind const
+    replies_malformed("targets.replies_malformed",
+                      "Replies that were cut, crossed, too large or not HTTP.");
+
+/// Speaks HTTP with targets: sends attempts and probes, checks whole replies.
+class target_duty final : public kernel::asio_duty
+{
+public:
+    explicit target_duty(kernel::duty_parts const& given)
+        : asio_duty(duties::target_io, given), config_(given.config.get(target_section)),
+          orders_(given.links.link<entry::effect>(duties::decision, name(), duty_ring_capacity)),
+          to_decision_(
+              given.links.link<entry::input>(name(), duties::decision, duty_ring_capacity)),
+          pool_(loop(), config_)
+    {
+    }
+
+protected:
+    void started() override
+    {
+        run_every(sweep_period, [this] { pool_.expire(monotonic_now()); });
+        run_every(flush_period, [this] { to_decision_.flush(); });
+    }
+
+    void take_messages() override
+    {
+        entry::effect it;
+        for (int n = 0; n != batch_size && orders_.try_pop(it); ++n)
+        {
+            if (auto const* const attempt = std::get_if<entry::send_attempt>(&it))
+                send(*attempt);
+            else if (auto const* const given_up = std::get_if<entry::cancel_attempt>(&it))
+                cancel(given_up->id);
+            else if (auto const* const probed = std::get_if<entry::probe_target>(&it))
+                probe(*probed);
+            else if (auto const* const gone = std::get_if<entry::forget_target>(&it))
+                pool_.forget(gone->id);
+        }
+    }
+
+private:
+    void send(entry::send_attempt const& what)
+    {
+        auto const now = monotonic_now();
+        // The ring may have held the order past the deadline; then nothing is sent.
+        auto const way = now < what.deadline
+                             ? pool_.acquire(what.target, what.where, what.most_connections)
+                             : nullptr;
+        if (!way)
+        {
+            parts().counters.add(pool_exhausted);
+            return report_failure(what.id,
+                                  {entry::attempt_failure::connect_refused, verdict::not_run});
+        }
+        parts().counters.add(connections_opened);
+        running_.emplace(what.id, way);
+        way->exchange(encode(what, now), what.deadline,
+                      [this, id = what.id, request = what.request, target = what.target,
+                       way](exchange_end how)
+                      {
+                          running_.erase(id);
+                          finish(id, request, std::move(how), *way);
+                          pool_.release(target, way);
+                      });
+    }
+
+    void finish(attempt_id id, request_id request, exchange_end how, connection& way)
+    {
+        if (auto const* const failed = std::get_if<exchange_failed>(&how))
+            return report_failure(id, *failed);
+        auto& reply = std::get<http_reply>(how);
+        if (!is_reply_to(reply, request))
+        {
+            way.close();
+            return report_failure(id, {entry::attempt_failure::malformed, verdict::may_have_run});
+        }
+        if (says_not_run(reply))
+            return report_failure(id, {entry::attempt_failure::shed, verdict::not_run});
+        auto const load = read_load(reply);
+        to_decision_.post(
+            entry::attempt_replied{.id = id, .content = decode(std::move(reply)), .load = load});
+    }
+
+    void report_failure(attempt_id id, exchange_failed const& how)
+    {
+        if (how.cause == entry::attempt_failure::malformed)
+            parts().counters.add(replies_malformed);
+        to_decision_.post(entry::attempt_failed{.id = id, .cause = how.cause, .run = how.run});
+    }
+
+    void cancel(attempt_id id)
+    {
+        if (auto const it = running_.find(id); it != running_.end())
+            it->second->cancel();
+    }
+
+    void probe(entry::probe_target const& what)
+    {
+        parts().counters.add(connections_opened);
+        // A probe has a connection of its own: it must tell whether new ones are taken.
+        auto const way = std::make_shared<connection>(loop(), what.where, config_);
+        way->exchange(encode(what), what.deadline,
+                      [this, id = what.id, way](exchange_end how)
+                      {
+                          entry::probe_ended ended{.id = id};
+                          if (auto const* const reply = std::get_if<http_reply>(&how))
+                          {
+                              ended.healthy = reply->result_int() == 200;
+                              ended.load = read_load(*reply);
+                          }
+                          to_decision_.post(std::move(ended));
+                          way->close();
+                      });
+    }
+
+    target_settings config_;
+    kernel::ring<entry::effect>& orders_;
+    /// Bounded by the attempts and probes that the decisions have running.
+    kernel::outbox<entry::input> to_decision_;
+    pool pool_;
+    std::unordered_map<attempt_id, std::shared_ptr<connection>> running_;
+};
+
+kernel::duty_registrar<target_duty> const entered{"target_io", duty_order::target_io};
+
+} // namespace
+
+} // namespace mulberryrudder::target_http
--- /dev/null
+++ b/plugins/entry_io/target_http/target_settings.cpp
@@ -0,0 +1,29 @@
+#include "target_settings.hpp"
+
+namespace mulberryrudder::target_http
+{
+
+namespace
+{
+
+constexpr kernel::limits connect_times{10, 60'000};
+constexpr kernel::limits idle_times{10, 3'600'000};
+constexpr kernel::limits header_bytes{256, 1024 * 1024};
+constexpr kernel::limits body_bytes{0, 256 * 1024 * 1024};
+
+} // namespace
+
+kernel::section<target_settings> const target_section{
+    "target_connections",
+    {
+        field("connect_limit", &target_settings::connect_limit, connect_times,
+              "Milliseconds a connection to a target may take to come about."),
+        field("idle_limit", &target_settings::idle_limit, idle_times,
+              "Milliseconds an unused connection to a target is kept."),
+        field("most_header", &target_settings::most_header, header_bytes,
+              "Bytes of a reply's header at most."),
+        field("most_body", &target_settings::most_body, body_bytes,
+              "Bytes of a reply's body at most; a larger reply is never passed on."),
+    }};
+
+} // namespace mulberryrudder::target_http
--- /dev/null
+++ b/plugins/entry_io/target_http/target_settings.hpp
@@ -0,0 +1,23 @@
+#ifndef MULBERRYRUDDER_PLUGINS_ENTRY_IO_TARGET_HTTP_TARGET_SETTINGS_HPP
+#define MULBERRYRUDDER_PLUGINS_ENTRY_IO_TARGET_HTTP_TARGET_SETTINGS_HPP
+
+#include <mulberryrudder/core/units.hpp>
+#include <mulberryrudder/kernel/settings.hpp>
+
+namespace mulberryrudder::target_http
+{
+
+/// The `target_connections` section: limits on the connections to targets.
+struct target_settings
+{
+    milliseconds connect_limit{500};
+    milliseconds idle_limit{30000};
+    byte_count most_header{16 * 1024};
+    byte_count most_body{4 * 1024 * 1024};
+};
+
+extern kernel::section<target_settings> const target_section;
+
+} // namespace mulberryrudder::target_http
+
+#endif
