control: make effects in place in context::send and context::answer

Cause: gcc 12 reports the moved-from temporary of the effects' variant as maybe uninitialised once answer() is inlined with a large body, and the build treats that as an error. Ruled out: switching the warning off.

--- a/include/mulberryrudder/control/component.hpp
+++ b/include/mulberryrudder/control/component.hpp
@@ -67,14 +67,14 @@
     void send(instance_id to, T message)
     {
         auto body = any_message::of(std::move(message));
-        out.push_back(send_message{{.from = self.self.id, .to = to, .body = std::move(body)}});
+        out.emplace_back(send_message{{.from = self.self.id, .to = to, .body = std::move(body)}});
     }
 
     /// Answers an operator's request with a struct that the front end can encode.
     template <class T>
     void answer(operator_request_id id, T body)
     {
-        out.push_back(answer_operator{id, any_message::of(std::move(body))});
+        out.emplace_back(answer_operator{id, any_message::of(std::move(body))});
     }
 };
 
