--- a/plugins/peer/codecs/fleet_config_codec.cpp
+++ b/plugins/peer/codecs/fleet_config_codec.cpp
@@ -9,8 +9,25 @@
 namespace
 {
 
-template <class Digests>
-void encode_digests(std::set<digest> const& from, Digests to)
+void encode_links(fleet_config const& from, schema::FleetConfig::Builder to)
+{
+    auto links = to.initLinkCaps(static_cast<unsigned>(from.link_caps.size()));
+    unsigned n = 0;
+    for (auto const& [id, cap] : from.link_caps)
+        encode_link(id, cap, links[n++]);
+}
+
+void encode_draining(fleet_config const& from, schema::FleetConfig::Builder to)
+{
+    auto draining = to.initDraining(static_cast<unsigned>(from.draining.size()));
+    unsigned n = 0;
+    for (auto const& it : from.draining)
+        draining.set(n++, it.value());
+}
+
+} // namespace
+
+void encode_digests(std::set<digest> const& from, capnp::List<capnp::Data>::Builder to)
 {
     unsigned n = 0;
     for (auto const& it : from)
@@ -72,29 +89,18 @@
     return out;
 }
 
-void encode_links(fleet_config const& from, schema::FleetConfig::Builder to)
+void encode_link(link_id const& id, bytes_per_second cap, schema::LinkCap::Builder to)
 {
-    auto links = to.initLinkCaps(static_cast<unsigned>(from.link_caps.size()));
-    unsigned n = 0;
-    for (auto const& [id, cap] : from.link_caps)
-    {
-        auto link = links[n++];
-        link.setFrom(id.from.value());
-        link.setTo(id.to.value());
-        link.setCap(cap.count());
-    }
+    to.setFrom(id.from.value());
+    to.setTo(id.to.value());
+    to.setCap(cap.count());
 }
 
-void encode_draining(fleet_config const& from, schema::FleetConfig::Builder to)
+link_id decode_link(schema::LinkCap::Reader from)
 {
-    auto draining = to.initDraining(static_cast<unsigned>(from.draining.size()));
-    unsigned n = 0;
-    for (auto const& it : from.draining)
-        draining.set(n++, it.value());
+    return {region_id(decode_text(from.getFrom())), region_id(decode_text(from.getTo()))};
 }
 
-} // namespace
-
 digest decode_digest(capnp::Data::Reader from)
 {
     digest out;
@@ -139,10 +145,7 @@
     for (auto const it : from.getRoutes())
         out.routes.emplace(route_id(decode_text(it.getId())), decode_route(it));
     for (auto const it : from.getLinkCaps())
-    {
-        link_id const id{region_id(decode_text(it.getFrom())), region_id(decode_text(it.getTo()))};
-        out.link_caps.emplace(id, bytes_per_second(it.getCap()));
-    }
+        out.link_caps.emplace(decode_link(it), bytes_per_second(it.getCap()));
     out.quarantined = decode_digests(from.getQuarantined());
     for (auto const it : from.getDraining())
         out.draining.insert(instance_id(it));
