--- /dev/null
+++ b/tests/entry/support/entry_bench.cpp
@@ -0,0 +1,14 @@
+#include "entry_bench.hpp"
+
+namespace mulberryrudder::entry
+{
+
+namespace
+{
+
+stage_registrar<fake_lease> const lease_entered{"lease", stage_order::lease};
+stage_registrar<fake_choice> const choice_entered{"fake_choice", stage_order::choice};
+
+} // namespace
+
+} // namespace mulberryrudder::entry
