--- a/tests/entry/support/entry_bench.hpp
+++ b/tests/entry/support/entry_bench.hpp
@@ -31,6 +31,12 @@
     std::vector<messages::member> known;
 };
 
+/// Asks the fake choice to start one more attempt of a request.
+struct hedge
+{
+    request_id id;
+};
+
 /// Stands for the target choice: sends each request to a target of its version.
 class fake_choice final : public stage
 {
@@ -41,16 +47,26 @@
     {
         if (held_back)
             return wait{};
-        what.chosen = chosen_target{.id = target_id("t-" + what.version.value()),
-                                    .where = {"127.0.0.1", 1},
-                                    .version = what.version,
-                                    .most_connections = connections(1)};
+        what.chosen = target_of(what);
         return proceed{};
     }
 
-    /// Lets a held request go on; the message's body is its request_id.
+    static chosen_target target_of(request const& what)
+    {
+        return {.id = target_id("t-" + what.version.value()),
+                .where = {"127.0.0.1", 1},
+                .version = what.version,
+                .most_connections = connections(1)};
+    }
+
+    /// Lets a held request go on (request_id), starts a hedge, or collects a report
+    /// (pointer to a renewal).
     void received(envelope const& it, context& with) override
     {
+        if (auto const* const report = it.body.get<messages::renew_request*>())
+            with.flow.collect_report(**report);
+        if (auto const* const more = it.body.get<hedge>())
+            with.flow.start_attempt(more->id, target_of(*with.flow.find(more->id)));
         if (auto const* const id = it.body.get<request_id>())
             with.flow.resume_from(*id, "fake_choice");
     }
