--- a/entry/core.cpp
+++ b/entry/core.cpp
@@ -183,6 +183,14 @@
         stage.rule->received(it.message, context_);
 }
 
+void core::take(question_arrived const& it)
+{
+    for (auto& stage : stages_)
+        if (stage.rule->asked(it, context_))
+            return;
+    scratch_.push_back(answer_question{.id = it.id});
+}
+
 void core::take(stop_requested const&)
 {
     for (auto& stage : stages_)
--- a/include/mulberryrudder/entry/core.hpp
+++ b/include/mulberryrudder/entry/core.hpp
@@ -68,6 +68,7 @@
     void take(announcement const& it);
     void take(probe_ended const& it);
     void take(message_arrived const& it);
+    void take(question_arrived const& it);
     void take(stop_requested const& it);
 
     void resume(request_id id) override;
--- a/include/mulberryrudder/entry/effects.hpp
+++ b/include/mulberryrudder/entry/effects.hpp
@@ -26,6 +26,13 @@
     milliseconds time_to_live; ///< How long the caller may use the answer.
 };
 
+/// Answers an operator's question; the body is empty if no stage knows it.
+struct answer_question
+{
+    request_id id;
+    any_message body;
+};
+
 /// Sends a request to a target. Its end is told by attempt_replied or attempt_failed.
 struct send_attempt
 {
@@ -84,9 +91,9 @@
 };
 
 /// All that the entry's decision core can ask for.
-using effect =
-    std::variant<answer_caller, answer_lookup, send_attempt, cancel_attempt, probe_target,
-                 forget_target, send_message, learn_instance, stop_completed, close_idle_callers>;
+using effect = std::variant<answer_caller, answer_lookup, answer_question, send_attempt,
+                            cancel_attempt, probe_target, forget_target, send_message,
+                            learn_instance, stop_completed, close_idle_callers>;
 using effects = std::vector<effect>;
 
 } // namespace mulberryrudder::entry
--- a/include/mulberryrudder/entry/inputs.hpp
+++ b/include/mulberryrudder/entry/inputs.hpp
@@ -97,6 +97,14 @@
     envelope message;
 };
 
+/// An operator asks something about this instance; the body is a struct of the
+/// stage that knows the answer.
+struct question_arrived
+{
+    request_id id;
+    any_message body;
+};
+
 /// The operating system or the operator asked for a planned stop.
 struct stop_requested
 {
@@ -105,7 +113,7 @@
 /// All that the entry's decision core is told; time passing is told by `core::tick`.
 using input =
     std::variant<request_arrived, caller_gone, lookup_arrived, attempt_replied, attempt_failed,
-                 announcement, probe_ended, message_arrived, stop_requested>;
+                 announcement, probe_ended, message_arrived, question_arrived, stop_requested>;
 
 } // namespace mulberryrudder::entry
 
--- a/include/mulberryrudder/entry/stage.hpp
+++ b/include/mulberryrudder/entry/stage.hpp
@@ -90,6 +90,9 @@
     /// Answers a look-up; the first stage that returns true has answered it.
     virtual bool look_up(lookup_arrived const&, context&) { return false; }
 
+    /// Answers an operator's question; the first stage that returns true has answered it.
+    virtual bool asked(question_arrived const&, context&) { return false; }
+
     virtual void announced(announcement const&, context&) {}
     virtual void probed(probe_ended const&, context&) {}
 
@@ -118,6 +121,7 @@
 /// Places of the stages in the order in which a request meets them.
 namespace stage_order
 {
+inline constexpr int trace = 50;
 inline constexpr int lease = 100;
 inline constexpr int drain = 150;
 inline constexpr int keys = 200;
--- a/plugins/entry_io/caller_http/answer_codec.cpp
+++ b/plugins/entry_io/caller_http/answer_codec.cpp
@@ -1,6 +1,7 @@
 #include "answer_codec.hpp"
 
 #include <mulberryrudder/core/header_names.hpp>
+#include <mulberryrudder/entry/questions.hpp>
 
 #include <boost/beast/http/field.hpp>
 #include <boost/json/object.hpp>
@@ -80,6 +81,22 @@
                                                    {"ttl_ms", what.time_to_live.count()}}));
 }
 
+http_response encode(entry::answer_question const& what)
+{
+    auto const* const told = what.body.get<entry::request_explanation>();
+    if (told == nullptr || !told->known)
+        return problem(404, {{"status", 404}, {"reason", "unknown_request"}});
+    boost::json::array steps;
+    for (auto const& it : told->steps)
+        steps.push_back({{"after_ms", it.since_arrival.count()}, {"what", it.what}});
+    boost::json::object const out{{"request_id", std::to_string(told->request.value())},
+                                  {"customer", told->customer.value()},
+                                  {"route", told->route.value()},
+                                  {"version", told->version.value()},
+                                  {"steps", std::move(steps)}};
+    return with_body(200, "application/json", boost::json::serialize(out));
+}
+
 http_response encode(bad_request const& what)
 {
     return problem(what.status, {{"type", "about:blank"},
--- a/plugins/entry_io/caller_http/answer_codec.hpp
+++ b/plugins/entry_io/caller_http/answer_codec.hpp
@@ -21,6 +21,9 @@
 /// Encodes a look-up's answer as JSON; 404 if the route is unknown.
 http_response encode(entry::answer_lookup const& what);
 
+/// Encodes the answer to an operator's question; 404 if no stage knew it.
+http_response encode(entry::answer_question const& what);
+
 /// Encodes the refusal of a request that could not be read.
 http_response encode(bad_request const& what);
 
--- a/plugins/entry_io/caller_http/caller_duty.cpp
+++ b/plugins/entry_io/caller_http/caller_duty.cpp
@@ -70,6 +70,8 @@
                 pass_on(answer->id, encode(answer->id, answer->what));
             else if (auto const* const found = std::get_if<entry::answer_lookup>(&it))
                 pass_on(found->id, encode(*found));
+            else if (auto const* const told = std::get_if<entry::answer_question>(&it))
+                pass_on(told->id, encode(*told));
             else if (std::holds_alternative<entry::close_idle_callers>(it))
                 close_idle();
         }
@@ -116,6 +118,10 @@
         parts().counters.add(lookups);
         submit(from, id, std::move(it));
     }
+    void take(std::shared_ptr<session> const& from, request_id id, entry::question_arrived& it)
+    {
+        submit(from, id, std::move(it));
+    }
     void take(std::shared_ptr<session> const& from, request_id, entry::announcement& it)
     {
         bool const taken = to_decision_.try_push(std::move(it));
--- a/plugins/entry_io/caller_http/request_codec.cpp
+++ b/plugins/entry_io/caller_http/request_codec.cpp
@@ -1,6 +1,7 @@
 #include "request_codec.hpp"
 
 #include <mulberryrudder/core/header_names.hpp>
+#include <mulberryrudder/entry/questions.hpp>
 
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/verb.hpp>
@@ -20,6 +21,7 @@
 namespace http = boost::beast::http;
 
 constexpr std::string_view bearer = "Bearer ";
+constexpr std::string_view explain_path = "/v1/explain/";
 /// Bytes of an idempotency key at most.
 constexpr std::size_t most_idempotency_key = 255;
 
@@ -120,12 +122,25 @@
     return out;
 }
 
+decoded decode_explain(std::string_view text, decoding const& with)
+{
+    std::uint64_t n = 0;
+    auto const* const last = text.data() + text.size();
+    auto const read = std::from_chars(text.data(), last, n);
+    if (read.ec != std::errc{} || read.ptr != last)
+        return bad_request{.expected = "/v1/explain/REQUEST-ID, a number"};
+    auto asked = any_message::of(entry::explain_request{request_id(n)});
+    return entry::question_arrived{.id = with.id, .body = std::move(asked)};
+}
+
 decoded decode_own(http_request const& from, boost::urls::url_view target, decoding const& with)
 {
     auto const path = target.encoded_path();
     bool const is_get = from.method() == http::verb::get;
     if (is_get && path == "/v1/lookup")
         return decode_lookup(target, with);
+    if (is_get && path.starts_with(explain_path))
+        return decode_explain(path.substr(explain_path.size()), with);
     if (is_get && path == "/v1/counters")
         return counters_asked{};
     if (is_get && path == "/v1/health")
@@ -133,7 +148,8 @@
     if (from.method() == http::verb::post && path == "/v1/announce")
         return decode_announcement(from.body());
     return bad_request{.status = 404,
-                       .expected = "GET /v1/lookup, /v1/counters, /v1/health or POST /v1/announce"};
+                       .expected = "GET /v1/lookup, /v1/explain/ID, /v1/counters, /v1/health or "
+                                   "POST /v1/announce"};
 }
 
 shared_call forwarded_call(http_request&& from, call_method method, std::string path)
--- a/plugins/entry_io/caller_http/request_codec.hpp
+++ b/plugins/entry_io/caller_http/request_codec.hpp
@@ -35,7 +35,7 @@
 };
 
 /// What a caller or a target can ask for over HTTP.
-using decoded = std::variant<entry::request_arrived, entry::lookup_arrived, entry::announcement,
+using decoded = std::variant<entry::request_arrived, entry::question_arrived, entry::lookup_arrived, entry::announcement,
                              counters_asked, health_asked, bad_request>;
 
 /// What the decoder needs besides the request.
