--- a/plugins/control/ledger/headroom_ledger.cpp
+++ b/plugins/control/ledger/headroom_ledger.cpp
@@ -42,9 +42,9 @@
     weight_ = 0;
 }
 
-slots headroom_ledger::free_in(domain_id const& domain) const
+slots headroom_ledger::free_in(domain_id const& where) const
 {
-    auto const it = domains_.find(domain);
+    auto const it = domains_.find(where);
     if (it == domains_.end() || it->second.free.empty())
         return {};
     auto const less = [](auto const& a, auto const& b) { return a.second < b.second; };
@@ -52,9 +52,9 @@
     return std::min_element(free.begin(), free.end(), less)->second;
 }
 
-slots headroom_ledger::granted_into(domain_id const& domain) const
+slots headroom_ledger::granted_into(domain_id const& where) const
 {
-    auto const it = domains_.find(domain);
+    auto const it = domains_.find(where);
     return it == domains_.end() ? slots{} : it->second.granted;
 }
 
--- a/plugins/control/ledger/headroom_ledger.hpp
+++ b/plugins/control/ledger/headroom_ledger.hpp
@@ -37,8 +37,8 @@
 
     /// Returns a domain's free slots by the lowest of its reports, and what is granted
     /// into it; for checks.
-    slots free_in(domain_id const& domain) const;
-    slots granted_into(domain_id const& domain) const;
+    slots free_in(domain_id const& where) const;
+    slots granted_into(domain_id const& where) const;
 
 private:
     struct domain
