--- a/plugins/control/leases/config_history.cpp
+++ b/plugins/control/leases/config_history.cpp
@@ -31,8 +31,7 @@
     auto const base = std::find_if(older_.begin(), older_.end(), same);
     if (base == older_.end() || held == generation_id{})
         return {.whole = newest_, .delta = nullptr};
-    auto made =
-        std::make_shared<messages::config_delta const>(fleet::difference(**base, *newest_));
+    auto made = std::make_shared<messages::config_delta const>(fleet::difference(**base, *newest_));
     deltas_.emplace(held, made);
     return {.whole = nullptr, .delta = std::move(made)};
 }
--- a/plugins/control/leases/leases.cpp
+++ b/plugins/control/leases/leases.cpp
@@ -191,8 +191,8 @@
             continue;
         // The entries of a domain that has not yet reported to this leader may still
         // hold the former one's leases, unless this entry had it before.
-        bool const had = std::find(it.adopted.begin(), it.adopted.end(), domain) !=
-                         it.adopted.end();
+        bool const had =
+            std::find(it.adopted.begin(), it.adopted.end(), domain) != it.adopted.end();
         if (with.now < settled_ && !had)
             continue;
         if (adopter_of(domain, with.now) == it.self.domain)
--- a/plugins/peer/codecs/lease_parts_codec.cpp
+++ b/plugins/peer/codecs/lease_parts_codec.cpp
@@ -65,7 +65,8 @@
         link.setFrom(it.from.value());
         link.setTo(it.to.value());
     }
-    encode_digests(from.quarantine_lifted, to.initQuarantineLifted(size_of(from.quarantine_lifted)));
+    encode_digests(from.quarantine_lifted,
+                   to.initQuarantineLifted(size_of(from.quarantine_lifted)));
     encode_ids(from.draining_ended, to.initDrainingEnded(size_of(from.draining_ended)));
 }
 
@@ -161,7 +162,8 @@
 
 messages::headroom_grant decode(schema::HeadroomGrant::Reader from)
 {
-    return {.to = domain_id(decode_text(from.getTo())), .running = amount<slots>(from.getRunning())};
+    return {.to = domain_id(decode_text(from.getTo())),
+            .running = amount<slots>(from.getRunning())};
 }
 
 void encode(messages::member const& from, schema::Member::Builder to)
