--- a/tests/entry/support/entry_bench.hpp
+++ b/tests/entry/support/entry_bench.hpp
@@ -88,11 +88,12 @@
 {
 public:
     entry_bench() : entry_bench(kernel::settings::defaults()) {}
-    explicit entry_bench(kernel::settings with, instance_description self = {})
+    explicit entry_bench(kernel::settings with, instance_description self = {},
+                         boot_id boot = boot_id(1))
         : config_(std::move(with)), core_({.config = config_,
                                            .counters = counters,
                                            .events = events_,
-                                           .self = {.self = std::move(self), .boot = boot_id(1)},
+                                           .self = {.self = std::move(self), .boot = boot},
                                            .seed = 1})
     {
     }
