--- a/include/mulberryrudder/control/log_types.hpp
+++ b/include/mulberryrudder/control/log_types.hpp
@@ -1,9 +1,11 @@
 #ifndef MULBERRYRUDDER_CONTROL_LOG_TYPES_HPP
 #define MULBERRYRUDDER_CONTROL_LOG_TYPES_HPP
 
+#include <mulberryrudder/control/membership.hpp>
 #include <mulberryrudder/core/any_message.hpp>
 #include <mulberryrudder/core/ids.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -18,13 +20,30 @@
     any_message command;
 };
 
+/// Counts the starts of a replica on one disk.
+using start_number = strong_id<struct start_number_tag, std::uint64_t>;
+/// Tells two starts with an equal number apart; drawn at random.
+using start_nonce = strong_id<struct start_nonce_tag, std::uint64_t>;
+
+/// One start of an instance's replica.
+struct start_record
+{
+    instance_id instance;
+    disk_id disk;
+    start_number number;
+    start_nonce nonce;
+
+    friend bool operator==(start_record const&, start_record const&) = default;
+};
+
 /// What a replica must not forget between two starts, besides its log.
 struct hard_state
 {
     term_id term;
     std::optional<instance_id> voted_for;
-    /// False until the replica has held the full state; it does not vote before.
-    bool voter = false;
+    disk_id disk;                     ///< Of this disk.
+    start_number start;               ///< The newest start on this disk.
+    std::vector<start_record> starts; ///< The newest start known of each other instance.
 
     friend bool operator==(hard_state const&, hard_state const&) = default;
 };
@@ -34,7 +53,7 @@
 {
     term_id term;
     log_index index;
-    std::vector<instance_id> voters; ///< The control group's membership.
+    group_membership members; ///< The newest committed by `index`.
     std::vector<any_message> parts;
 };
 
