--- a/include/mulberryrudder/control/membership.hpp
+++ b/include/mulberryrudder/control/membership.hpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 namespace mulberryrudder::control
@@ -45,7 +44,7 @@
 {
     group_id group; ///< Zero before the group was founded.
     std::vector<voter> voters;
-    std::optional<replacement> pending;
+    std::vector<replacement> pending; ///< Carried on by each leader until done.
 
     /// Returns the voter with this id, or null.
     voter const* find(instance_id id) const
--- a/include/mulberryrudder/control/operator_members.hpp
+++ b/include/mulberryrudder/control/operator_members.hpp
@@ -31,7 +31,7 @@
     std::optional<instance_id> leader;
     term_id term;
     log_index committed;
-    std::optional<replacement> pending;
+    std::vector<replacement> pending;
     std::vector<member_status> members;
 };
 
@@ -52,7 +52,7 @@
     not_leader,     ///< Ask the instance that `leader` names.
     unknown_member, ///< The leaving instance has no vote.
     already_member, ///< The joining instance has a vote already.
-    busy            ///< Another change of the membership is under way.
+    not_confirmed   ///< The leader has no majority now; ask again.
 };
 
 /// Answers replace_member once the request was committed, or at once if refused.
--- a/include/mulberryrudder/messages/replica.hpp
+++ b/include/mulberryrudder/messages/replica.hpp
@@ -59,6 +59,7 @@
     control::start_record start;
     control::group_id group; ///< Zero on a disk that belongs to no group.
     bool blank = false;      ///< There is neither a group nor any entry on the disk.
+    bool votes = false;      ///< The newest membership on the disk counts this disk.
 };
 
 /// What a replica knows of another one's start.
@@ -76,6 +77,7 @@
     start_standing standing = start_standing::known;
     control::disk_id disk; ///< Of the answering replica.
     bool blank = false;    ///< The answering replica's disk is blank, too.
+    term_id term;          ///< Of the answering replica.
     control::group_membership members;
 };
 
--- /dev/null
+++ b/plugins/control/replica/replica_settings.hpp
@@ -0,0 +1,24 @@
+#ifndef MULBERRYRUDDER_PLUGINS_CONTROL_REPLICA_REPLICA_SETTINGS_HPP
+#define MULBERRYRUDDER_PLUGINS_CONTROL_REPLICA_REPLICA_SETTINGS_HPP
+
+#include <mulberryrudder/kernel/settings.hpp>
+
+namespace mulberryrudder::control
+{
+
+/// Settings of the replicated log, the same on all control instances.
+struct replica_settings
+{
+    milliseconds election_timeout{1000};
+    milliseconds heartbeat{200};
+    milliseconds lease{1000};
+    milliseconds lease_margin{100};
+    std::int64_t snapshot_threshold = 1000;
+    std::int64_t append_batch = 64;
+};
+
+extern kernel::section<replica_settings> const replica_section;
+
+} // namespace mulberryrudder::control
+
+#endif
--- /dev/null
+++ b/plugins/control/replica/role.cpp
@@ -0,0 +1,137 @@
+#include "role.hpp"
+
+#include <mulberryrudder/core/invariant.hpp>
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace mulberryrudder::control
+{
+
+namespace
+{
+
+namespace msm = boost::msm;
+using msm::front::none;
+
+struct election_due_event
+{
+};
+struct trial_won_event
+{
+};
+struct vote_won_event
+{
+};
+struct stand_down_event
+{
+};
+struct disk_lost_event
+{
+};
+
+struct role_table : msm::front::state_machine_def<role_table>
+{
+    struct follower : msm::front::state<>
+    {
+    };
+    struct pre_candidate : msm::front::state<>
+    {
+    };
+    struct candidate : msm::front::state<>
+    {
+    };
+    struct leader : msm::front::state<>
+    {
+    };
+    struct stopped : msm::front::state<>
+    {
+    };
+
+    using initial_state = follower;
+
+    template <class From, class Event, class To>
+    using row = msm::front::Row<From, Event, To, none, none>;
+
+    using transition_table = boost::mpl::vector<
+        row<follower, election_due_event, pre_candidate>,
+        row<pre_candidate, election_due_event, pre_candidate>,
+        row<pre_candidate, trial_won_event, candidate>,
+        row<pre_candidate, stand_down_event, follower>,
+        row<pre_candidate, disk_lost_event, stopped>,
+        row<candidate, election_due_event, pre_candidate>, row<candidate, vote_won_event, leader>,
+        row<candidate, stand_down_event, follower>, row<candidate, disk_lost_event, stopped>,
+        row<leader, stand_down_event, follower>, row<leader, disk_lost_event, stopped>,
+        row<follower, stand_down_event, follower>, row<follower, disk_lost_event, stopped>,
+        row<stopped, disk_lost_event, stopped>>;
+
+    template <class Machine, class Event>
+    void no_transition(Event const&, Machine&, int)
+    {
+        check_invariant(false, "the replica's role has no such transition");
+    }
+
+    template <class Machine, class Event>
+    void exception_caught(Event const&, Machine&, std::exception& e)
+    {
+        throw invariant_violated(e.what());
+    }
+};
+
+} // namespace
+
+class role_machine::machine : public msm::back::state_machine<role_table>
+{
+public:
+    template <class State>
+    bool is_in() const
+    {
+        return *current_state() == msm::back::get_state_id<stt, State>::value;
+    }
+};
+
+role_machine::role_machine() : machine_(std::make_unique<machine>())
+{
+    machine_->start();
+}
+
+role_machine::~role_machine() = default;
+
+role role_machine::current() const
+{
+    if (machine_->is_in<role_table::follower>())
+        return role::follower;
+    if (machine_->is_in<role_table::pre_candidate>())
+        return role::pre_candidate;
+    if (machine_->is_in<role_table::candidate>())
+        return role::candidate;
+    return machine_->is_in<role_table::leader>() ? role::leader : role::stopped;
+}
+
+void role_machine::election_due()
+{
+    machine_->process_event(election_due_event{});
+}
+
+void role_machine::trial_won()
+{
+    machine_->process_event(trial_won_event{});
+}
+
+void role_machine::vote_won()
+{
+    machine_->process_event(vote_won_event{});
+}
+
+void role_machine::stand_down()
+{
+    machine_->process_event(stand_down_event{});
+}
+
+void role_machine::disk_lost()
+{
+    machine_->process_event(disk_lost_event{});
+}
+
+} // namespace mulberryrudder::control
--- /dev/null
+++ b/plugins/control/replica/starting.cpp
@@ -0,0 +1,194 @@
+#include "replica.hpp"
+#include "replica_events.hpp"
+
+#include <algorithm>
+
+namespace mulberryrudder::control
+{
+
+namespace
+{
+
+/// Starts that are remembered of one instance; each disk it had takes one.
+constexpr std::ptrdiff_t starts_kept = 4;
+
+} // namespace
+
+bool replica::is_blank() const
+{
+    return members().group == group_id() && log_.last().index == log_index();
+}
+
+bool replica::is_registered() const
+{
+    if (fresh_disk_)
+        return true;
+    std::size_t known = has_vote() ? 1 : 0;
+    if (members().voters.empty())
+        return registered_at_.size() >= self_.initial_voters.size() / 2;
+    for (auto const& it : members().voters)
+        known += registered_at_.count(it.id);
+    return known >= majority(members());
+}
+
+bool replica::must_announce() const
+{
+    if (!has_vote() || !is_registered())
+        return true;
+    // The others must all know of this start, so that an older disk is noticed later.
+    auto const knows = [this](voter const& it)
+    { return it.id == self_.self.id || registered_at_.count(it.id) != 0; };
+    return !std::all_of(members().voters.begin(), members().voters.end(), knows);
+}
+
+std::vector<instance_id> replica::known_instances() const
+{
+    std::set<instance_id> out(self_.initial_voters.begin(), self_.initial_voters.end());
+    for (auto const& it : members().voters)
+        out.insert(it.id);
+    for (auto const& [id, reply] : blank_replies_)
+        for (auto const& it : reply.members.voters)
+            out.insert(it.id);
+    out.erase(self_.self.id);
+    return {out.begin(), out.end()};
+}
+
+void replica::announce_start()
+{
+    announce_due_ = now() + config_.heartbeat;
+    start_record const own{
+        .instance = self_.self.id, .disk = state_.disk, .number = state_.start, .nonce = nonce_};
+    for (auto const id : known_instances())
+        send_synced(id, messages::start_request{.start = own,
+                                                .group = members().group,
+                                                .blank = is_blank(),
+                                                .votes = has_vote()});
+    found_if_all_blank();
+}
+
+void replica::take_start(instance_id from, messages::start_request const& it, context&)
+{
+    auto const standing = standing_of(from, it);
+    if (standing == messages::start_standing::known && record_start(it.start))
+        persist_state();
+    if (standing == messages::start_standing::foreign)
+        with_->events.record(replica_events::foreign_group,
+                             {{"instance", std::to_string(from.value())}});
+    send_synced(from, messages::start_reply{.nonce = it.start.nonce,
+                                            .standing = standing,
+                                            .disk = state_.disk,
+                                            .blank = is_blank(),
+                                            .term = state_.term,
+                                            .members = members()});
+    if (is_leader() && standing == messages::start_standing::known)
+        follow_disk(from, it.start.disk);
+}
+
+messages::start_standing replica::standing_of(instance_id from, messages::start_request const& it)
+{
+    using messages::start_standing;
+    bool const both_founded = it.group != group_id() && members().group != group_id();
+    if (both_founded && it.group != members().group)
+        return start_standing::foreign;
+    for (auto const& known : state_.starts)
+    {
+        bool const same_disk = known.instance == from && known.disk == it.start.disk;
+        bool const newer = known.number > it.start.number;
+        bool const twin = known.number == it.start.number && known.nonce != it.start.nonce;
+        if (same_disk && (newer || twin))
+            return start_standing::outdated;
+    }
+    // A disk from before its own replacement still believes that it has a vote.
+    bool const counts = members().counts(from, it.start.disk);
+    if (may_act(now()) && it.votes && !counts && members_.newest_index() <= committed_)
+        return start_standing::outdated;
+    return start_standing::known;
+}
+
+bool replica::record_start(start_record const& it)
+{
+    auto& all = state_.starts;
+    auto const same = [&](start_record const& known)
+    { return known.instance == it.instance && known.disk == it.disk; };
+    auto const found = std::find_if(all.begin(), all.end(), same);
+    if (found != all.end())
+    {
+        bool const changed = *found != it;
+        *found = it;
+        return changed;
+    }
+    auto const of_instance = [&](start_record const& known)
+    { return known.instance == it.instance; };
+    if (std::count_if(all.begin(), all.end(), of_instance) >= starts_kept)
+        all.erase(std::find_if(all.begin(), all.end(), of_instance));
+    all.push_back(it);
+    return true;
+}
+
+void replica::take_start_reply(instance_id from, messages::start_reply const& it, context& with)
+{
+    using messages::start_standing;
+    if (it.nonce != nonce_)
+        return;
+    if (it.standing == start_standing::outdated)
+        return join_anew();
+    if (it.standing == start_standing::foreign)
+        return with.events.record(replica_events::foreign_group,
+                                  {{"instance", std::to_string(from.value())}});
+    registered_at_.insert(from);
+    blank_replies_[from] = it;
+    bool const group_exists = it.members.group != group_id();
+    if (is_blank() && group_exists && !it.members.counts(self_.self.id, state_.disk) &&
+        !announced_joining_)
+    {
+        announced_joining_ = true;
+        with.events.record(replica_events::catching_up, {});
+    }
+    found_if_all_blank();
+}
+
+void replica::found_if_all_blank()
+{
+    auto const& initial = self_.initial_voters;
+    if (!is_blank() || initial.empty() ||
+        *std::min_element(initial.begin(), initial.end()) != self_.self.id)
+        return;
+    messages::membership_changed founding{
+        .members = {.group = group_id(draw()), .voters = {own_voter()}}};
+    auto term = state_.term;
+    for (auto const id : initial)
+    {
+        if (id == self_.self.id)
+            continue;
+        auto const found = blank_replies_.find(id);
+        if (found == blank_replies_.end() || !found->second.blank)
+            return;
+        founding.members.voters.push_back({.id = id, .disk = found->second.disk});
+        term = std::max(term, found->second.term);
+    }
+    state_.term = term_id(term.value() + 1);
+    state_.voted_for.reset();
+    log_entry const first{.term = state_.term,
+                          .index = log_index(1),
+                          .command = any_message::of(std::move(founding))};
+    take_entry(first);
+    persist_state();
+    persist_log(std::nullopt, {first});
+    with_->events.record(replica_events::founded, {});
+}
+
+void replica::join_anew()
+{
+    with_->events.record(replica_events::disk_outdated, {});
+    stand_down();
+    queue_.drop_held();
+    state_.disk = disk_id(draw());
+    state_.start = start_number(1);
+    nonce_ = start_nonce(draw());
+    fresh_disk_ = true;
+    registered_at_.clear();
+    persist_state();
+    announce_start();
+}
+
+} // namespace mulberryrudder::control
--- a/plugins/peer/codecs/replica_codec.cpp
+++ b/plugins/peer/codecs/replica_codec.cpp
@@ -99,13 +99,15 @@
     encode(from.start, to.initStart());
     to.setGroup(from.group.value());
     to.setBlank(from.blank);
+    to.setVotes(from.votes);
 }
 
 start_request decode_start(wired::StartRequest::Reader from)
 {
     return {.start = decode(from.getStart()),
             .group = control::group_id(from.getGroup()),
-            .blank = from.getBlank()};
+            .blank = from.getBlank(),
+            .votes = from.getVotes()};
 }
 
 void encode_start_reply(start_reply const& from, wired::StartReply::Builder to)
@@ -114,6 +116,7 @@
     to.setStanding(static_cast<std::uint8_t>(from.standing));
     to.setDisk(from.disk.value());
     to.setBlank(from.blank);
+    to.setTerm(from.term.value());
     encode(from.members, to.initMembers());
 }
 
@@ -130,6 +133,7 @@
             .standing = decode_standing(from.getStanding()),
             .disk = disk_id(from.getDisk()),
             .blank = from.getBlank(),
+            .term = term_id(from.getTerm()),
             .members = decode(from.getMembers())};
 }
 
--- a/schemas/replica.capnp
+++ b/schemas/replica.capnp
@@ -36,8 +36,7 @@
 struct GroupMembership {
   group @0 :UInt64;
   voters @1 :List(Voter);
-  pending @2 :Replacement;
-  # Null if there is none.
+  pending @2 :List(Replacement);
 }
 
 struct StartRecord {
@@ -109,6 +108,7 @@
   start @0 :StartRecord;
   group @1 :UInt64;
   blank @2 :Bool;
+  votes @3 :Bool;
 }
 
 struct StartReply {
@@ -117,6 +117,7 @@
   disk @2 :UInt64;
   blank @3 :Bool;
   members @4 :GroupMembership;
+  term @5 :UInt64;
 }
 
 struct SnapshotPiece {
--- a/wire/replica_records.cpp
+++ b/wire/replica_records.cpp
@@ -87,12 +87,13 @@
         voters[n].setDisk(from.voters[n].disk.value());
         encode(from.voters[n].peer, voters[n].initPeer());
     }
-    if (!from.pending)
-        return;
-    auto pending = to.initPending();
-    pending.setLeaving(from.pending->leaving.value());
-    pending.setJoining(from.pending->joining.value());
-    encode(from.pending->peer, pending.initPeer());
+    auto pending = to.initPending(list_size(from.pending.size()));
+    for (unsigned n = 0; n != pending.size(); ++n)
+    {
+        pending[n].setLeaving(from.pending[n].leaving.value());
+        pending[n].setJoining(from.pending[n].joining.value());
+        encode(from.pending[n].peer, pending[n].initPeer());
+    }
 }
 
 control::group_membership decode(schema::replica::GroupMembership::Reader from)
@@ -100,8 +101,8 @@
     control::group_membership out{.group = control::group_id(from.getGroup())};
     for (auto const it : from.getVoters())
         out.voters.push_back(decode(it));
-    if (from.hasPending())
-        out.pending = decode(from.getPending());
+    for (auto const it : from.getPending())
+        out.pending.push_back(decode(it));
     return out;
 }
 
