--- /dev/null
+++ b/plugins/control_io/disk/disk_duty.cpp
@@ -0,0 +1,197 @@
+#include "disk_store.hpp"
+
+#include <mulberryrudder/kernel/asio_duty.hpp>
+#include <mulberryrudder/peer/orders.hpp>
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+
+namespace mulberryrudder::disk
+{
+
+namespace
+{
+
+struct disk_settings
+{
+    std::string folder = "data";
+};
+
+std::optional<std::string> check_disk(disk_settings const& it)
+{
+    if (it.folder.empty())
+        return "\"folder\" to name a folder";
+    return std::nullopt;
+}
+
+kernel::section<disk_settings> const disk_section{
+    "disk",
+    {kernel::field("folder", &disk_settings::folder, kernel::unbounded,
+                   "Folder for the replicated state, for this process alone.")},
+    check_disk};
+
+kernel::event_kind const recovered_event({.number = 550,
+                                          .name = "disk.recovered",
+                                          .level = kernel::severity::info,
+                                          .meaning = "The data folder was read.",
+                                          .action = "None."});
+kernel::event_kind const tail_cut({.number = 551,
+                                   .name = "disk.tail_cut",
+                                   .level = kernel::severity::warning,
+                                   .meaning = "Writes that were never synced, and so never "
+                                              "answered, were cut off the log.",
+                                   .action = "None after a crash or a loss of power."});
+kernel::event_kind const failed_event({.number = 552,
+                                       .name = "disk.failed",
+                                       .level = kernel::severity::error,
+                                       .meaning = "The data folder could not be read, written or "
+                                                  "synced, or what had been synced is damaged. "
+                                                  "It is not touched again.",
+                                       .action = "Mend the disk or make room, then restart. If "
+                                                 "the contents are damaged, clear the folder: "
+                                                 "the instance takes the state over anew."});
+
+kernel::counter_kind const syncs("disk.syncs", "Syncs of the log.");
+kernel::counter_kind const writes("disk.writes", "Writes asked for; several share one sync.");
+kernel::counter_kind const sync_microseconds("disk.sync_microseconds",
+                                             "Time spent on writing and syncing.");
+
+/// Writes that one sync covers at most.
+constexpr std::size_t most_writes = 1024;
+/// Time until a full ring to the decision duty is tried again.
+constexpr milliseconds ring_retry{5};
+
+/// Recovers the replica's state at the start and then writes and syncs it in
+/// batches, as the decision duty asks.
+class disk_duty final : public kernel::asio_duty
+{
+public:
+    explicit disk_duty(kernel::duty_parts const& parts)
+        : asio_duty(duties::disk, parts), from_decision_(parts.links.link<control::effect>(
+                                              duties::decision, duties::disk, duty_ring_capacity)),
+          to_decision_(
+              parts.links.link<control::input>(duties::disk, duties::decision, duty_ring_capacity)),
+          folder_(parts.config.get(disk_section).folder)
+    {
+    }
+
+protected:
+    void started() override
+    {
+        attempt([this] { return recover(); });
+    }
+
+    void take_messages() override
+    {
+        std::optional<control::disk_ticket> newest;
+        control::effect it;
+        for (std::size_t n = 0; n != most_writes && from_decision_.try_pop(it); ++n)
+            if (!failed_)
+                attempt([&] { return take(it, newest); });
+        if (newest && !failed_)
+            attempt([&] { return sync(*newest); });
+    }
+
+private:
+    /// Runs a step on the disk; after one failure none is run again.
+    template <class Step>
+    void attempt(Step const& step)
+    {
+        boost::leaf::try_handle_all(
+            step, [this](failure const& it) { fail(it.place + ": expected " + it.expected); },
+            [this] { fail("unknown"); });
+    }
+
+    result<void> recover()
+    {
+        BOOST_LEAF_ASSIGN(files_, open_folder(folder_));
+        store_ = std::make_unique<disk_store>(*files_);
+        BOOST_LEAF_AUTO(found, store_->recover());
+        if (found.cut.count() != 0)
+            events().record(tail_cut, {{"bytes", std::to_string(found.cut.count())}});
+        events().record(recovered_event,
+                        {{"blank", found.recovered.blank ? "yes" : "no"},
+                         {"entries", std::to_string(found.recovered.entries.size())}});
+        tell(std::move(found.recovered));
+        return {};
+    }
+
+    result<void> take(control::effect const& it, std::optional<control::disk_ticket>& newest)
+    {
+        auto const write = [&](auto const& asked) -> result<void>
+        {
+            parts().counters.add(writes);
+            newest = asked.ticket;
+            return store_->apply(asked);
+        };
+        if (auto const* const asked = std::get_if<control::persist>(&it))
+            return write(*asked);
+        if (auto const* const asked = std::get_if<control::persist_snapshot>(&it))
+            return write(*asked);
+        return {};
+    }
+
+    result<void> sync(control::disk_ticket newest)
+    {
+        auto const begun = monotonic_now();
+        BOOST_LEAF_CHECK(store_->sync());
+        parts().counters.add(syncs);
+        auto const spent = monotonic_now() - begun;
+        parts().counters.add(sync_microseconds, static_cast<std::uint64_t>(spent.count()));
+        tell(control::disk_synced{newest});
+        return {};
+    }
+
+    void fail(std::string const& cause)
+    {
+        failed_ = true;
+        events().record(failed_event, {{"cause", cause}});
+        // The decision core waits for the recovery before anything else.
+        if (!recovered_told_)
+            tell(control::disk_recovered{});
+        tell(control::disk_failed{cause});
+    }
+
+    void tell(control::input it)
+    {
+        recovered_told_ = true;
+        unsent_.push_back(std::move(it));
+        push_unsent();
+    }
+
+    void push_unsent()
+    {
+        auto const sent = std::find_if_not(unsent_.begin(), unsent_.end(),
+                                           [this](control::input& it)
+                                           { return to_decision_.try_push(std::move(it)); });
+        unsent_.erase(unsent_.begin(), sent);
+        if (unsent_.empty())
+            return;
+        retry_.expires_after(ring_retry);
+        retry_.async_wait(
+            [this](boost::system::error_code ec)
+            {
+                if (!ec)
+                    push_unsent();
+            });
+    }
+
+    kernel::ring<control::effect>& from_decision_;
+    kernel::ring<control::input>& to_decision_;
+    std::string folder_;
+    std::unique_ptr<file_system> files_;
+    std::unique_ptr<disk_store> store_;
+    std::vector<control::input> unsent_; ///< Waits for room in the ring.
+    boost::asio::steady_timer retry_{loop()};
+    bool recovered_told_ = false;
+    bool failed_ = false;
+};
+
+kernel::duty_registrar<disk_duty> const entered{"disk", duty_order::disk};
+
+} // namespace
+
+} // namespace mulberryrudder::disk
--- /dev/null
+++ b/plugins/control_io/disk/disk_store.cpp
@@ -0,0 +1,193 @@
+#include "disk_store.hpp"
+
+#include <mulberryrudder/wire/replica_records.hpp>
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <algorithm>
+#include <exception>
+
+namespace mulberryrudder::disk
+{
+
+namespace
+{
+
+namespace wired = schema::replica;
+
+constexpr char const* state_name = "state";
+constexpr char const* snapshot_name = "snapshot";
+constexpr char const* temporary_suffix = ".new";
+/// Whole files are framed as a segment of one batch.
+constexpr batch_number file_batch_before;
+/// Words that one message may hold; a bound against corrupted pointers only.
+constexpr std::uint64_t most_words = 64U << 20;
+
+template <class Wire, class T>
+std::string encoded(T const& value)
+{
+    capnp::MallocMessageBuilder message;
+    wire::encode(value, message.initRoot<Wire>());
+    return flatten(message);
+}
+
+boost::leaf::error_id malformed(std::string const& place, char const* cause)
+{
+    return boost::leaf::new_error(
+        failure{.place = place, .expected = std::string("a well-formed record, not: ") + cause});
+}
+
+/// Decodes a flat message by `read`, and turns exceptions into errors.
+template <class Wire, class Read>
+auto decoded(std::string const& place, std::string_view body, Read const& read)
+    -> result<decltype(read(std::declval<typename Wire::Reader>()))>
+{
+    try
+    {
+        std::vector<capnp::word> words(body.size() / sizeof(capnp::word));
+        std::copy_n(body.data(), words.size() * sizeof(capnp::word),
+                    reinterpret_cast<char*>(words.data()));
+        capnp::FlatArrayMessageReader reader(
+            kj::ArrayPtr<capnp::word const>(words.data(), words.size()),
+            {.traversalLimitInWords = most_words});
+        return read(reader.getRoot<Wire>());
+    }
+    catch (kj::Exception const& e)
+    {
+        return malformed(place, e.getDescription().cStr());
+    }
+    catch (std::exception const& e)
+    {
+        return malformed(place, e.what());
+    }
+}
+
+/// Folds the log's records into the entries behind the snapshot.
+class entry_collector
+{
+public:
+    explicit entry_collector(control::disk_recovered& into) : into_(into) {}
+
+    result<log_index> take(std::string_view body)
+    {
+        return decoded<wired::LogRecord>("log", body,
+                                         [this](wired::LogRecord::Reader it)
+                                         { return it.isEntry() ? add(it) : cut(it); });
+    }
+
+private:
+    log_index add(wired::LogRecord::Reader from)
+    {
+        auto it = wire::decode(from.getEntry());
+        auto const index = it.index;
+        if (into_.base && index <= into_.base->index)
+            return index;
+        auto const last = into_.entries.empty() ? base_index() : into_.entries.back().index;
+        if (index.value() != last.value() + 1)
+            throw std::runtime_error("a gap in the log");
+        into_.entries.push_back(std::move(it));
+        return index;
+    }
+
+    log_index cut(wired::LogRecord::Reader from)
+    {
+        log_index const first(from.getCutFrom());
+        std::erase_if(into_.entries,
+                      [&](control::log_entry const& it) { return it.index >= first; });
+        return first;
+    }
+
+    log_index base_index() const { return into_.base ? into_.base->index : log_index(); }
+
+    control::disk_recovered& into_;
+};
+
+} // namespace
+
+result<disk_store::contents> disk_store::recover()
+{
+    contents out;
+    BOOST_LEAF_AUTO(names, files_.list());
+    auto const exists = [&](char const* name)
+    { return std::find(names.begin(), names.end(), name) != names.end(); };
+    out.recovered.blank = !exists(state_name);
+    if (exists(state_name))
+    {
+        BOOST_LEAF_AUTO(body, read_whole(state_name));
+        BOOST_LEAF_ASSIGN(
+            out.recovered.state,
+            decoded<wired::HardState>(state_name, body, [](auto it) { return wire::decode(it); }));
+    }
+    if (exists(snapshot_name))
+    {
+        BOOST_LEAF_AUTO(body, read_whole(snapshot_name));
+        BOOST_LEAF_ASSIGN(out.recovered.base,
+                          decoded<wired::Snapshot>(snapshot_name, body,
+                                                   [](auto it) { return wire::decode(it); }));
+    }
+    entry_collector entries(out.recovered);
+    BOOST_LEAF_AUTO(found, log_.recover([&](std::string_view it) { return entries.take(it); }));
+    out.cut = found.cut;
+    bool const has_log = out.recovered.base || !out.recovered.entries.empty();
+    if (out.recovered.blank && has_log)
+        return malformed(state_name, "nothing, although there is a log");
+    return out;
+}
+
+result<void> disk_store::apply(control::persist const& it)
+{
+    if (it.state)
+    {
+        // The writes before this one must not come to the disk after it.
+        BOOST_LEAF_CHECK(log_.sync());
+        BOOST_LEAF_CHECK(replace(state_name, encoded<wired::HardState>(*it.state)));
+    }
+    if (it.cut_from)
+    {
+        capnp::MallocMessageBuilder message;
+        message.initRoot<wired::LogRecord>().setCutFrom(it.cut_from->value());
+        log_.add(flatten(message), *it.cut_from);
+    }
+    for (auto const& entry : it.entries)
+    {
+        capnp::MallocMessageBuilder message;
+        wire::encode(entry, message.initRoot<wired::LogRecord>().initEntry());
+        log_.add(flatten(message), entry.index);
+    }
+    return {};
+}
+
+result<void> disk_store::apply(control::persist_snapshot const& it)
+{
+    BOOST_LEAF_CHECK(log_.sync());
+    BOOST_LEAF_CHECK(replace(snapshot_name, encoded<wired::Snapshot>(it.base)));
+    return log_.remove_up_to(it.base.index);
+}
+
+result<void> disk_store::replace(std::string const& name, std::string const& body)
+{
+    auto const temporary = name + temporary_suffix;
+    BOOST_LEAF_AUTO(names, files_.list());
+    if (std::find(names.begin(), names.end(), temporary) != names.end())
+        BOOST_LEAF_CHECK(files_.remove(temporary));
+    {
+        BOOST_LEAF_AUTO(file, files_.open(temporary));
+        batch_number const only(file_batch_before.value() + 1);
+        BOOST_LEAF_CHECK(file->append(frame(only, true, body)));
+        BOOST_LEAF_CHECK(file->sync());
+    }
+    BOOST_LEAF_CHECK(files_.rename(temporary, name));
+    return files_.sync_folder();
+}
+
+result<std::string> disk_store::read_whole(std::string const& name)
+{
+    BOOST_LEAF_AUTO(bytes, files_.read(name));
+    auto const found = scan(bytes, file_batch_before);
+    if (found.torn || found.bodies.size() != 1)
+        return malformed(name, "a wrong checksum or length");
+    return std::string(found.bodies.front());
+}
+
+} // namespace mulberryrudder::disk
--- /dev/null
+++ b/plugins/control_io/disk/segment_log.cpp
@@ -0,0 +1,146 @@
+#include "segment_log.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+namespace mulberryrudder::disk
+{
+
+namespace
+{
+
+constexpr std::string_view prefix = "log-";
+/// Size at which the next batch goes into a new segment.
+constexpr std::uint64_t full_size = 1 << 20;
+
+std::string segment_name(batch_number before)
+{
+    char buf[40];
+    std::snprintf(buf, sizeof buf, "log-%020llu",
+                  static_cast<unsigned long long>(before.value() + 1));
+    return buf;
+}
+
+bool parse_name(std::string const& name, batch_number& before)
+{
+    if (!name.starts_with(prefix))
+        return false;
+    std::uint64_t first = 0;
+    auto const* const begin = name.data() + prefix.size();
+    auto const* const end = name.data() + name.size();
+    auto const parsed = std::from_chars(begin, end, first);
+    if (parsed.ec != std::errc() || parsed.ptr != end || first == 0)
+        return false;
+    before = batch_number(first - 1);
+    return true;
+}
+
+boost::leaf::error_id corrupted(std::string const& name)
+{
+    return boost::leaf::new_error(
+        failure{.place = name, .expected = "records with right checksums up to the last sync"});
+}
+
+} // namespace
+
+result<std::vector<segment_log::segment>> segment_log::find_segments()
+{
+    BOOST_LEAF_AUTO(names, files_.list());
+    std::vector<segment> out;
+    for (auto const& name : names)
+    {
+        segment it{.name = name, .before = {}, .highest = {}};
+        if (parse_name(name, it.before))
+            out.push_back(std::move(it));
+    }
+    std::sort(out.begin(), out.end(),
+              [](segment const& a, segment const& b) { return a.before < b.before; });
+    return out;
+}
+
+result<segment_log::recovery>
+segment_log::recover(std::function<result<log_index>(std::string_view)> const& take)
+{
+    recovery out;
+    BOOST_LEAF_ASSIGN(segments_, find_segments());
+    for (auto& it : segments_)
+    {
+        bool const first = &it == &segments_.front();
+        bool const newest = &it == &segments_.back();
+        BOOST_LEAF_AUTO(bytes, files_.read(it.name));
+        auto const found = scan(bytes, it.before);
+        bool const gap = !first && it.before != batch_;
+        if (gap || found.corrupt || (found.torn && !newest))
+            return corrupted(it.name);
+        for (auto const body : found.bodies)
+        {
+            BOOST_LEAF_AUTO(index, take(body));
+            it.highest = std::max(it.highest, index);
+        }
+        batch_ = found.newest;
+        it.size = found.good_bytes;
+        if (found.torn)
+        {
+            out.cut = byte_count(static_cast<std::int64_t>(bytes.size() - found.good_bytes));
+            BOOST_LEAF_CHECK(files_.truncate(it.name, found.good_bytes));
+        }
+    }
+    if (segments_.empty())
+    {
+        BOOST_LEAF_CHECK(begin_segment());
+        return out;
+    }
+    BOOST_LEAF_ASSIGN(open_, files_.open(segments_.back().name));
+    return out;
+}
+
+void segment_log::add(std::string body, log_index index)
+{
+    added_.push_back(std::move(body));
+    added_highest_ = std::max(added_highest_, index);
+}
+
+result<void> segment_log::sync()
+{
+    if (added_.empty())
+        return {};
+    if (segments_.back().size >= full_size)
+        BOOST_LEAF_CHECK(begin_segment());
+    batch_number const next(batch_.value() + 1);
+    std::string bytes;
+    for (auto const& it : added_)
+        bytes += frame(next, &it == &added_.back(), it);
+    BOOST_LEAF_CHECK(open_->append(bytes));
+    BOOST_LEAF_CHECK(open_->sync());
+    batch_ = next;
+    auto& written = segments_.back();
+    written.size += bytes.size();
+    written.highest = std::max(written.highest, added_highest_);
+    added_.clear();
+    added_highest_ = {};
+    return {};
+}
+
+result<void> segment_log::remove_up_to(log_index index)
+{
+    if (segments_.back().size != 0)
+        BOOST_LEAF_CHECK(begin_segment());
+    auto const is_needed = [&](segment const& it) { return it.highest > index; };
+    auto const needed = std::find_if(segments_.begin(), segments_.end() - 1, is_needed);
+    for (auto it = segments_.begin(); it != needed; ++it)
+        BOOST_LEAF_CHECK(files_.remove(it->name));
+    segments_.erase(segments_.begin(), needed);
+    return files_.sync_folder();
+}
+
+result<void> segment_log::begin_segment()
+{
+    segment added{.name = segment_name(batch_), .before = batch_, .highest = {}};
+    BOOST_LEAF_ASSIGN(open_, files_.open(added.name));
+    BOOST_LEAF_CHECK(files_.sync_folder());
+    segments_.push_back(std::move(added));
+    return {};
+}
+
+} // namespace mulberryrudder::disk
