Test the disk store with a failure at every operation

One of them lets each single operation on the files fail in turn, crashes with a random part of the unsynced bytes kept, recovers, and compares with what had been synced.

--- /dev/null
+++ b/tests/control_io/disk/disk_store_test.cpp
@@ -0,0 +1,255 @@
+#include "memory_file_system.hpp"
+
+#include <plugins/control_io/disk/disk_store.hpp>
+
+#include <mulberryrudder/messages/replica.hpp>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+namespace mulberryrudder::disk::testing
+{
+
+namespace
+{
+
+using control::log_entry;
+using control::persist;
+
+constexpr std::uint64_t seed = 20261204;
+
+/// Runs a step; returns "done" or what the failure expected.
+template <class Step>
+std::string outcome(Step const& step)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> result<std::string>
+        {
+            BOOST_LEAF_CHECK(step());
+            return std::string("done");
+        },
+        [](failure const& it) { return it.place + ": " + it.expected; },
+        [] { return std::string("another error"); });
+}
+
+/// An entry whose command tells its index, through a membership's group.
+log_entry entry(std::uint64_t index, std::uint64_t term = 1)
+{
+    messages::membership_changed command;
+    command.members.group = control::group_id(index);
+    return {.term = term_id(term),
+            .index = log_index(index),
+            .command = any_message::of(std::move(command))};
+}
+
+class disk_store_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(disk_store_test);
+    CPPUNIT_TEST(a_blank_folder_is_recovered_as_blank);
+    CPPUNIT_TEST(synced_writes_are_recovered);
+    CPPUNIT_TEST(a_cut_removes_entries_for_good);
+    CPPUNIT_TEST(a_snapshot_replaces_the_entries_up_to_its_index);
+    CPPUNIT_TEST(segments_before_a_snapshot_are_removed);
+    CPPUNIT_TEST(a_torn_tail_is_cut_off_and_the_log_goes_on);
+    CPPUNIT_TEST(a_damaged_synced_record_is_refused);
+    CPPUNIT_TEST(a_damaged_state_file_is_refused);
+    CPPUNIT_TEST(a_missing_segment_is_refused);
+    CPPUNIT_TEST(what_was_synced_survives_a_failure_at_any_operation);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { reopen(); }
+
+    void a_blank_folder_is_recovered_as_blank() { CPPUNIT_ASSERT(found_.recovered.blank); }
+
+    void synced_writes_are_recovered()
+    {
+        control::hard_state const state{.term = term_id(3),
+                                        .voted_for = instance_id(2),
+                                        .disk = control::disk_id(9),
+                                        .start = control::start_number(4),
+                                        .starts = {{.instance = instance_id(2),
+                                                    .disk = control::disk_id(8),
+                                                    .number = control::start_number(1),
+                                                    .nonce = control::start_nonce(5)}}};
+        CPPUNIT_ASSERT_EQUAL(done, write({.state = state, .entries = {entry(1), entry(2)}}));
+        reopen();
+        CPPUNIT_ASSERT(!found_.recovered.blank);
+        CPPUNIT_ASSERT(state == found_.recovered.state);
+        CPPUNIT_ASSERT_EQUAL(std::string("1 2"), indexes());
+    }
+
+    void a_cut_removes_entries_for_good()
+    {
+        write({.state = some_state(), .entries = {entry(1), entry(2), entry(3)}});
+        write({.cut_from = log_index(2), .entries = {entry(2, 2)}});
+        reopen();
+        CPPUNIT_ASSERT_EQUAL(std::string("1 2"), indexes());
+        CPPUNIT_ASSERT(term_id(2) == found_.recovered.entries.back().term);
+    }
+
+    void a_snapshot_replaces_the_entries_up_to_its_index()
+    {
+        write({.state = some_state(), .entries = {entry(1), entry(2), entry(3)}});
+        save_snapshot(2);
+        reopen();
+        CPPUNIT_ASSERT(log_index(2) == found_.recovered.base->index);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found_.recovered.base->parts.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("3"), indexes());
+    }
+
+    void segments_before_a_snapshot_are_removed()
+    {
+        write({.state = some_state(), .entries = {entry(1), entry(2)}});
+        auto const oldest = files_.newest_segment();
+        save_snapshot(2);
+        CPPUNIT_ASSERT(oldest != files_.newest_segment());
+        CPPUNIT_ASSERT_THROW(files_.contents(oldest), std::out_of_range);
+        write({.entries = {entry(3)}});
+        reopen();
+        CPPUNIT_ASSERT_EQUAL(std::string("3"), indexes());
+    }
+
+    void a_torn_tail_is_cut_off_and_the_log_goes_on()
+    {
+        write({.state = some_state(), .entries = {entry(1)}});
+        write({.entries = {entry(2), entry(3)}});
+        auto& bytes = files_.contents(files_.newest_segment());
+        bytes.resize(bytes.size() - 1);
+        reopen();
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), indexes());
+        CPPUNIT_ASSERT(found_.cut.count() > 0);
+        CPPUNIT_ASSERT_EQUAL(done, write({.entries = {entry(2), entry(3)}}));
+        reopen();
+        CPPUNIT_ASSERT_EQUAL(std::string("1 2 3"), indexes());
+        CPPUNIT_ASSERT(byte_count(0) == found_.cut);
+    }
+
+    void a_damaged_synced_record_is_refused()
+    {
+        write({.state = some_state(), .entries = {entry(1)}});
+        write({.entries = {entry(2)}});
+        write({.entries = {entry(3)}});
+        auto& bytes = files_.contents(files_.newest_segment());
+        constexpr std::size_t in_the_first_record = 30;
+        bytes[in_the_first_record] = static_cast<char>(bytes[in_the_first_record] ^ 1);
+        CPPUNIT_ASSERT(outcome_of_reopen().find("checksums") != std::string::npos);
+    }
+
+    void a_damaged_state_file_is_refused()
+    {
+        write({.state = some_state()});
+        files_.contents("state").back() ^= 1;
+        CPPUNIT_ASSERT(outcome_of_reopen().find("state") != std::string::npos);
+    }
+
+    void a_missing_segment_is_refused()
+    {
+        write({.state = some_state(), .entries = {entry(1)}});
+        auto const oldest = files_.newest_segment();
+        save_snapshot(0);
+        write({.entries = {entry(2)}});
+        CPPUNIT_ASSERT(oldest != files_.newest_segment());
+        outcome([&] { return files_.remove(oldest); });
+        CPPUNIT_ASSERT(outcome_of_reopen() != done);
+    }
+
+    /// Writes, lets one operation fail, crashes and recovers; repeats for each
+    /// operation and several lengths of the unsynced tail that happen to survive.
+    void what_was_synced_survives_a_failure_at_any_operation()
+    {
+        std::mt19937_64 random(seed);
+        bool ended = false;
+        for (int operation = 0; !ended; ++operation)
+        {
+            files_ = {};
+            reopen();
+            write({.state = some_state(), .entries = {entry(1)}});
+            files_.fail_after(operation);
+            auto const synced = write_until_failure();
+            ended = !files_.failed();
+            CPPUNIT_ASSERT_EQUAL(0, files_.operations_after_failure());
+            files_.crash([&](std::size_t unsynced) { return random() % (unsynced + 1); });
+            CPPUNIT_ASSERT_EQUAL(done, outcome_of_reopen());
+            auto const& found = found_.recovered;
+            auto const base = found.base ? found.base->index.value() : 0;
+            CPPUNIT_ASSERT(base + found.entries.size() >= synced);
+        }
+    }
+
+private:
+    static inline std::string const done = "done";
+
+    static control::hard_state some_state()
+    {
+        return {.term = term_id(1), .disk = control::disk_id(9)};
+    }
+
+    std::string outcome_of_reopen()
+    {
+        store_ = std::make_unique<disk_store>(files_);
+        return outcome(
+            [&]() -> result<void>
+            {
+                BOOST_LEAF_ASSIGN(found_, store_->recover());
+                return {};
+            });
+    }
+
+    void reopen() { CPPUNIT_ASSERT_EQUAL(done, outcome_of_reopen()); }
+
+    std::string write(persist const& it)
+    {
+        return outcome(
+            [&]() -> result<void>
+            {
+                BOOST_LEAF_CHECK(store_->apply(it));
+                return store_->sync();
+            });
+    }
+
+    std::string save_snapshot(std::uint64_t index)
+    {
+        control::snapshot const base{
+            .term = term_id(1), .index = log_index(index), .parts = {entry(index).command}};
+        return outcome([&] { return store_->apply(control::persist_snapshot{.base = base}); });
+    }
+
+    /// Returns the index of the last entry that was synced.
+    std::uint64_t write_until_failure()
+    {
+        constexpr std::uint64_t most = 12;
+        for (std::uint64_t n = 2; n != most; ++n)
+        {
+            if (write({.state = some_state(), .entries = {entry(n)}}) != done)
+                return n - 1;
+            if (n % 4 == 0 && save_snapshot(n - 1) != done)
+                return n;
+        }
+        return most - 1;
+    }
+
+    std::string indexes() const
+    {
+        std::string out;
+        for (auto const& it : found_.recovered.entries)
+        {
+            auto const& command = *it.command.get<messages::membership_changed>();
+            CPPUNIT_ASSERT_EQUAL(it.index.value(), command.members.group.value());
+            out += (out.empty() ? "" : " ") + std::to_string(it.index.value());
+        }
+        return out;
+    }
+
+    memory_file_system files_;
+    std::unique_ptr<disk_store> store_;
+    disk_store::contents found_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(disk_store_test);
+
+} // namespace
+
+} // namespace mulberryrudder::disk::testing
