--- /dev/null
+++ b/tests/control/replica/random_schedules_test.cpp
@@ -0,0 +1,268 @@
+#include "fake_group.hpp"
+
+#include <mulberryrudder/core/invariant.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <sstream>
+
+namespace mulberryrudder::control::testing
+{
+
+namespace
+{
+
+constexpr std::uint64_t first_seed = 20261204;
+
+/// One fault of a schedule; the names tell a failed run's reader what happened.
+struct fault
+{
+    char const* name;
+    void (*strike)(class schedule&);
+};
+
+/// Runs one group through random faults and proposals.
+class schedule
+{
+public:
+    schedule(std::size_t size, std::uint64_t seed)
+        : size_(static_cast<std::uint32_t>(size)), group_(size, seed, fast_settings()),
+          random_(seed + 1)
+    {
+        for (std::uint32_t id = 1; id <= size_; ++id)
+        {
+            // Rates differ by up to two in a hundred, offsets by anything.
+            auto& it = group_.at(id);
+            it.clock_rate = 0.99 + 0.02 * share();
+            it.clock_offset = seconds(pick(1000));
+            group_.start(id);
+        }
+        if (!group_.run_until([this] { return group_.acting() != 0; }, seconds(20)))
+            throw invariant_violated("no leader after the founding");
+        for (std::uint32_t id = 1; id <= size_; ++id)
+            older_.push_back(group_.at(id).disk.contents());
+    }
+
+    void run(std::array<fault, 11> const& faults)
+    {
+        group_.network.lost = 0.05 * share();
+        group_.network.duplicated = 0.1 * share();
+        group_.network.most_delay = milliseconds(1 + pick(150));
+        group_.sync_delay = milliseconds(1 + pick(30));
+        constexpr std::size_t steps = 25;
+        for (std::size_t n = 0; n != steps; ++n)
+        {
+            auto const& it = faults[pick(faults.size())];
+            trace_ << " " << group_.now().time_since_epoch().count() / 1000 << ":" << it.name;
+            it.strike(*this);
+            propose_some();
+            group_.run_for(milliseconds(pick(1200)));
+            note_accepted();
+        }
+    }
+
+    /// Ends all faults; returns what is wrong with the group then, empty if nothing.
+    std::string settle()
+    {
+        group_.heal();
+        for (std::uint32_t id = 1; id <= size_; ++id)
+            restart(id);
+        auto const settled = [this] { return all_vote() && group_.acting() != 0; };
+        if (!group_.run_until(settled, seconds(60)))
+            return "the group does not settle";
+        group_.propose(++last_value_);
+        group_.run_for(seconds(5));
+        note_accepted();
+        for (auto const value : accepted_)
+            for (std::uint32_t id = 1; id <= size_; ++id)
+                if (!group_.has_value(id, value))
+                    return "replica " + std::to_string(id) + " lost accepted value " +
+                           std::to_string(value);
+        return {};
+    }
+
+    std::string trace() const { return trace_.str(); }
+    std::size_t accepted() const { return accepted_.size(); }
+
+    // The faults.
+    void nothing() {}
+    void kill_one()
+    {
+        auto const id = any();
+        if (group_.is_up(id))
+            group_.kill(id);
+    }
+    void restart_one() { restart(any()); }
+    void restart_all()
+    {
+        for (std::uint32_t id = 1; id <= size_; ++id)
+            restart(id);
+    }
+    void cut_one_way() { group_.set_cut(any(), any(), true); }
+    void isolate_leader()
+    {
+        if (auto const id = group_.acting())
+            group_.isolate(id);
+    }
+    void heal_cuts()
+    {
+        for (std::uint32_t from = 1; from <= size_; ++from)
+            for (std::uint32_t to = 1; to <= size_; ++to)
+                group_.set_cut(from, to, false);
+    }
+    void freeze_one() { group_.freeze(any(), milliseconds(pick(4000))); }
+    void fail_disk() { group_.fail_disk(any()); }
+    void replace_disk()
+    {
+        if (auto const id = exchange_disk({}))
+            trace_ << "(" << id << ")";
+    }
+    void restore_older_disk()
+    {
+        auto const id = any();
+        exchange_disk(older_[id - 1], id);
+    }
+    void copy_disk()
+    {
+        auto const id = any();
+        if (all_vote())
+            older_[id - 1] = group_.at(id).disk.contents();
+    }
+
+private:
+    static replica_settings fast_settings()
+    {
+        return {.snapshot_threshold = 20, .append_batch = 8};
+    }
+
+    double share() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+    std::size_t pick(std::size_t below) { return random_() % below; }
+    std::uint32_t any() { return static_cast<std::uint32_t>(1 + pick(size_)); }
+
+    void restart(std::uint32_t id)
+    {
+        if (group_.is_up(id))
+            group_.kill(id);
+        group_.start(id);
+    }
+
+    /// Gives an instance other disk contents, if the group can bear that: all
+    /// others hold a vote and nobody else is being repaired.
+    std::uint32_t exchange_disk(disk_recovered const& contents, std::uint32_t id = 0)
+    {
+        if (!all_vote())
+            return 0;
+        id = id == 0 ? any() : id;
+        group_.kill(id);
+        group_.at(id).disk.replace_contents(contents);
+        group_.start(id);
+        return id;
+    }
+
+    /// Returns whether each instance's disk counts in the committed membership.
+    bool all_vote()
+    {
+        auto const leader = group_.acting();
+        if (leader == 0)
+            return false;
+        group_.answers.clear();
+        group_.ask(leader, any_message::of(list_members{}));
+        auto const& listed = *group_.answers.back().get<members_listed>();
+        std::size_t n = 0;
+        for (auto const& it : listed.members)
+            n += it.votes && disk_of(it.id) == it.disk ? 1 : 0;
+        return n == size_ && listed.pending.empty() && group_.is_settled(leader);
+    }
+
+    disk_id disk_of(instance_id id) { return group_.at(id.value()).disk.contents().state.disk; }
+
+    void propose_some()
+    {
+        auto const n = pick(12);
+        for (std::size_t k = 0; k != n; ++k)
+            group_.propose(++last_value_);
+    }
+
+    /// A value is accepted once any replica applied it.
+    void note_accepted()
+    {
+        for (std::uint32_t id = 1; id <= size_; ++id)
+            if (group_.is_up(id))
+                for (auto const value : group_.recorder_of(id).state.values)
+                    accepted_.insert(value);
+    }
+
+    std::uint32_t size_;
+    fake_group group_;
+    random_source random_;
+    std::uint64_t last_value_ = 0;
+    std::set<std::uint64_t> accepted_;
+    std::vector<disk_recovered> older_;
+    std::ostringstream trace_;
+};
+
+constexpr std::array<fault, 11> faults{{
+    {"nothing", [](schedule& it) { it.nothing(); }},
+    {"kill", [](schedule& it) { it.kill_one(); }},
+    {"restart", [](schedule& it) { it.restart_one(); }},
+    {"restart_all", [](schedule& it) { it.restart_all(); }},
+    {"cut_one_way", [](schedule& it) { it.cut_one_way(); }},
+    {"isolate_leader", [](schedule& it) { it.isolate_leader(); }},
+    {"heal", [](schedule& it) { it.heal_cuts(); }},
+    {"freeze", [](schedule& it) { it.freeze_one(); }},
+    {"fail_disk", [](schedule& it) { it.fail_disk(); }},
+    {"replace_disk", [](schedule& it) { it.replace_disk(); }},
+    {"restore_older_disk",
+     [](schedule& it)
+     {
+         it.copy_disk();
+         it.restore_older_disk();
+     }},
+}};
+
+class random_schedules_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(random_schedules_test);
+    CPPUNIT_TEST(three_replicas_keep_what_was_accepted);
+    CPPUNIT_TEST(five_replicas_keep_what_was_accepted);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void three_replicas_keep_what_was_accepted() { run_schedules(3, 1000); }
+    void five_replicas_keep_what_was_accepted() { run_schedules(5, 200); }
+
+private:
+    static void run_schedules(std::size_t size, std::uint64_t count)
+    {
+        std::size_t accepted = 0;
+        for (auto seed = first_seed; seed != first_seed + count; ++seed)
+            accepted += run_one(size, seed);
+        // Schedules in which nothing is accepted would prove nothing.
+        CPPUNIT_ASSERT(accepted > 10 * count);
+    }
+
+    static std::size_t run_one(std::size_t size, std::uint64_t seed)
+    {
+        schedule it(size, seed);
+        std::string wrong;
+        try
+        {
+            it.run(faults);
+            wrong = it.settle();
+        }
+        catch (invariant_violated const& e)
+        {
+            wrong = e.what();
+        }
+        auto const place = "seed " + std::to_string(seed) + it.trace() + "\n";
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(place, std::string(), wrong);
+        return it.accepted();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(random_schedules_test);
+
+} // namespace
+
+} // namespace mulberryrudder::control::testing
