Take a copied data folder for an outdated disk

The record of starts at the others only tells images from before the newest start. disk_recovered now says when the state was copied to the disk.

--- a/include/mulberryrudder/control/inputs.hpp
+++ b/include/mulberryrudder/control/inputs.hpp
@@ -36,6 +36,8 @@
 struct disk_recovered
 {
     bool blank = true; ///< There was no state at all: a new or replaced disk.
+    /// The state was copied to this disk, so it may be older than what was lost.
+    bool copied = false;
     hard_state state;
     std::optional<snapshot> base;
     std::vector<log_entry> entries; ///< Behind the snapshot, without gaps.
--- a/include/mulberryrudder/control/operator_members.hpp
+++ b/include/mulberryrudder/control/operator_members.hpp
@@ -32,6 +32,7 @@
     term_id term;
     log_index committed;
     std::vector<replacement> pending;
+    bool settled = false; ///< The membership is committed and nothing is pending.
     std::vector<member_status> members;
 };
 
--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -58,7 +58,9 @@
     members_listed out{.leader = leader_,
                        .term = state_.term,
                        .committed = committed_,
-                       .pending = members().pending};
+                       .pending = members().pending,
+                       .settled =
+                           members().pending.empty() && members_.newest_index() <= committed_};
     for (auto const& it : members().voters)
         out.members.push_back({.id = it.id, .disk = it.disk, .votes = true});
     for (auto const& [peer_id, peer] : peers_)
--- a/plugins/control/replica/replica.cpp
+++ b/plugins/control/replica/replica.cpp
@@ -26,11 +26,7 @@
 {
     with_ = &with;
     state_ = it.state;
-    fresh_disk_ = it.blank;
-    if (fresh_disk_)
-        state_.disk = disk_id(draw());
-    state_.start = start_number(state_.start.value() + 1);
-    nonce_ = start_nonce(draw());
+    begin_start(it);
     if (it.base)
     {
         base_ = it.base;
@@ -58,6 +54,20 @@
     tick(with);
 }
 
+void replica::begin_start(disk_recovered const& it)
+{
+    fresh_disk_ = it.blank || it.copied;
+    if (fresh_disk_)
+    {
+        state_.disk = disk_id(draw());
+        state_.start = start_number();
+    }
+    if (it.copied)
+        with_->events.record(replica_events::disk_outdated, {});
+    state_.start = start_number(state_.start.value() + 1);
+    nonce_ = start_nonce(draw());
+}
+
 void replica::synced(disk_synced const& it, context& with)
 {
     with_ = &with;
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -65,6 +65,7 @@
     voter own_voter() const { return {.id = self_.self.id, .disk = state_.disk}; }
     group_membership const& members() const { return members_.newest(); }
     instant now() const { return with_->now; }
+    void begin_start(disk_recovered const& it);
     void persist_state();
     void persist_log(std::optional<log_index> cut_from, std::vector<log_entry> entries);
     void take_entry(log_entry const& it);
