--- a/fakes/caller/customer_load.cpp
+++ b/fakes/caller/customer_load.cpp
@@ -27,6 +27,24 @@
 /// How long entries that were asked without a look-up are kept.
 constexpr milliseconds fallback_time_to_live{200};
 
+/// Returns an idempotency key: a UUID of version 7 (RFC 9562), which tells its own time.
+std::string new_idempotency_key(random_source& random)
+{
+    auto const since = std::chrono::system_clock::now().time_since_epoch();
+    auto const ms =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since).count());
+    auto const high = (ms << 16U) | 0x7000U | (random() & 0xFFFU);
+    auto const low = (random() >> 2U) | (std::uint64_t{2} << 62U);
+    char buf[37];
+    std::snprintf(buf, sizeof buf, "%08llx-%04llx-%04llx-%04llx-%012llx",
+                  static_cast<unsigned long long>(high >> 32U),
+                  static_cast<unsigned long long>((high >> 16U) & 0xFFFFU),
+                  static_cast<unsigned long long>(high & 0xFFFFU),
+                  static_cast<unsigned long long>(low >> 48U),
+                  static_cast<unsigned long long>(low & 0xFFFFFFFFFFFFU));
+    return buf;
+}
+
 boost::json::object parsed(std::string const& body)
 {
     boost::system::error_code ec;
@@ -44,8 +62,7 @@
 
 customer_load::customer_load(asio::io_context& loop, caller_plan const& plan,
                              customer_plan const& who, http_client& client)
-    : loop_(loop), plan_(plan), who_(who), client_(client),
-      run_id_(std::to_string(std::random_device{}()))
+    : loop_(loop), plan_(plan), who_(who), client_(client), random_(std::random_device{}())
 {
 }
 
@@ -120,7 +137,7 @@
 
 asio::awaitable<void> customer_load::call(std::uint64_t number)
 {
-    auto const nonce = who_.route.value() + "-" + run_id_ + "-" + std::to_string(number);
+    auto const nonce = new_idempotency_key(random_);
     auto const started = monotonic_now();
     auto const deadline = started + who_.deadline + who_.deadline / 2;
     auto const ways = co_await entries();
--- a/fakes/caller/customer_load.hpp
+++ b/fakes/caller/customer_load.hpp
@@ -5,6 +5,8 @@
 #include "http_client.hpp"
 #include "report.hpp"
 
+#include <mulberryrudder/core/random.hpp>
+
 #include <boost/asio/io_context.hpp>
 
 namespace mulberryrudder::fakes
@@ -45,7 +47,7 @@
     std::vector<endpoint> found_;
     instant found_until_;
     bool looking_up_ = false;
-    std::string run_id_; ///< Tells the requests of this run from those of earlier ones.
+    random_source random_;
     std::size_t running_ = 0;
     bool stopped_ = false;
 };
