--- a/tests/lease_fleet/lease_fleet.cpp
+++ b/tests/lease_fleet/lease_fleet.cpp
@@ -16,7 +16,6 @@
     control::effects control_effects;
     span offset{};
     std::int64_t drift_ppm = 0;
-    instant next_tick{};
     bool frozen = false;
     bool dead = false;
     std::uint64_t boot = 1;
@@ -47,6 +46,8 @@
         nodes_.emplace(control_id(n), make_control(n));
     for (unsigned n = 0; n != with_.entries; ++n)
         nodes_.emplace(entry_id(n), make_entry(n, 1));
+    for (auto const& [id, it] : nodes_)
+        ticks_.emplace(now_ + span(random_() % span(with_.tick_period).count()), id);
 }
 
 lease_fleet::~lease_fleet() = default;
@@ -66,7 +67,6 @@
         out->drift_ppm =
             static_cast<std::int64_t>(random_() % (2 * most_drift_ppm)) - most_drift_ppm;
     }
-    out->next_tick = now_ + span(random_() % span(with_.tick_period).count());
     out->entry = std::make_unique<entry::core>(entry::core::options{.config = with_.settings,
                                                                     .counters = out->counters,
                                                                     .events = events_,
@@ -180,7 +180,6 @@
 
 void lease_fleet::tick(node& it)
 {
-    it.next_tick = now_ + span(with_.tick_period);
     if (it.frozen || it.dead)
         return;
     if (it.entry)
@@ -199,33 +198,41 @@
         replica(*leader_).confirmed = local_now(id) + milliseconds(500);
 }
 
-void lease_fleet::step()
+void lease_fleet::step(instant end)
 {
-    now_ += milliseconds(1);
+    auto const next_message = queue_.empty() ? never : queue_.top().when;
+    auto const next = std::min(next_message, ticks_.top().first);
+    if (next > end)
+    {
+        now_ = end;
+        return;
+    }
+    now_ = std::max(now_, next);
     confirm_leader();
-    while (!queue_.empty() && queue_.top().when <= now_)
+    if (next_message <= now_)
     {
-        auto const next = queue_.top();
+        auto const arriving = queue_.top();
         queue_.pop();
-        deliver(next);
+        return deliver(arriving);
     }
-    for (auto const& [id, it] : nodes_)
-        if (it->next_tick <= now_)
-            tick(*it);
+    auto const id = ticks_.top().second;
+    ticks_.pop();
+    ticks_.emplace(now_ + span(with_.tick_period), id);
+    tick(at(id));
 }
 
 void lease_fleet::run_for(span how_long)
 {
     auto const end = now_ + how_long;
     while (now_ < end)
-        step();
+        step(end);
 }
 
 bool lease_fleet::run_until(std::function<bool()> const& holds, span longest)
 {
     auto const end = now_ + longest;
     while (!holds() && now_ < end)
-        step();
+        step(end);
     return holds();
 }
 
--- a/tests/lease_fleet/lease_fleet.hpp
+++ b/tests/lease_fleet/lease_fleet.hpp
@@ -119,7 +119,8 @@
     node& at(instance_id id) const;
     std::unique_ptr<node> make_entry(unsigned entry, std::uint64_t boot);
     std::unique_ptr<node> make_control(unsigned control);
-    void step();
+    /// Goes on to the next message or tick, at most until `end`.
+    void step(instant end);
     void confirm_leader();
     void tick(node& it);
     void deliver(delivery const& it);
@@ -139,6 +140,8 @@
     std::optional<unsigned> leader_;
     std::map<instance_id, std::unique_ptr<node>> nodes_;
     std::priority_queue<delivery, std::vector<delivery>, later> queue_;
+    using tick_time = std::pair<instant, instance_id>;
+    std::priority_queue<tick_time, std::vector<tick_time>, std::greater<>> ticks_;
     std::set<instance_id> cut_;
     std::map<request_id, ending> endings_;
     std::map<customer_id, std::vector<instant>> admissions_;
