--- /dev/null
+++ b/tests/control/support/replica.hpp
@@ -0,0 +1,104 @@
+#ifndef MULBERRYRUDDER_TESTS_CONTROL_SUPPORT_REPLICA_HPP
+#define MULBERRYRUDDER_TESTS_CONTROL_SUPPORT_REPLICA_HPP
+
+#include "fake_log.hpp"
+
+#include <mulberryrudder/control/core.hpp>
+#include <mulberryrudder/control/fleet_state_view.hpp>
+#include <mulberryrudder/core/invariant.hpp>
+
+#include <map>
+#include <stdexcept>
+
+namespace mulberryrudder::control::testing
+{
+
+/// A decision core over a fake log on virtual time, for tests.
+class replica
+{
+public:
+    explicit replica(instance_id id = instance_id(1))
+        : core_({.config = config_,
+                 .counters = counters_,
+                 .events = events_,
+                 .self = {.self = {.id = id}, .boot = boot_id(1), .initial_voters = {id}},
+                 .seed = 1})
+    {
+        log().known_leader = id;
+    }
+
+    fake_log& log() { return core_.services().require<fake_log>(); }
+    fleet_state_view& state() { return core_.services().require<fleet_state_view>(); }
+
+    /// Sends an operator's request; returns its id.
+    template <class T>
+    operator_request_id ask(T body)
+    {
+        operator_request_id const id(++last_id_);
+        core_.handle(now_, operator_asked{id, any_message::of(std::move(body))}, effects_);
+        collect();
+        return id;
+    }
+
+    /// Lets time pass; the fake log does what it was told.
+    void tick(span passed = milliseconds(10))
+    {
+        now_ += passed;
+        core_.tick(now_, effects_);
+        collect();
+    }
+
+    /// Sends a request, commits what it proposes, and returns the answer.
+    template <class Answer, class T>
+    Answer commit(T body)
+    {
+        auto const id = ask(std::move(body));
+        log().commit_all();
+        tick();
+        return answer<Answer>(id);
+    }
+
+    bool has_answer(operator_request_id id) const { return answers_.contains(id); }
+
+    /// Returns the answer's type, or that of `void` if there is none.
+    std::type_index answer_type(operator_request_id id) const
+    {
+        auto const it = answers_.find(id);
+        return it == answers_.end() ? std::type_index(typeid(void)) : it->second.type();
+    }
+
+    /// Returns an answer; throws std::runtime_error if there is none of that type.
+    template <class Answer>
+    Answer answer(operator_request_id id) const
+    {
+        auto const it = answers_.find(id);
+        if (it == answers_.end() || it->second.get<Answer>() == nullptr)
+            throw std::runtime_error(std::string("no answer of type ") + typeid(Answer).name());
+        return *it->second.get<Answer>();
+    }
+
+private:
+    void collect()
+    {
+        for (auto const& it : effects_)
+            if (auto const* const answer = std::get_if<answer_operator>(&it))
+            {
+                check_invariant(!answers_.contains(answer->id), "one answer a request");
+                answers_.emplace(answer->id, answer->body);
+            }
+        effects_.clear();
+    }
+
+    kernel::settings config_ = kernel::settings::defaults();
+    kernel::counter_set counters_;
+    kernel::null_event_sink events_;
+    core core_;
+    instant now_;
+    effects effects_;
+    std::uint64_t last_id_ = 0;
+    std::map<operator_request_id, any_message> answers_;
+};
+
+} // namespace mulberryrudder::control::testing
+
+#endif
