--- a/plugins/entry/claims/claim_keeper.cpp
+++ b/plugins/entry/claims/claim_keeper.cpp
@@ -188,6 +188,7 @@
     if (views_.has_changed())
         since = std::max(since, views_.last_change());
     out.settled_for = now - since;
+    out.view = digest_of(views_.current());
     return out;
 }
 
@@ -200,6 +201,9 @@
         merge(record, now);
     if (it.more)
         return messages::claims_pull{.boot = boot_, .after = it.next};
+    // What a peer is sure of holds here only if it sees the same members.
+    if (views_.empty() || it.view != digest_of(views_.current()))
+        return std::nullopt;
     auto const since = now - it.settled_for;
     auto const [known, added] = pulled_.emplace(from, since);
     if (!added)
--- a/plugins/entry/claims/claims_settings.cpp
+++ b/plugins/entry/claims/claims_settings.cpp
@@ -26,6 +26,9 @@
         kernel::field("view_bound", &claims_settings::view_bound, {100, 60'000},
                       "Milliseconds after which a membership is in force everywhere; more than "
                       "a lease lasts."),
+        kernel::field("member_hold", &claims_settings::member_hold, {0, 3'600'000},
+                      "Milliseconds for which an instance stays a keeper that is listed no more; "
+                      "a new leader lists the instances one by one."),
         kernel::field("timeout", &claims_settings::timeout, {10, 10'000},
                       "Milliseconds that a claim may take."),
         kernel::field("end_retry", &claims_settings::end_retry, {100, 600'000},
--- a/plugins/entry/claims/claims_settings.hpp
+++ b/plugins/entry/claims/claims_settings.hpp
@@ -13,6 +13,7 @@
     milliseconds window{600'000};
     milliseconds clock_skew{2'000};
     milliseconds view_bound{5'000};
+    milliseconds member_hold{30'000};
     milliseconds timeout{500};
     milliseconds end_retry{10'000};
     byte_count reply_limit{16 * 1024};
--- a/plugins/entry/claims/claims_stage.cpp
+++ b/plugins/entry/claims/claims_stage.cpp
@@ -61,7 +61,8 @@
 public:
     explicit claims_stage(stage_parts const& parts)
         : services_(parts.services), self_(parts.self), config_(parts.config.get(claims_section)),
-          keeper_(self_.self.id, self_.boot, config_), endings_(config_)
+          members_(config_.member_hold), keeper_(self_.self.id, self_.boot, config_),
+          endings_(config_)
     {
     }
 
@@ -143,8 +144,10 @@
 
     void watch(context& with)
     {
-        if (fleet().lease_live(with.now))
-            keeper_.follow(make_view(fleet().members(), fleet().config()), with.now);
+        if (!fleet().lease_live(with.now))
+            return;
+        members_.see(fleet().members(), with.now);
+        keeper_.follow(members_.view(fleet().config()), with.now);
     }
 
     step begin_claim(request const& what, span age, context& with)
@@ -322,6 +325,7 @@
     kernel::service_map const& services_;
     identity const& self_;
     claims_settings const& config_;
+    seen_members members_;
     claim_keeper keeper_;
     claim_endings endings_;
     std::map<request_id, asked_claim> asked_;
--- a/plugins/entry/claims/keeper_sets.cpp
+++ b/plugins/entry/claims/keeper_sets.cpp
@@ -81,18 +81,37 @@
 
 } // namespace
 
-keeper_view make_view(std::vector<messages::member> const& members, fleet_config const& config)
+void seen_members::see(std::vector<messages::member> const& members, instant now)
 {
-    keeper_view out;
     for (auto const& it : members)
-        out.places.push_back({it.where.id, it.where.region, it.where.domain});
-    std::sort(out.places.begin(), out.places.end(),
-              [](auto const& a, auto const& b) { return a.id < b.id; });
+    {
+        keeper_place place{it.where.id, it.where.region, it.where.domain};
+        seen_.insert_or_assign(it.where.id, sighting{std::move(place), now + hold_});
+    }
+    std::erase_if(seen_, [now](auto const& it) { return it.second.until < now; });
+}
+
+keeper_view seen_members::view(fleet_config const& config) const
+{
+    keeper_view out;
+    for (auto const& [id, it] : seen_)
+        out.places.push_back(it.place);
     for (auto const& [id, customer] : config.customers)
         out.homes.emplace(id, customer.home);
     return out;
 }
 
+digest digest_of(keeper_view const& view)
+{
+    std::string buf;
+    for (auto const& it : view.places)
+        buf += std::to_string(it.id.value()) + '\n' + it.region.value() + '\n' + it.domain.value() +
+               '\n';
+    for (auto const& [customer, home] : view.homes)
+        buf += customer.value() + '\n' + home.value() + '\n';
+    return sha256(buf);
+}
+
 std::vector<instance_id> keepers_of(messages::claim_id const& id, customer_id const& customer,
                                     keeper_view const& view)
 {
--- a/plugins/entry/claims/keeper_sets.hpp
+++ b/plugins/entry/claims/keeper_sets.hpp
@@ -41,8 +41,34 @@
     friend bool operator==(keeper_view const&, keeper_view const&) = default;
 };
 
-/// Makes a view of a lease's members and a configuration's customers.
-keeper_view make_view(std::vector<messages::member> const& members, fleet_config const& config);
+/// Returns a digest by which two instances tell whether their views are equal.
+digest digest_of(keeper_view const& view);
+
+/// Collects the members of successive leases. One that is listed no more stays for
+/// a time, since a new leader lists the instances only as they renew.
+///
+/// Thread safety: one owner.
+class seen_members
+{
+public:
+    explicit seen_members(span hold) : hold_(hold) {}
+
+    /// Takes the members of a live lease in.
+    void see(std::vector<messages::member> const& members, instant now);
+
+    /// Makes a view of them and a configuration's customers.
+    keeper_view view(fleet_config const& config) const;
+
+private:
+    struct sighting
+    {
+        keeper_place place;
+        instant until;
+    };
+
+    span hold_;
+    std::map<instance_id, sighting> seen_;
+};
 
 /// Returns a claim's keepers, ascending: two of the customer's home region in two
 /// failure domains and one of another region, each the first by rendezvous
--- a/tests/entry/claims/claim_keeper_test.cpp
+++ b/tests/entry/claims/claim_keeper_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(a_key_made_before_the_keeper_watched_is_unsettled);
     CPPUNIT_TEST(a_key_made_after_the_settling_time_is_granted);
     CPPUNIT_TEST(records_of_both_other_keepers_settle_an_older_key);
+    CPPUNIT_TEST(a_peer_that_sees_other_members_settles_nothing);
     CPPUNIT_TEST(records_are_pulled_only_after_earlier_grants_have_lapsed);
     CPPUNIT_TEST(a_gap_in_the_membership_unsettles_older_keys);
     CPPUNIT_TEST(a_changed_keeper_set_unsettles_older_keys);
@@ -76,6 +77,16 @@
         CPPUNIT_ASSERT(claim_answer_kind::granted == asked(1, seconds(50)));
     }
 
+    void a_peer_that_sees_other_members_settles_nothing()
+    {
+        auto other = three_places();
+        other.places.push_back({instance_id(4), region_id("r4"), domain_id("d4")});
+        watch_until(start_ + seconds(20));
+        pull(2, seconds(100), {});
+        pull(3, seconds(100), {}, other);
+        CPPUNIT_ASSERT(claim_answer_kind::unsettled == asked(1, seconds(50)));
+    }
+
     void records_are_pulled_only_after_earlier_grants_have_lapsed()
     {
         CPPUNIT_ASSERT(keeper_.due_pulls(start_ + config_.timeout).empty());
@@ -160,9 +171,13 @@
         return keeper_.ask(request(holder, key_age), now_)->kind;
     }
 
-    void pull(std::uint32_t from, span settled, std::vector<messages::claim_record> records)
+    void pull(std::uint32_t from, span settled, std::vector<messages::claim_record> records,
+              keeper_view const& seen = three_places())
     {
-        keeper_.merge({.boot = boot_id(1), .records = std::move(records), .settled_for = settled},
+        keeper_.merge({.boot = boot_id(1),
+                       .records = std::move(records),
+                       .view = digest_of(seen),
+                       .settled_for = settled},
                       instance_id(from), now_);
     }
 
--- a/tests/entry/claims/claims_fleet.cpp
+++ b/tests/entry/claims/claims_fleet.cpp
@@ -23,6 +23,7 @@
     out.set(claims_section, {.window = seconds(30),
                              .clock_skew = milliseconds(200),
                              .view_bound = seconds(1),
+                             .member_hold = milliseconds(500),
                              .timeout = milliseconds(300),
                              .end_retry = seconds(2)});
     return out;
@@ -268,7 +269,9 @@
 std::vector<std::size_t> claims_fleet::keepers_of_key(std::string const& key) const
 {
     std::string const text = "3:bib" + std::to_string(key.size()) + ":" + key;
-    auto const view = make_view(members(), claims_test_config());
+    seen_members all{span{}};
+    all.see(members(), now_);
+    auto const view = all.view(claims_test_config());
     std::vector<std::size_t> out;
     for (auto const& it : keepers_of(messages::claim_id(sha256(text)), customer_id("bib"), view))
         out.push_back(it.value() - 1);
--- a/tests/entry/claims/keeper_sets_test.cpp
+++ b/tests/entry/claims/keeper_sets_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(keepers_are_spread_over_the_instances);
     CPPUNIT_TEST(a_lost_instance_moves_only_its_own_claims);
     CPPUNIT_TEST(a_small_fleet_gives_what_it_has);
+    CPPUNIT_TEST(a_member_that_is_listed_no_more_stays_for_the_hold);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -87,6 +88,17 @@
         view.places.push_back({instance_id(1), region_id("r"), domain_id("d")});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, keepers_of(claim(1), customer, view).size());
     }
+
+    void a_member_that_is_listed_no_more_stays_for_the_hold()
+    {
+        instant const start{seconds(100)};
+        seen_members it(seconds(30));
+        it.see({{.where = {.id = instance_id(1)}}}, start);
+        it.see({}, start + seconds(30));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.view({}).places.size());
+        it.see({}, start + seconds(31));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.view({}).places.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(keeper_sets_test);
