--- a/tests/control/replica/fake_disk.cpp
+++ b/tests/control/replica/fake_disk.cpp
@@ -36,6 +36,7 @@
 void fake_disk::apply(persist const& it)
 {
     contents_.blank = false;
+    contents_.copied = contents_.copied && !it.state;
     if (it.state)
         contents_.state = *it.state;
     auto& log = contents_.entries;
