--- a/plugins/control/replica/starting.cpp
+++ b/plugins/control/replica/starting.cpp
@@ -23,12 +23,13 @@
 {
     if (fresh_disk_)
         return true;
-    std::size_t known = has_vote() ? 1 : 0;
+    // With this replica they form a majority; one that lost its vote needs as many.
     if (members().voters.empty())
         return registered_at_.size() >= self_.initial_voters.size() / 2;
+    std::size_t known = 0;
     for (auto const& it : members().voters)
         known += registered_at_.count(it.id);
-    return known >= majority(members());
+    return known >= members().voters.size() / 2;
 }
 
 bool replica::must_announce() const
