--- a/tests/control/replica/random_schedules_test.cpp
+++ b/tests/control/replica/random_schedules_test.cpp
@@ -185,6 +185,7 @@
         trace_ << "!";
         id = id == 0 ? any() : id;
         group_.kill(id);
+        lost_disks_.insert(disk_of(instance_id(id)));
         group_.at(id).disk.replace_contents(contents);
         group_.start(id);
     }
