--- a/tests/control/replica/fake_group.cpp
+++ b/tests/control/replica/fake_group.cpp
@@ -55,14 +55,6 @@
     ++it.start;
     identity self{.boot = boot_id(it.start), .initial_voters = initial_};
     self.self.id = it.id;
-    it.events.id = id;
-    it.events.clock = &now_;
-    if (getenv("DBG"))
-        fprintf(stderr, "%ld start %u disk %lx last %lu\n", now_.time_since_epoch().count() / 1000,
-                id, it.disk.contents().state.disk.value() & 0xffff,
-                it.disk.contents().entries.empty()
-                    ? 0
-                    : it.disk.contents().entries.back().index.value());
     it.decisions = std::make_unique<core>(core::options{.config = config_,
                                                         .counters = it.counters,
                                                         .events = it.events,
@@ -251,8 +243,6 @@
     for (auto const& [index, digest] : digests)
     {
         auto const known = digests_.emplace(index, digest).first;
-        if (known->second != digest)
-            fprintf(stderr, "conflict %u at index %lu\n", it.id.value(), index.value());
         check_invariant(known->second == digest, "equal states at equal indexes");
     }
     digests.clear();
--- a/tests/control/replica/fake_group.hpp
+++ b/tests/control/replica/fake_group.hpp
@@ -26,18 +26,8 @@
 class event_recorder final : public kernel::event_sink
 {
 public:
-    uint32_t id = 0;
-    instant* clock = nullptr;
-    void record(kernel::event_kind const& kind, std::vector<kernel::event_field> f) override
+    void record(kernel::event_kind const& kind, std::vector<kernel::event_field>) override
     {
-        if (getenv("DBG"))
-        {
-            fprintf(stderr, "%ld  %u %s", clock ? clock->time_since_epoch().count() / 1000 : 0, id,
-                    kind.what().name.data());
-            for (auto& x : f)
-                fprintf(stderr, " %s", x.value.c_str());
-            fprintf(stderr, "\n");
-        }
         names.emplace_back(kind.what().name);
     }
 
