--- a/tests/control/replica/random_schedules_test.cpp
+++ b/tests/control/replica/random_schedules_test.cpp
@@ -40,6 +40,7 @@
         }
         if (!group_.run_until([this] { return group_.acting() != 0; }, seconds(20)))
             throw invariant_violated("no leader after the founding");
+        copy_disk();
     }
 
     void run(std::array<fault, 13> const& faults)
@@ -125,6 +126,7 @@
     {
         auto const id = any();
         heal_cuts();
+        restart_all();
         group_.run_for(seconds(5));
         auto const image = group_.at(id).disk.contents();
         restart(id);
@@ -159,6 +161,7 @@
         trace_ << "!";
         id = id == 0 ? any() : id;
         group_.kill(id);
+        lost_disks_.insert(disk_of(instance_id(id)));
         group_.at(id).disk.replace_contents(contents);
         group_.start(id);
     }
@@ -174,7 +177,7 @@
         auto const& listed = *group_.answers.back().get<members_listed>();
         std::size_t n = 0;
         for (auto const& it : listed.members)
-            n += it.votes && disk_of(it.id) == it.disk ? 1 : 0;
+            n += it.votes && disk_of(it.id) == it.disk && lost_disks_.count(it.disk) == 0 ? 1 : 0;
         return n == size_ && listed.settled;
     }
 
@@ -201,6 +204,7 @@
     random_source random_;
     std::uint64_t last_value_ = 0;
     std::set<std::uint64_t> accepted_;
+    std::set<disk_id> lost_disks_; ///< An older image of one must not vote again.
     disk_recovered older_;
     std::uint32_t copied_ = 0;
     std::ostringstream trace_;
