--- a/scripts/layout.sh
+++ b/scripts/layout.sh
@@ -63,6 +63,7 @@
                "caller": "127.0.0.1:$((base + 40 + n))", "control": $control},
   "drain": {"answer_lifetime": 300, "connection_lifetime": 500, "margin": 500},
   "lookup": {"time_to_live": 300},
+  "claims": {"clock_skew": 200},
   "callers": {"connection_lifetime": 500},
   "log": {"file": "$folder/entry-$n.log"}
 }
