--- a/plugins/control/ledger/rate_account.cpp
+++ b/plugins/control/ledger/rate_account.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 rate_account::rate_account(ledger_settings const& settings, instant now, instant settled)
-    : settings_(settings), settled_(settled), own_(now)
+    : settings_(settings), made_(now), settled_(settled), own_(now)
 {
 }
 
@@ -49,19 +49,25 @@
                     "tokens of a customer stay within its burst");
 }
 
+void rate_account::open(instant now)
+{
+    if (open_ || now < settled_)
+        return;
+    open_ = true;
+    reshape(std::max(settled_, made_));
+}
+
 void rate_account::reshape(instant now)
 {
-    if (now < settled_)
-    {
-        own_.reshape(now, {}, {});
+    if (!open_)
         return;
-    }
     own_.reshape(now, positive(limit_.rate - exposed_.rate),
                  positive(limit_.burst - exposed_.burst - lent_out_));
 }
 
 void rate_account::recount(instant now, holder& it)
 {
+    open(now);
     own_.advance(now);
     auto const most = it.slices.most();
     exposed_.rate += most.rate - it.counted.rate;
@@ -75,6 +81,7 @@
     limit.rate -= part_of(limit.rate, settings_.clock_drift);
     if (limit == limit_)
         return;
+    open(now);
     own_.advance(now);
     limit_ = limit;
     reshape(now);
@@ -83,13 +90,13 @@
 void rate_account::report(instant now, messages::renew_request const& from,
                           messages::customer_demand const& demand)
 {
+    open(now);
     auto& it = holders_[from.self.id];
     it.reported = {demand.held_rate, demand.held_burst};
     forget_wanted(it);
     auto const step = (demand.wanted - it.wanted).count() / smoothing;
-    it.wanted = it.wanted == millitokens_per_second{}
-                    ? demand.wanted
-                    : it.wanted + millitokens_per_second(step);
+    it.wanted = it.wanted == millitokens_per_second{} ? demand.wanted
+                                                      : it.wanted + millitokens_per_second(step);
     if (it.wanted < least_demand || from.stopping)
         it.wanted = {};
     wanted_ += it.wanted;
@@ -125,9 +132,8 @@
     if (now < settled_)
         return {std::min(target.rate, it.reported.rate), std::min(target.burst, it.reported.burst)};
     auto const room = positive(limit_.burst - exposed_.burst - lent_out_);
-    rate_amount out{
-        std::min(target.rate, it.counted.rate + positive(limit_.rate - exposed_.rate)),
-        std::min(target.burst, it.counted.burst + room)};
+    rate_amount out{std::min(target.rate, it.counted.rate + positive(limit_.rate - exposed_.rate)),
+                    std::min(target.burst, it.counted.burst + room)};
     return out.burst < request_cost ? rate_amount{} : out;
 }
 
@@ -162,8 +168,7 @@
 
 void rate_account::settle_loans(instance_id entry, sequence_id settled)
 {
-    auto const done = [&](loan const& it)
-    { return it.entry == entry && it.sequence <= settled; };
+    auto const done = [&](loan const& it) { return it.entry == entry && it.sequence <= settled; };
     for (auto const& it : loans_)
         if (done(it))
             lent_out_ -= it.amount;
@@ -191,13 +196,15 @@
     if (asked.sequence <= it.last_loan)
         return {};
     it.last_loan = asked.sequence;
+    open(now);
     own_.advance(now);
     settle_loans(entry, asked.settled);
     expire_loans(now);
     reshape(now);
     // Tokens in advance leave half of the bucket for requests that wait.
     auto const spare = millitokens(own_.tokens().count() / 2);
-    auto const most = std::max(std::min(asked.needed, own_.tokens()), std::min(asked.wanted, spare));
+    auto const most =
+        std::max(std::min(asked.needed, own_.tokens()), std::min(asked.wanted, spare));
     auto const lent = own_.take_up_to(most);
     if (lent == millitokens{})
         return lent;
--- a/plugins/control/ledger/rate_account.hpp
+++ b/plugins/control/ledger/rate_account.hpp
@@ -84,6 +84,7 @@
         millitokens amount;
     };
 
+    void open(instant now);
     void recount(instant now, holder& it);
     void reshape(instant now);
     void settle_loans(instance_id entry, sequence_id settled);
@@ -95,7 +96,9 @@
     void check(rate_amount before) const;
 
     ledger_settings const& settings_;
-    instant settled_; ///< Grants of former leaders may be in force until then.
+    instant made_;
+    instant settled_;   ///< Grants of former leaders may be in force until then.
+    bool open_ = false; ///< The own bucket accrues; it does from `settled_` on.
     rate_amount limit_;
     rate_amount exposed_;
     millitokens lent_out_;
--- a/plugins/control/ledger/rate_ledger.cpp
+++ b/plugins/control/ledger/rate_ledger.cpp
@@ -22,13 +22,21 @@
     config_ = config;
     for (auto& [id, it] : accounts_)
         it.configure(now, limit_of(*config_, id));
+    make_accounts(now);
 }
 
-void rate_ledger::lead(instant, instant settled)
+void rate_ledger::make_accounts(instant now)
+{
+    for (auto const& [id, it] : config_->customers)
+        account_of(id, now);
+}
+
+void rate_ledger::lead(instant now, instant settled)
 {
     accounts_.clear();
     held_.clear();
     settled_ = settled;
+    make_accounts(now);
 }
 
 void rate_ledger::follow()
--- a/plugins/control/ledger/rate_ledger.hpp
+++ b/plugins/control/ledger/rate_ledger.hpp
@@ -38,6 +38,8 @@
     rate_account const* find(customer_id const& customer) const;
 
 private:
+    /// Makes the account of each customer, so that its bucket fills from now on.
+    void make_accounts(instant now);
     rate_account* account_of(customer_id const& customer, instant now);
     std::set<customer_id> report(messages::renew_request const& asked, instant now);
 
--- a/tests/lease_fleet/fake_stages.cpp
+++ b/tests/lease_fleet/fake_stages.cpp
@@ -33,6 +33,13 @@
     return entry::stop{entry::answered{std::make_shared<reply const>()}};
 }
 
+void admission_probe::probed(entry::probe_ended const&, entry::context& with)
+{
+    if (auto* const what = with.flow.find(released))
+        what->chosen = entry::chosen_target{.id = target_id("t")};
+    with.flow.resume(released);
+}
+
 void admission_probe::leased(messages::lease_grant const& it, entry::context&)
 {
     last_lease = it;
--- a/tests/lease_fleet/fake_stages.hpp
+++ b/tests/lease_fleet/fake_stages.hpp
@@ -32,12 +32,14 @@
     explicit admission_probe(entry::stage_parts const& parts);
     entry::step admit(entry::request& what, entry::context& with) override;
     void leased(messages::lease_grant const& it, entry::context& with) override;
+    void probed(entry::probe_ended const& it, entry::context& with) override;
     void report(messages::renew_request& out, entry::context& with) override;
 
     std::vector<admission> admitted;
     std::vector<messages::domain_load> load;
     messages::lease_grant last_lease;
-    bool hold = false; ///< Keeps admitted requests waiting instead of answering.
+    bool hold = false;   ///< Keeps admitted requests waiting instead of answering.
+    request_id released; ///< The next probed() sends this request on to a target.
 };
 
 } // namespace mulberryrudder::test
--- a/tests/lease_fleet/lease_fleet.cpp
+++ b/tests/lease_fleet/lease_fleet.cpp
@@ -330,6 +330,21 @@
     return id;
 }
 
+void lease_fleet::release(unsigned entry, request_id id)
+{
+    probe(entry).released = id;
+    handle(at(entry_id(entry)), entry::probe_ended{});
+}
+
+std::string lease_fleet::outcome_of(request_id id) const
+{
+    auto const it = endings_.find(id);
+    if (it == endings_.end())
+        return "unanswered";
+    auto const* const no = std::get_if<entry::refused>(&it->second.what);
+    return no == nullptr ? "answered" : std::string(no->why->what().name);
+}
+
 entry::fleet_view const& lease_fleet::view(unsigned entry) const
 {
     return entry_core(entry).services().require<entry::fleet_view>();
--- a/tests/lease_fleet/lease_fleet.hpp
+++ b/tests/lease_fleet/lease_fleet.hpp
@@ -85,6 +85,9 @@
     request_id request(unsigned entry, std::string const& customer, std::string const& route = "k",
                        span patience = seconds(1));
 
+    /// Sends a request that the probe holds on to a target, also on a frozen instance.
+    void release(unsigned entry, request_id id);
+
     entry::fleet_view const& view(unsigned entry) const;
     admission_probe& probe(unsigned entry) const;
     fake_replica& replica(unsigned control) const;
@@ -94,6 +97,10 @@
     /// An instance's own clock.
     instant local_now(instance_id id) const;
     std::map<request_id, ending> const& endings() const { return endings_; }
+    /// Returns "answered", the refusal's name, or "unanswered".
+    std::string outcome_of(request_id id) const;
+    /// Gives an instance a message as if it had just arrived.
+    void hand_over(envelope const& message) { deliver({now_, 0, message}); }
     /// Admissions on the clock of the test, in order, by customer.
     std::map<customer_id, std::vector<instant>> const& admissions() const { return admissions_; }
 
