--- a/plugins/control_io/operator_http/note_codec.cpp
+++ b/plugins/control_io/operator_http/note_codec.cpp
@@ -1,5 +1,6 @@
 #include "note_codec.hpp"
 
+#include "duplicate_names.hpp"
 #include "value_readers.hpp"
 
 namespace mulberryrudder::operator_http
@@ -135,6 +136,7 @@
 {
     BOOST_LEAF_AUTO(root, kernel::parse_json(text, "note"));
     failures failed;
+    find_duplicate_names(text, failed);
     release_note out;
     kernel::read_members(root, {"", failed}, note_rows(), out);
     if (!failed.empty())
--- a/plugins/control_io/operator_http/order_requests.cpp
+++ b/plugins/control_io/operator_http/order_requests.cpp
@@ -1,3 +1,4 @@
+#include "duplicate_names.hpp"
 #include "state_json.hpp"
 #include "value_readers.hpp"
 
@@ -43,6 +44,7 @@
         {
             BOOST_LEAF_AUTO(root, kernel::parse_json(from.body, "order"));
             failures failed;
+            find_duplicate_names(from.body, failed);
             Order order;
             kernel::read_members(root, {"", failed}, Rows(), order);
             if (!failed.empty())
--- a/programs/ctl/client.cpp
+++ b/programs/ctl/client.cpp
@@ -50,11 +50,11 @@
                               [this](auto failed, std::size_t) { written(failed); });
     }
 
-    void written(boost::system::error_code ec)
+    /// Reads on after an error too: a server may refuse a request before it is sent whole.
+    void written(boost::system::error_code)
     {
-        if (!ec)
-            http::async_read(stream_, buf_, parser_,
-                             [this](auto failed, std::size_t) { answered(failed); });
+        http::async_read(stream_, buf_, parser_,
+                         [this](auto failed, std::size_t) { answered(failed); });
     }
 
     void answered(boost::system::error_code ec)
