--- a/include/mulberryrudder/entry/wall_clock.hpp
+++ b/include/mulberryrudder/core/wall_clock.hpp
@@ -1,13 +1,13 @@
-#ifndef MULBERRYRUDDER_ENTRY_WALL_CLOCK_HPP
-#define MULBERRYRUDDER_ENTRY_WALL_CLOCK_HPP
+#ifndef MULBERRYRUDDER_CORE_WALL_CLOCK_HPP
+#define MULBERRYRUDDER_CORE_WALL_CLOCK_HPP
 
 #include <mulberryrudder/core/time.hpp>
 
-namespace mulberryrudder::entry
+namespace mulberryrudder
 {
 
-/// Tells the time of day, for times that callers put into their requests. A
-/// plug-in at the edge provides it; without one, as in tests on virtual time, the
+/// Tells the time of day, for times that come from callers and
+/// operators. A plug-in at the edge provides it; without one, as in tests on virtual time, the
 /// decision clock itself counts as the time of day.
 ///
 /// Thread safety: the decision core's thread.
@@ -20,6 +20,6 @@
     virtual milliseconds since_epoch() const = 0;
 };
 
-} // namespace mulberryrudder::entry
+} // namespace mulberryrudder
 
 #endif
--- a/plugins/entry/claims/claims_stage.cpp
+++ b/plugins/entry/claims/claims_stage.cpp
@@ -4,9 +4,9 @@
 #include "timed_key.hpp"
 
 #include <mulberryrudder/core/invariant.hpp>
+#include <mulberryrudder/core/wall_clock.hpp>
 #include <mulberryrudder/entry/fleet_view.hpp>
 #include <mulberryrudder/entry/stage.hpp>
-#include <mulberryrudder/entry/wall_clock.hpp>
 
 #include <algorithm>
 #include <array>
--- a/plugins/entry/versions/versions_stage.cpp
+++ b/plugins/entry/versions/versions_stage.cpp
@@ -2,6 +2,7 @@
 
 #include <mulberryrudder/entry/fleet_view.hpp>
 #include <mulberryrudder/entry/stage.hpp>
+#include <mulberryrudder/entry/target_directory.hpp>
 
 namespace mulberryrudder::entry
 {
@@ -35,9 +36,9 @@
 
 kernel::counter_kind const sent_to_next("versions.sent_to_next",
                                         "Sendings to the version that a move leads to.");
-kernel::counter_kind const
-    kept_on_old("versions.next_unusable",
-                "Requests kept on the old version because the new one was withdrawn here.");
+kernel::counter_kind const kept_on_old(
+    "versions.next_unusable",
+    "Requests kept on the old version because the new one was withdrawn here or has no target.");
 kernel::counter_kind const trips("versions.tripped",
                                  "Versions that this instance withdrew by itself, per route.");
 
@@ -70,7 +71,7 @@
         auto* const moving = state_of(what.route, *route);
         if (moving == nullptr)
             return proceed{};
-        if (moving->is_tripped())
+        if (moving->is_tripped() || !has_target(what.route, moving->next_version()))
             with.counters.add(kept_on_old);
         else if (moving->shares().take_place(what.id))
             what.version = moving->next_version();
@@ -180,6 +181,12 @@
         return std::nullopt;
     }
 
+    bool has_target(route_id const& route, version_id const& version) const
+    {
+        auto const* const targets = services_.find<target_directory>();
+        return targets == nullptr || !targets->usable(route, version).empty();
+    }
+
     route_config const* config_of(route_id const& id) const
     {
         auto const& config = services_.require<fleet_view>().config();
--- a/plugins/entry/wall_clock/wall_clock.cpp
+++ b/plugins/entry_io/wall_clock/wall_clock.cpp
@@ -1,5 +1,5 @@
+#include <mulberryrudder/core/wall_clock.hpp>
 #include <mulberryrudder/entry/stage.hpp>
-#include <mulberryrudder/entry/wall_clock.hpp>
 
 namespace mulberryrudder::entry
 {
--- a/tests/entry/claims/claims_fleet.hpp
+++ b/tests/entry/claims/claims_fleet.hpp
@@ -3,7 +3,7 @@
 
 #include "tests/entry/support/entry_bench.hpp"
 
-#include <mulberryrudder/entry/wall_clock.hpp>
+#include <mulberryrudder/core/wall_clock.hpp>
 
 #include <functional>
 #include <map>
--- a/tests/entry/support/entry_bench.hpp
+++ b/tests/entry/support/entry_bench.hpp
@@ -3,6 +3,7 @@
 
 #include <mulberryrudder/entry/core.hpp>
 #include <mulberryrudder/entry/fleet_view.hpp>
+#include <mulberryrudder/entry/target_directory.hpp>
 
 #include <string>
 
@@ -38,10 +39,32 @@
 };
 
 /// Stands for the target choice: sends each request to a target of its version.
-class fake_choice final : public stage
+class fake_choice final : public stage, public target_directory
 {
 public:
-    explicit fake_choice(stage_parts const& parts) { parts.services.provide<fake_choice>(*this); }
+    explicit fake_choice(stage_parts const& parts)
+    {
+        parts.services.provide<fake_choice>(*this);
+        parts.services.provide<target_directory>(*this);
+    }
+
+    std::vector<target_view const*> usable(route_id const&,
+                                           version_id const& version) const override
+    {
+        static target_view const some{};
+        if (absent.contains(version))
+            return {};
+        return {&some};
+    }
+    bool is_known(route_id const&, version_id const& version) const override
+    {
+        return !absent.contains(version);
+    }
+    bool has_free_slot(route_id const&, version_id const& version) const override
+    {
+        return !absent.contains(version);
+    }
+    std::vector<target_view const*> all() const override { return {}; }
 
     step admit(request& what, context&) override
     {
@@ -79,7 +102,8 @@
         return proceed{};
     }
 
-    bool held_back = false; ///< Requests wait here until they are resumed.
+    std::set<version_id> absent; ///< Versions without a usable target.
+    bool held_back = false;      ///< Requests wait here until they are resumed.
     bool retries = false;
 };
 
--- a/tests/entry/versions/versions_test.cpp
+++ b/tests/entry/versions/versions_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(a_failing_new_version_is_tripped_on_its_route_only);
     CPPUNIT_TEST(a_request_that_waits_while_its_version_is_withdrawn_does_not_run);
     CPPUNIT_TEST(a_trip_is_reported_in_each_renewal);
+    CPPUNIT_TEST(without_a_usable_target_of_the_new_version_the_old_one_gets_all);
     CPPUNIT_TEST(a_hedge_beyond_the_share_is_not_sent);
     CPPUNIT_TEST_SUITE_END();
 
@@ -80,6 +81,13 @@
             CPPUNIT_ASSERT(is_trip_reported());
     }
 
+    void without_a_usable_target_of_the_new_version_the_old_one_gets_all()
+    {
+        share("a", 500);
+        bench_.choice().absent = {version_id("v2")};
+        CPPUNIT_ASSERT_EQUAL(0, sent_to_new("a", 100));
+    }
+
     void a_hedge_beyond_the_share_is_not_sent()
     {
         share("a", 1000);
