--- a/bench/moves_simulation.cpp
+++ b/bench/moves_simulation.cpp
@@ -1,5 +1,7 @@
 #include "moves_simulation.hpp"
 
+#include "instant_log.hpp"
+
 #include <mulberryrudder/control/replicated_log.hpp>
 #include <mulberryrudder/core/invariant.hpp>
 
@@ -18,53 +20,11 @@
 constexpr span tick_period = milliseconds(100);
 constexpr span report_period = seconds(1);
 constexpr span push_delay = milliseconds(200);
+constexpr span failover = seconds(3);
 route_id const route("sheet");
 version_id const old_version("v1");
 version_id const new_version("v2");
 
-/// Stands for the replicated log: commits a command in the next tick.
-class instant_log final : public component, public replicated_log
-{
-public:
-    explicit instant_log(component_parts const& parts)
-    {
-        parts.services.provide<replicated_log>(*this);
-    }
-
-    bool may_act(instant) const override { return leads_; }
-    instant confirmed_until() const override { return never; }
-    term_id term() const override { return term_id(1); }
-    std::optional<instance_id> leader() const override { return instance_id(1); }
-    log_index applied_index() const override { return log_index(applied_); }
-
-    std::optional<log_index> propose(any_message command) override
-    {
-        waiting_.push_back(std::move(command));
-        return log_index(applied_ + waiting_.size());
-    }
-
-    void tick(control::context& with) override
-    {
-        if (!leads_)
-        {
-            leads_ = true;
-            with.observers.publish_leading();
-        }
-        for (; !waiting_.empty(); waiting_.pop_front())
-        {
-            ++applied_;
-            with.observers.publish_applied({term_id(1), log_index(applied_), waiting_.front()});
-        }
-    }
-
-private:
-    bool leads_ = false;
-    std::uint64_t applied_ = 0;
-    std::deque<any_message> waiting_;
-};
-
-component_registrar<instant_log> const entered{"instant_log", component_order::replica};
-
 /// One entry instance's part of the route.
 struct simulated_entry
 {
@@ -96,6 +56,7 @@
     void serve_one(simulated_entry& it);
     void report(std::size_t which);
     void follow_config();
+    bool is_without_leader() const;
 
     move_case const& what_;
     simulated_versions versions_;
@@ -207,10 +168,17 @@
         if (static_cast<std::size_t>(ticks) % ticks_per_report == n % ticks_per_report)
             report(n);
     }
+    core_.services().find<instant_log>()->wants_to_lead = !is_without_leader();
     effects todo;
     core_.tick(now_, todo);
 }
 
+bool simulation::is_without_leader() const
+{
+    auto const since = now_ - start_;
+    return what_.leader_lost_after <= since && since - failover < what_.leader_lost_after;
+}
+
 move_result simulation::run()
 {
     order_move();
@@ -291,6 +259,9 @@
     out.slow_factor = out.kind == fault_kind::slow ? between(3, 10) : 1.0;
     if (out.kind == fault_kind::slow && random() % 2 == 0)
         out.fault_after = {};
+    if (random() % 3 == 0)
+        out.leader_lost_after =
+            span(static_cast<span::rep>(between(0, 1) * static_cast<double>(out.time.count())));
     return out;
 }
 
--- a/bench/moves_simulation.hpp
+++ b/bench/moves_simulation.hpp
@@ -40,7 +40,8 @@
     span fault_after{};       ///< With `later`: since the start.
     double fault_share = 1.0; ///< With `under_load`: share from which on it shows.
     per_mille cap = whole_share;
-    span time{}; ///< From the start to the deadline.
+    span leader_lost_after = span::max(); ///< Since the start; a new one follows in 3 s.
+    span time{};                          ///< From the start to the deadline.
 
     bool is_bad() const { return kind > fault_kind::none_noisy; }
 };
