--- a/bench/moves_simulation.hpp
+++ b/bench/moves_simulation.hpp
@@ -78,6 +78,10 @@
 /// Runs a case with the control's moves and the entries' version rule.
 move_result run_move(move_case const& what, std::uint64_t seed);
 
+/// Runs several moves to the same version side by side, each on a route of its own.
+/// Precondition: their times are equal.
+std::vector<move_result> run_moves(std::vector<move_case> const& cases, std::uint64_t seed);
+
 /// Runs a case with a fixed-step mover: a tenth more every tenth of the time, and
 /// back if more than 5% of the last period's requests to the new version failed.
 move_result run_naive_move(move_case const& what, std::uint64_t seed);
