Tell a copied data folder by a file that is never written again

The state file notes inode and time of change of a file beside it; a copy has others, and cannot be given the old ones.

Not covered: a block image of the whole disk, taken within the newest run, put back while no replica that saw the later state is up.

--- a/plugins/control_io/disk/disk_store.cpp
+++ b/plugins/control_io/disk/disk_store.cpp
@@ -18,6 +18,7 @@
 
 constexpr char const* state_name = "state";
 constexpr char const* snapshot_name = "snapshot";
+constexpr char const* origin_name = "origin";
 constexpr char const* temporary_suffix = ".new";
 /// Whole files are framed as a segment of one batch.
 constexpr batch_number file_batch_before;
@@ -111,14 +112,12 @@
     BOOST_LEAF_AUTO(names, files_.list());
     auto const exists = [&](char const* name)
     { return std::find(names.begin(), names.end(), name) != names.end(); };
+    if (!exists(origin_name))
+        BOOST_LEAF_CHECK(make_origin());
+    BOOST_LEAF_ASSIGN(origin_, files_.origin(origin_name));
     out.recovered.blank = !exists(state_name);
     if (exists(state_name))
-    {
-        BOOST_LEAF_AUTO(body, read_whole(state_name));
-        BOOST_LEAF_ASSIGN(
-            out.recovered.state,
-            decoded<wired::HardState>(state_name, body, [](auto it) { return wire::decode(it); }));
-    }
+        BOOST_LEAF_CHECK(read_state(out.recovered));
     if (exists(snapshot_name))
     {
         BOOST_LEAF_AUTO(body, read_whole(snapshot_name));
@@ -141,7 +140,7 @@
     {
         // The writes before this one must not come to the disk after it.
         BOOST_LEAF_CHECK(log_.sync());
-        BOOST_LEAF_CHECK(replace(state_name, encoded<wired::HardState>(*it.state)));
+        BOOST_LEAF_CHECK(write_state(*it.state));
     }
     if (it.cut_from)
     {
@@ -165,6 +164,34 @@
     return log_.remove_up_to(it.base.index);
 }
 
+result<void> disk_store::make_origin()
+{
+    BOOST_LEAF_AUTO(file, files_.open(origin_name));
+    BOOST_LEAF_CHECK(file->sync());
+    return files_.sync_folder();
+}
+
+result<void> disk_store::read_state(control::disk_recovered& out)
+{
+    BOOST_LEAF_AUTO(body, read_whole(state_name));
+    auto const read = [&](wired::StateFile::Reader it)
+    {
+        out.copied = it.getOrigin() != origin_;
+        return wire::decode(it.getState());
+    };
+    BOOST_LEAF_ASSIGN(out.state, decoded<wired::StateFile>(state_name, body, read));
+    return {};
+}
+
+result<void> disk_store::write_state(control::hard_state const& it)
+{
+    capnp::MallocMessageBuilder message;
+    auto file = message.initRoot<wired::StateFile>();
+    file.setOrigin(origin_);
+    wire::encode(it, file.initState());
+    return replace(state_name, flatten(message));
+}
+
 result<void> disk_store::replace(std::string const& name, std::string const& body)
 {
     auto const temporary = name + temporary_suffix;
--- a/plugins/control_io/disk/disk_store.hpp
+++ b/plugins/control_io/disk/disk_store.hpp
@@ -11,6 +11,7 @@
 /// Keeps a replica's hard state, snapshot and log in one folder. The first two are
 /// files that are replaced as a whole (temporary file, sync, rename, sync of the
 /// folder); the log is a segment_log.
+/// A file that is never written again tells a folder from its copies.
 ///
 /// Thread safety: one owner. No call is allowed after one that failed: what a
 /// failed sync left on the disk is unknown, so it is never tried again.
@@ -36,11 +37,15 @@
     result<void> sync() { return log_.sync(); }
 
 private:
+    result<void> read_state(control::disk_recovered& out);
+    result<void> write_state(control::hard_state const& it);
+    result<void> make_origin();
     result<void> replace(std::string const& name, std::string const& body);
     result<std::string> read_whole(std::string const& name);
 
     file_system& files_;
     segment_log log_;
+    std::uint64_t origin_ = 0; ///< Of the folder, known once it was recovered.
 };
 
 } // namespace mulberryrudder::disk
--- a/plugins/control_io/disk/file_system.hpp
+++ b/plugins/control_io/disk/file_system.hpp
@@ -39,6 +39,9 @@
 
     virtual result<std::vector<std::string>> list() = 0;
     virtual result<std::string> read(std::string const& name) = 0;
+    /// Returns a number that a copy of the file, or of its folder, does not share:
+    /// of where it stands on the disk and when it was made there.
+    virtual result<std::uint64_t> origin(std::string const& name) = 0;
     /// Opens a file at its end and makes it if it is absent.
     virtual result<std::unique_ptr<output_file>> open(std::string const& name) = 0;
     virtual result<void> truncate(std::string const& name, std::uint64_t size) = 0;
--- a/plugins/control_io/disk/posix_file_system.cpp
+++ b/plugins/control_io/disk/posix_file_system.cpp
@@ -1,5 +1,7 @@
 #include "file_system.hpp"
 
+#include <boost/functional/hash.hpp>
+
 #include <cerrno>
 #include <dirent.h>
 #include <fcntl.h>
@@ -122,6 +124,18 @@
         return out;
     }
 
+    result<std::uint64_t> origin(std::string const& name) override
+    {
+        struct stat about
+        {
+        };
+        if (::fstatat(folder_.get(), name.c_str(), &about, 0) != 0)
+            return system_failure(path_ + "/" + name);
+        // The time of change, unlike that of modification, cannot be set by a copier.
+        auto const changed = std::pair(about.st_ctim.tv_sec, about.st_ctim.tv_nsec);
+        return std::uint64_t{boost::hash_value(std::pair(about.st_ino, changed))};
+    }
+
     result<std::unique_ptr<output_file>> open(std::string const& name) override
     {
         descriptor file(::openat(folder_.get(), name.c_str(),
--- a/schemas/replica.capnp
+++ b/schemas/replica.capnp
@@ -54,6 +54,12 @@
   starts @4 :List(StartRecord);
 }
 
+struct StateFile {
+  state @0 :HardState;
+  origin @1 :UInt64;
+  # Of the file beside it that is never written again; differs in a copied folder.
+}
+
 struct Snapshot {
   term @0 :UInt64;
   index @1 :UInt64;
--- a/tests/control_io/disk/disk_store_test.cpp
+++ b/tests/control_io/disk/disk_store_test.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(a_torn_tail_is_cut_off_and_the_log_goes_on);
     CPPUNIT_TEST(a_damaged_synced_record_is_refused);
     CPPUNIT_TEST(a_damaged_state_file_is_refused);
+    CPPUNIT_TEST(a_copied_folder_is_recovered_as_copied);
     CPPUNIT_TEST(a_missing_segment_is_refused);
     CPPUNIT_TEST(what_was_synced_survives_a_failure_at_any_operation);
     CPPUNIT_TEST_SUITE_END();
@@ -144,6 +145,21 @@
         CPPUNIT_ASSERT(outcome_of_reopen().find("state") != std::string::npos);
     }
 
+    void a_copied_folder_is_recovered_as_copied()
+    {
+        write({.state = some_state(), .entries = {entry(1)}});
+        reopen();
+        CPPUNIT_ASSERT(!found_.recovered.copied);
+        ++files_.folder;
+        reopen();
+        CPPUNIT_ASSERT(found_.recovered.copied);
+        reopen();
+        CPPUNIT_ASSERT(found_.recovered.copied);
+        write({.state = some_state()});
+        reopen();
+        CPPUNIT_ASSERT(!found_.recovered.copied);
+    }
+
     void a_missing_segment_is_refused()
     {
         write({.state = some_state(), .entries = {entry(1)}});
--- a/tests/control_io/disk/memory_file_system.hpp
+++ b/tests/control_io/disk/memory_file_system.hpp
@@ -16,6 +16,7 @@
 public:
     result<std::vector<std::string>> list() override;
     result<std::string> read(std::string const& name) override;
+    result<std::uint64_t> origin(std::string const&) override { return folder; }
     result<std::unique_ptr<output_file>> open(std::string const& name) override;
     result<void> truncate(std::string const& name, std::uint64_t size) override;
     result<void> rename(std::string const& from, std::string const& to) override;
@@ -33,6 +34,7 @@
     /// Operations that were asked for after the one that failed.
     int operations_after_failure() const { return after_failure_; }
 
+    std::uint64_t folder = 1; ///< Differs in a copied folder.
     std::string& contents(std::string const& name) { return files_.at(name).bytes; }
     std::string newest_segment() const;
 
