Announce a start as long as no leader is heard

The replica took itself for a voter and was silent, the leader did not know its disk, and it stayed outside for ever.

--- a/plugins/control/replica/starting.cpp
+++ b/plugins/control/replica/starting.cpp
@@ -37,7 +37,8 @@
 
 bool replica::must_announce() const
 {
-    if (!has_vote() || !is_registered())
+    // A replica may count itself by an entry that the leader does not have.
+    if (!has_vote() || !is_registered() || !leader_)
         return true;
     // The others must all know of this start, so that an older disk is noticed later.
     auto const knows = [this](voter const& it)
