Keep a group of one leading; forget replicas that were replaced

Cause: only answers of others put off the end of leadership, so a single voter stood down after each election timeout; found by a test that proposes 500 values. The list of members went on showing a replaced instance.

--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -45,6 +45,7 @@
 {
     if (!may_act(now()) || members_.newest_index() > committed_)
         return;
+    forget_removed();
     auto next = next_step();
     if (!next)
         return;
--- a/plugins/control/replica/leading.cpp
+++ b/plugins/control/replica/leading.cpp
@@ -33,13 +33,21 @@
     advance_membership();
 }
 
-void replica::follow_disk(instance_id id, disk_id disk)
+bool replica::belongs(instance_id id) const
 {
     auto const joins = [&](replacement const& it) { return it.joining == id; };
     auto const& pending = members().pending;
-    bool const expected =
-        members().find(id) != nullptr || std::any_of(pending.begin(), pending.end(), joins);
-    if (!expected || id == self_.self.id)
+    return members().find(id) != nullptr || std::any_of(pending.begin(), pending.end(), joins);
+}
+
+void replica::forget_removed()
+{
+    std::erase_if(peers_, [this](auto const& it) { return !belongs(it.first); });
+}
+
+void replica::follow_disk(instance_id id, disk_id disk)
+{
+    if (!belongs(id) || id == self_.self.id)
         return;
     auto& it = peers_[id];
     if (it.disk != disk)
@@ -58,7 +66,7 @@
 {
     heartbeat_due_ = now() + config_.heartbeat;
     lease_.open_round(now());
-    lease_.count(members(), own_voter());
+    extend_lease();
     for (auto& [id, it] : peers_)
         send_next(id, it);
     announce_if_confirmed();
@@ -107,11 +115,16 @@
     if (term < state_.term)
         return false;
     lease_.answered({.id = from, .disk = disk}, round);
+    extend_lease();
+    return true;
+}
+
+void replica::extend_lease()
+{
     auto const until = lease_.confirmed_until();
     lease_.count(members(), own_voter());
     if (lease_.confirmed_until() > until)
         confirmation_due_ = now() + config_.election_timeout;
-    return true;
 }
 
 void replica::take_append_reply(instance_id from, messages::append_reply const& it, context&)
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -116,6 +116,7 @@
     // leading.cpp
     void lead();
     void lead_tick();
+    bool belongs(instance_id id) const;
     void follow_disk(instance_id id, disk_id disk);
     void append_command(any_message command);
     void open_round();
@@ -124,6 +125,8 @@
     void send_entries(instance_id to, progress& it);
     bool takes_answer(instance_id from, disk_id disk, term_id term, messages::round_id round);
     void take_append_reply(instance_id from, messages::append_reply const& it, context& with);
+    void extend_lease();
+    void forget_removed();
     void note_match(progress& it, log_index match, messages::round_id round);
     void note_mismatch(instance_id from, progress& it, messages::append_reply const& reply);
     void commit_by_majority();
--- a/tests/control/replica/replica_test.cpp
+++ b/tests/control/replica/replica_test.cpp
@@ -1,7 +1,11 @@
 #include "fake_group.hpp"
 
+#include <mulberryrudder/messages/replica.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 namespace mulberryrudder::control::testing
 {
 
@@ -10,18 +14,115 @@
 
 constexpr std::uint64_t seed = 20261204;
 
-bool recorded(fake_group& group, std::uint32_t id, std::string const& name)
+std::ptrdiff_t times_recorded(fake_group& group, std::uint32_t id, std::string const& name)
 {
     auto const& names = group.at(id).events.names;
-    return std::find(names.begin(), names.end(), name) != names.end();
+    return std::count(names.begin(), names.end(), name);
 }
 
+/// Founds a group and waits for its leader.
+class running_group : public fake_group
+{
+public:
+    explicit running_group(std::size_t size, replica_settings config = {})
+        : fake_group(size, seed, config)
+    {
+        for (std::uint32_t id = 1; id <= size; ++id)
+            start(id);
+        CPPUNIT_ASSERT(wait_for_leader());
+        run_for(seconds(1));
+    }
+
+    bool wait_for_leader(span most = seconds(20))
+    {
+        return run_until([this] { return acting() != 0; }, most);
+    }
+
+    /// Returns an instance that does not lead.
+    std::uint32_t follower() { return acting() == 1 ? 2 : 1; }
+
+    template <class Answer>
+    Answer answer_to(std::uint32_t id, any_message question)
+    {
+        answers.clear();
+        ask(id, std::move(question));
+        run_until([this] { return !answers.empty(); }, seconds(5));
+        CPPUNIT_ASSERT(!answers.empty());
+        CPPUNIT_ASSERT(answers.back().get<Answer>() != nullptr);
+        return *answers.back().get<Answer>();
+    }
+
+    members_listed members()
+    {
+        return answer_to<members_listed>(acting(), any_message::of(list_members{}));
+    }
+
+    /// Returns whether an instance has a vote in a settled membership.
+    bool votes(std::uint32_t id)
+    {
+        if (acting() == 0)
+            return false;
+        auto const listed = members();
+        auto const found = [&](member_status const& it)
+        {
+            auto const disk = at(id).disk.contents().state.disk;
+            return it.id == instance_id(id) && it.votes && it.disk == disk;
+        };
+        return listed.settled && std::any_of(listed.members.begin(), listed.members.end(), found);
+    }
+
+    bool wait_for_vote(std::uint32_t id)
+    {
+        for (int n = 0; n != 100 && !votes(id); ++n)
+            run_for(milliseconds(100));
+        return votes(id);
+    }
+
+    /// Kills an instance and starts it with a blank disk.
+    void replace_disk(std::uint32_t id)
+    {
+        kill(id);
+        at(id).disk.replace_contents({});
+        start(id);
+    }
+
+    void propose_many(std::uint64_t count)
+    {
+        for (std::uint64_t n = 0; n != count; ++n)
+        {
+            CPPUNIT_ASSERT(propose(++proposed));
+            run_for(milliseconds(10));
+        }
+        run_for(seconds(1));
+    }
+
+    std::uint64_t proposed = 0;
+};
+
 class replica_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(replica_test);
     CPPUNIT_TEST(a_group_of_one_founds_itself_and_leads_at_once);
     CPPUNIT_TEST(a_group_of_three_founds_itself_once_all_are_there);
+    CPPUNIT_TEST(a_blank_majority_beside_a_founded_replica_founds_nothing);
     CPPUNIT_TEST(a_value_reaches_all_replicas);
+    CPPUNIT_TEST(a_follower_refuses_proposals);
+    CPPUNIT_TEST(an_isolated_leader_stops_within_its_lease);
+    CPPUNIT_TEST(a_frozen_leader_wakes_without_authority);
+    CPPUNIT_TEST(a_returning_isolated_replica_does_not_disturb);
+    CPPUNIT_TEST(a_replica_gets_no_vote_while_others_hear_the_leader);
+    CPPUNIT_TEST(a_replica_with_a_failed_disk_neither_votes_nor_leads);
+    CPPUNIT_TEST(a_blank_disk_gets_its_vote_back_by_itself);
+    CPPUNIT_TEST(a_blank_replica_gives_no_vote);
+    CPPUNIT_TEST(a_second_loss_right_after_a_repair_loses_nothing);
+    CPPUNIT_TEST(a_copied_disk_takes_a_new_identity);
+    CPPUNIT_TEST(a_disk_that_lost_acknowledged_entries_is_found_out_by_the_leader);
+    CPPUNIT_TEST(a_lagging_replica_takes_over_a_snapshot);
+    CPPUNIT_TEST(one_command_replaces_an_instance);
+    CPPUNIT_TEST(one_command_replaces_the_leader);
+    CPPUNIT_TEST(a_repeated_replacement_gets_the_same_answer);
+    CPPUNIT_TEST(a_follower_refers_a_replacement_to_the_leader);
+    CPPUNIT_TEST(a_restart_keeps_five_hundred_changes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -46,20 +147,258 @@
         group.start(3);
         group.run_for(seconds(3));
         CPPUNIT_ASSERT(group.acting() != 0);
-        CPPUNIT_ASSERT(recorded(group, 1, "replica.founded"));
+        CPPUNIT_ASSERT(times_recorded(group, 1, "replica.founded") == 1);
+    }
+
+    void a_blank_majority_beside_a_founded_replica_founds_nothing()
+    {
+        running_group group(3);
+        group.propose_many(1);
+        group.kill(1);
+        group.kill(2);
+        group.at(1).disk.replace_contents({});
+        group.at(2).disk.replace_contents({});
+        group.start(1);
+        group.start(2);
+        group.run_for(seconds(30));
+        CPPUNIT_ASSERT_EQUAL(0U, group.acting());
+        CPPUNIT_ASSERT(group.has_value(3, 1));
+        CPPUNIT_ASSERT(times_recorded(group, 1, "replica.catching_up") > 0);
     }
 
     void a_value_reaches_all_replicas()
     {
-        fake_group group(3, seed);
-        for (auto const id : {1U, 2U, 3U})
-            group.start(id);
-        group.run_for(seconds(3));
+        running_group group(3);
         CPPUNIT_ASSERT(group.propose(7));
         group.run_for(seconds(1));
         for (auto const id : {1U, 2U, 3U})
             CPPUNIT_ASSERT(group.has_value(id, 7));
     }
+
+    void a_follower_refuses_proposals()
+    {
+        running_group group(3);
+        auto& log = group.log_of(group.follower());
+        CPPUNIT_ASSERT(!log.propose(any_message::of(test_command{1})));
+        CPPUNIT_ASSERT(log.leader() == instance_id(group.acting()));
+    }
+
+    void an_isolated_leader_stops_within_its_lease()
+    {
+        running_group group(3);
+        auto const leader = group.acting();
+        group.isolate(leader);
+        group.run_for(replica_settings{}.lease);
+        CPPUNIT_ASSERT(!group.may_act(leader));
+        CPPUNIT_ASSERT(!group.log_of(leader).propose(any_message::of(test_command{1})));
+        CPPUNIT_ASSERT(group.wait_for_leader(seconds(5)));
+        CPPUNIT_ASSERT(group.acting() != leader);
+    }
+
+    void a_frozen_leader_wakes_without_authority()
+    {
+        running_group group(3);
+        auto const leader = group.acting();
+        group.freeze(leader, seconds(10));
+        group.run_for(seconds(9));
+        CPPUNIT_ASSERT(group.acting() != 0);
+        CPPUNIT_ASSERT(group.acting() != leader);
+        group.run_for(seconds(1));
+        CPPUNIT_ASSERT(!group.may_act(leader));
+    }
+
+    void a_returning_isolated_replica_does_not_disturb()
+    {
+        running_group group(3);
+        auto const leader = group.acting();
+        auto const term = group.log_of(leader).term();
+        group.isolate(group.follower());
+        group.run_for(seconds(60));
+        group.heal();
+        group.run_for(seconds(5));
+        CPPUNIT_ASSERT_EQUAL(leader, group.acting());
+        CPPUNIT_ASSERT(term == group.log_of(leader).term());
+    }
+
+    void a_replica_gets_no_vote_while_others_hear_the_leader()
+    {
+        running_group group(3);
+        auto const leader = group.acting();
+        auto const term = group.log_of(leader).term();
+        group.set_cut(leader, group.follower(), true);
+        group.run_for(seconds(30));
+        CPPUNIT_ASSERT_EQUAL(leader, group.acting());
+        CPPUNIT_ASSERT(term == group.log_of(leader).term());
+    }
+
+    void a_replica_with_a_failed_disk_neither_votes_nor_leads()
+    {
+        running_group group(3);
+        auto const leader = group.acting();
+        auto const other = group.follower();
+        group.fail_disk(leader);
+        CPPUNIT_ASSERT(!group.may_act(leader));
+        CPPUNIT_ASSERT(times_recorded(group, leader, "replica.disk_failed") == 1);
+        CPPUNIT_ASSERT(group.wait_for_leader());
+        // Without the failed replica's vote two of three are not enough any more.
+        group.kill(group.acting() == other ? 6 - leader - other : other);
+        group.run_for(seconds(20));
+        CPPUNIT_ASSERT_EQUAL(0U, group.acting());
+    }
+
+    void a_blank_disk_gets_its_vote_back_by_itself()
+    {
+        running_group group(3);
+        group.propose_many(5);
+        auto const id = group.follower();
+        group.replace_disk(id);
+        CPPUNIT_ASSERT(group.wait_for_vote(id));
+        CPPUNIT_ASSERT(group.has_value(id, 5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, group.members().members.size());
+    }
+
+    void a_blank_replica_gives_no_vote()
+    {
+        running_group group(3);
+        group.propose_many(5);
+        auto const leader = group.acting();
+        group.kill(leader);
+        auto const other = leader == 1 ? 2U : 1U;
+        group.replace_disk(other);
+        group.run_for(seconds(60));
+        CPPUNIT_ASSERT_EQUAL(0U, group.acting());
+        group.start(leader);
+        CPPUNIT_ASSERT(group.wait_for_leader());
+        CPPUNIT_ASSERT(group.wait_for_vote(other));
+        CPPUNIT_ASSERT(group.has_value(other, 5));
+    }
+
+    void a_second_loss_right_after_a_repair_loses_nothing()
+    {
+        running_group group(3);
+        group.propose_many(20);
+        auto const first = group.follower();
+        group.replace_disk(first);
+        CPPUNIT_ASSERT(group.wait_for_vote(first));
+        auto const second = group.acting();
+        group.replace_disk(second);
+        CPPUNIT_ASSERT(group.wait_for_leader());
+        CPPUNIT_ASSERT(group.wait_for_vote(second));
+        for (auto const id : {1U, 2U, 3U})
+            for (std::uint64_t value = 1; value <= 20; ++value)
+                CPPUNIT_ASSERT(group.has_value(id, value));
+    }
+
+    void a_copied_disk_takes_a_new_identity()
+    {
+        running_group group(3);
+        auto const id = group.follower();
+        auto copy = group.at(id).disk.contents();
+        auto const identity = copy.state.disk;
+        copy.copied = true;
+        group.propose_many(5);
+        group.kill(id);
+        group.at(id).disk.replace_contents(copy);
+        group.start(id);
+        group.run_for(milliseconds(10)); // Until the new identity is synced.
+        CPPUNIT_ASSERT(group.wait_for_vote(id));
+        CPPUNIT_ASSERT(identity != group.at(id).disk.contents().state.disk);
+    }
+
+    void a_disk_that_lost_acknowledged_entries_is_found_out_by_the_leader()
+    {
+        running_group group(3);
+        auto const id = group.follower();
+        auto const image = group.at(id).disk.contents();
+        group.propose_many(5);
+        group.kill(id);
+        group.at(id).disk.replace_contents(image);
+        group.start(id);
+        group.run_for(seconds(1));
+        CPPUNIT_ASSERT(times_recorded(group, id, "replica.disk_outdated") == 1);
+        CPPUNIT_ASSERT(group.wait_for_vote(id));
+        CPPUNIT_ASSERT(image.state.disk != group.at(id).disk.contents().state.disk);
+    }
+
+    void a_lagging_replica_takes_over_a_snapshot()
+    {
+        running_group group(3, {.snapshot_threshold = 10});
+        auto const id = group.follower();
+        group.kill(id);
+        group.propose_many(50);
+        group.start(id);
+        group.run_for(seconds(5));
+        CPPUNIT_ASSERT(times_recorded(group, id, "replica.snapshot_installed") > 0);
+        CPPUNIT_ASSERT(group.has_value(id, 1));
+        CPPUNIT_ASSERT(group.has_value(id, 50));
+    }
+
+    void one_command_replaces_an_instance() { replace_instance(false); }
+    void one_command_replaces_the_leader() { replace_instance(true); }
+
+    void a_repeated_replacement_gets_the_same_answer()
+    {
+        running_group group(3);
+        auto const id = group.follower();
+        auto const joining = group.add_instance();
+        auto const command = replacement_of(id, joining);
+        for (int n = 0; n != 2; ++n)
+        {
+            auto const got = group.answer_to<member_replaced>(group.acting(), command);
+            CPPUNIT_ASSERT(replace_refusal::none == got.refusal);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, group.members().pending.size());
+        }
+        group.start(joining);
+        CPPUNIT_ASSERT(group.wait_for_vote(joining));
+        auto const got = group.answer_to<member_replaced>(group.acting(), command);
+        CPPUNIT_ASSERT(replace_refusal::none == got.refusal);
+        CPPUNIT_ASSERT(group.members().settled);
+    }
+
+    void a_follower_refers_a_replacement_to_the_leader()
+    {
+        running_group group(3);
+        auto const got = group.answer_to<member_replaced>(group.follower(), replacement_of(1, 4));
+        CPPUNIT_ASSERT(replace_refusal::not_leader == got.refusal);
+        CPPUNIT_ASSERT(got.leader == instance_id(group.acting()));
+    }
+
+    void a_restart_keeps_five_hundred_changes()
+    {
+        running_group group(1);
+        group.propose_many(500);
+        group.kill(1);
+        group.start(1);
+        group.run_for(milliseconds(50));
+        CPPUNIT_ASSERT_EQUAL(1U, group.acting());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{500}, group.recorder_of(1).state.values.size());
+    }
+
+private:
+    static any_message replacement_of(std::uint32_t leaving, std::uint32_t joining)
+    {
+        return any_message::of(
+            replace_member{.leaving = instance_id(leaving), .joining = instance_id(joining)});
+    }
+
+    static void replace_instance(bool leader)
+    {
+        running_group group(3);
+        group.propose_many(5);
+        auto const leaving = leader ? group.acting() : group.follower();
+        auto const joining = group.add_instance();
+        group.start(joining);
+        auto const got =
+            group.answer_to<member_replaced>(group.acting(), replacement_of(leaving, joining));
+        CPPUNIT_ASSERT(replace_refusal::none == got.refusal);
+        CPPUNIT_ASSERT(group.wait_for_vote(joining));
+        CPPUNIT_ASSERT(!group.votes(leaving));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, group.members().members.size());
+        CPPUNIT_ASSERT(group.has_value(joining, 5));
+        group.kill(leaving);
+        group.propose_many(5);
+        CPPUNIT_ASSERT(group.has_value(joining, 10));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(replica_test);
