--- a/include/mulberryrudder/entry/quantile_estimate.hpp
+++ b/include/mulberryrudder/entry/quantile_estimate.hpp
@@ -23,9 +23,9 @@
     {
         if (value_ == span(0))
             value_ = sample;
-        auto const step = std::max<span::rep>(value_.count() / 16, 1);
+        auto const stride = std::max<span::rep>(value_.count() / 16, 1);
         auto const up = sample > value_ ? which_ : which_ - whole_share;
-        auto const moved = value_.count() * 1000 + step * up.count();
+        auto const moved = value_.count() * 1000 + stride * up.count();
         value_ = span(std::max<span::rep>(moved / 1000, 1));
     }
 
--- a/plugins/entry/fair_queue/fair_queue_stage.cpp
+++ b/plugins/entry/fair_queue/fair_queue_stage.cpp
@@ -17,20 +17,6 @@
     return std::nullopt;
 }
 
-kernel::section<fair_queue_settings> const fair_queue_section{
-    "fair_queue",
-    {
-        kernel::field(
-            "order", &fair_queue_settings::order, kernel::unbounded,
-            "\"start_time\" for fair queueing by customer, \"arrival\" for first come first "
-            "served."),
-        kernel::field("most_waiting", &fair_queue_settings::most_waiting, {1, 1'000'000},
-                      "Most requests of one customer that wait for one version's targets."),
-        kernel::field("refuse_early", &fair_queue_settings::refuse_early, kernel::unbounded,
-                      "Whether a request that cannot end before its deadline is refused at once."),
-    },
-    check_fair_queue};
-
 refusal_kind const no_target({.name = "no_known_target",
                               .counter_name = "refused.no_known_target",
                               .status = 503,
@@ -61,6 +47,20 @@
 
 } // namespace
 
+kernel::section<fair_queue_settings> const fair_queue_section{
+    "fair_queue",
+    {
+        kernel::field(
+            "order", &fair_queue_settings::order, kernel::unbounded,
+            "\"start_time\" for fair queueing by customer, \"arrival\" for first come first "
+            "served."),
+        kernel::field("most_waiting", &fair_queue_settings::most_waiting, {1, 1'000'000},
+                      "Most requests of one customer that wait for one version's targets."),
+        kernel::field("refuse_early", &fair_queue_settings::refuse_early, kernel::unbounded,
+                      "Whether a request that cannot end before its deadline is refused at once."),
+    },
+    check_fair_queue};
+
 fair_queue_stage::fair_queue_stage(stage_parts const& parts)
     : config_(parts.config.get(fair_queue_section)), services_(parts.services)
 {
--- a/plugins/entry/fair_queue/fair_queue_stage.hpp
+++ b/plugins/entry/fair_queue/fair_queue_stage.hpp
@@ -20,6 +20,8 @@
     bool refuse_early = true;
 };
 
+extern kernel::section<fair_queue_settings> const fair_queue_section;
+
 /// Lets requests wait for a free slot of their version's targets, customers by turns
 /// in proportion to their configured rates. A request that cannot end before its
 /// deadline is refused as not run.
--- a/tests/entry/routing_support/rig.hpp
+++ b/tests/entry/routing_support/rig.hpp
@@ -4,6 +4,7 @@
 #include <mulberryrudder/entry/core.hpp>
 #include <mulberryrudder/entry/target_directory.hpp>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -46,6 +47,9 @@
     /// Ends the renewals.
     void lose_control() { granted_.reset(); }
 
+    /// Moves the clock on without a tick.
+    void advance_to(instant when) { now_ = std::max(now_, when); }
+
     void tell(input const& what);
     void deliver(instance_id from, any_message body);
 
