--- a/scripts/layout.sh
+++ b/scripts/layout.sh
@@ -47,6 +47,8 @@
                "peer": "127.0.0.1:$((base + n))", "control": $control},
   "operators": {"listen": "127.0.0.1:$((base + 10 + n))", "control": $operators},
   "disk": {"folder": "$folder/disk-$n"},
+  "moves": {"first_share": 20, "least_dwell": 500, "most_dwell": 5000, "warm_up": 300,
+            "least_outcomes": 20, "watch": 2000},
   "log": {"file": "$folder/control-$n.log"}
 }
 END
