Take callers' connections only once there is a lease; test the caller edge

Cause: the process test showed open routes refused with lease_lapsed (10 of 1200): a restarted entry instance, still named by cached look-ups, answered before its first lease. Ruled out: refusing in the lease stage alone (the caller is then refused although another instance would serve it). Change: the port is bound at the start, which finds a taken one, and listens from the first lease on, or after callers/start_limit for operators. Tests: limits, a slow sender, 200 random and 200 almost valid requests; the first run of the test hung, since nobody answered well-formed requests.

--- a/entry/core.cpp
+++ b/entry/core.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <stdexcept>
+#include <utility>
 
 namespace mulberryrudder::entry
 {
@@ -414,6 +415,8 @@
 
 void core::publish_lease(messages::lease_grant const& grant)
 {
+    if (!std::exchange(leased_before_, true))
+        scratch_.push_back(accept_callers{});
     for (auto& stage : stages_)
         stage.rule->leased(grant, context_);
 }
--- a/include/mulberryrudder/entry/core.hpp
+++ b/include/mulberryrudder/entry/core.hpp
@@ -107,6 +107,7 @@
     std::unordered_map<attempt_id, request_id> attempts_;
     std::multimap<instant, request_id> deadlines_;
     numbering numbers_;
+    bool leased_before_ = false;
 };
 
 } // namespace mulberryrudder::entry
--- a/include/mulberryrudder/entry/effects.hpp
+++ b/include/mulberryrudder/entry/effects.hpp
@@ -85,6 +85,11 @@
 {
 };
 
+/// The instance holds a configuration: callers may connect. Told once.
+struct accept_callers
+{
+};
+
 /// Caller connections may be closed after their current answer.
 struct close_idle_callers
 {
@@ -93,7 +98,7 @@
 /// All that the entry's decision core can ask for.
 using effect = std::variant<answer_caller, answer_lookup, answer_question, send_attempt,
                             cancel_attempt, probe_target, forget_target, send_message,
-                            learn_instance, stop_completed, close_idle_callers>;
+                            learn_instance, stop_completed, close_idle_callers, accept_callers>;
 using effects = std::vector<effect>;
 
 } // namespace mulberryrudder::entry
--- a/plugins/entry_io/caller_http/caller_duty.cpp
+++ b/plugins/entry_io/caller_http/caller_duty.cpp
@@ -9,6 +9,7 @@
 
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 namespace mulberryrudder::caller_http
 {
@@ -55,11 +56,13 @@
         acceptor_.open(where.protocol());
         acceptor_.set_option(tcp::acceptor::reuse_address(true));
         acceptor_.bind(where);
-        acceptor_.listen();
     }
 
 protected:
-    void started() override { accept(); }
+    void started() override
+    {
+        run_once(config_.start_limit, [this] { listen(); });
+    }
 
     void take_messages() override
     {
@@ -72,12 +75,24 @@
                 pass_on(found->id, encode(*found));
             else if (auto const* const told = std::get_if<entry::answer_question>(&it))
                 pass_on(told->id, encode(*told));
+            else if (std::holds_alternative<entry::accept_callers>(it))
+                listen();
             else if (std::holds_alternative<entry::close_idle_callers>(it))
                 close_idle();
         }
     }
 
 private:
+    /// Until the first lease a connection would only meet refusals, so it is left to
+    /// the caller's next instance; the limit lets operators look in all the same.
+    void listen()
+    {
+        if (std::exchange(listening_, true))
+            return;
+        acceptor_.listen();
+        accept();
+    }
+
     void accept()
     {
         acceptor_.async_accept(
@@ -192,6 +207,7 @@
     tcp::acceptor acceptor_;
     std::set<std::shared_ptr<session>> sessions_;
     std::unordered_map<request_id, std::shared_ptr<session>> unanswered_;
+    bool listening_ = false;
     bool closing_ = false;
 };
 
--- a/plugins/entry_io/caller_http/caller_settings.cpp
+++ b/plugins/entry_io/caller_http/caller_settings.cpp
@@ -28,6 +28,8 @@
               "Bytes of a request's header at most."),
         field("most_body", &caller_settings::most_body, body_bytes,
               "Bytes of a request's body at most."),
+        field("start_limit", &caller_settings::start_limit, long_times,
+              "Milliseconds after the start from which connections are taken without a lease."),
         field("read_limit", &caller_settings::read_limit, short_times,
               "Milliseconds a caller may take to send one whole request."),
         field("idle_limit", &caller_settings::idle_limit, long_times,
--- a/plugins/entry_io/caller_http/caller_settings.hpp
+++ b/plugins/entry_io/caller_http/caller_settings.hpp
@@ -12,6 +12,7 @@
 {
     byte_count most_header{16 * 1024};
     byte_count most_body{1024 * 1024};
+    milliseconds start_limit{10000};
     milliseconds read_limit{5000};
     milliseconds idle_limit{60000};
     milliseconds connection_lifetime{300000};
--- a/plugins/entry_io/caller_http/request_codec.hpp
+++ b/plugins/entry_io/caller_http/request_codec.hpp
@@ -35,8 +35,8 @@
 };
 
 /// What a caller or a target can ask for over HTTP.
-using decoded = std::variant<entry::request_arrived, entry::question_arrived, entry::lookup_arrived, entry::announcement,
-                             counters_asked, health_asked, bad_request>;
+using decoded = std::variant<entry::request_arrived, entry::question_arrived, entry::lookup_arrived,
+                             entry::announcement, counters_asked, health_asked, bad_request>;
 
 /// What the decoder needs besides the request.
 struct decoding
--- /dev/null
+++ b/tests/entry_io/caller_http/caller_duty_test.cpp
@@ -0,0 +1,231 @@
+#include "plugins/entry_io/caller_http/caller_settings.hpp"
+
+#include <mulberryrudder/entry/effects.hpp>
+#include <mulberryrudder/entry/inputs.hpp>
+#include <mulberryrudder/fleet/instance_settings.hpp>
+#include <mulberryrudder/kernel/duty.hpp>
+#include <mulberryrudder/peer/orders.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <iostream>
+#include <random>
+#include <thread>
+
+namespace mulberryrudder::caller_http
+{
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+
+constexpr std::uint16_t test_port = 27391;
+
+entry::refusal_kind const refused_here({.name = "refused_here",
+                                        .counter_name = "refused.here",
+                                        .status = 503,
+                                        .meaning = "A refusal for the test."});
+
+/// What a caller does once its bytes are sent.
+enum class after_sending
+{
+    wait,
+    hang_up
+};
+
+/// Runs the caller duty on a thread, as a process does, and plays the decision duty.
+class running_duty
+{
+public:
+    running_duty()
+    {
+        config_.set(fleet::instance_section,
+                    {.id = instance_id(1), .caller = {"127.0.0.1", test_port}});
+        config_.set(caller_section, {.most_header = byte_count(2048),
+                                     .most_body = byte_count(4096),
+                                     .read_limit = milliseconds(100)});
+        to_duty_.try_push(entry::accept_callers{});
+        duty_ = kernel::duty_registry::instance().entries().front().make(parts_);
+        duty_->connect();
+        thread_ = std::thread([this] { duty_->run(); });
+        decisions_ = std::jthread([this](std::stop_token const& it) { refuse_all(it); });
+    }
+
+    ~running_duty()
+    {
+        duty_->stop();
+        thread_.join();
+    }
+
+    running_duty(running_duty const&) = delete;
+    running_duty& operator=(running_duty const&) = delete;
+
+    /// Sends bytes on a new connection and returns all that comes back until the
+    /// other side closes it.
+    std::string exchange(std::string const& bytes, after_sending hang_up = after_sending::wait)
+    {
+        boost::asio::io_context loop;
+        tcp::socket socket(loop);
+        connect(socket);
+        boost::system::error_code ec;
+        boost::asio::write(socket, boost::asio::buffer(bytes), ec);
+        if (hang_up == after_sending::hang_up)
+            socket.shutdown(tcp::socket::shutdown_send, ec);
+        std::string out;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(out), ec);
+        return out;
+    }
+
+private:
+    /// Refuses whatever the duty passes on, as a decision duty without targets does.
+    void refuse_all(std::stop_token const& stopped)
+    {
+        while (!stopped.stop_requested())
+        {
+            entry::input it;
+            while (from_duty_.try_pop(it))
+            {
+                if (auto const* const asked = std::get_if<entry::request_arrived>(&it))
+                    to_duty_.try_push(entry::answer_caller{
+                        .id = asked->id, .what = entry::refused{.why = &refused_here}});
+                else if (auto const* const looked_up = std::get_if<entry::lookup_arrived>(&it))
+                    to_duty_.try_push(entry::answer_lookup{.id = looked_up->id});
+            }
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+    }
+
+    /// The duty listens a moment after its thread has started.
+    static void connect(tcp::socket& socket)
+    {
+        tcp::endpoint const where(boost::asio::ip::make_address("127.0.0.1"), test_port);
+        boost::system::error_code ec;
+        do
+        {
+            socket.close(ec);
+            socket.connect(where, ec);
+        } while (ec == boost::asio::error::connection_refused);
+        CPPUNIT_ASSERT_EQUAL(std::string(), ec ? ec.message() : std::string());
+    }
+
+    kernel::settings config_ = kernel::settings::defaults();
+    kernel::counter_set counters_;
+    kernel::wiring links_;
+    kernel::duty_parts parts_{
+        .config = config_, .counters = counters_, .links = links_, .end_process = [](int) {}};
+    kernel::ring<entry::input>& from_duty_ =
+        links_.link<entry::input>(duties::caller_io, duties::decision, duty_ring_capacity);
+    kernel::ring<entry::effect>& to_duty_ =
+        links_.link<entry::effect>(duties::decision, duties::caller_io, duty_ring_capacity);
+    std::unique_ptr<kernel::duty> duty_;
+    std::thread thread_;
+    std::jthread decisions_;
+};
+
+std::string status_line(std::string const& reply)
+{
+    return reply.substr(0, reply.find("\r\n"));
+}
+
+std::string random_bytes(std::mt19937_64& random, std::size_t most)
+{
+    std::string out(random() % most, '\0');
+    for (auto& it : out)
+        it = static_cast<char>(random());
+    return out;
+}
+
+/// Puts a request together from parts that are valid, odd or broken.
+std::string almost_a_request(std::mt19937_64& random)
+{
+    static char const* const methods[] = {"GET", "POST", "PUT", "BREW", "", "get", "OPTIONS"};
+    static char const* const targets[] = {
+        "/",  "/v1",    "/v1/lookup?route=", "*",
+        "//", "/r/%zz", "http://x/y",        "/v1/explain/99999999999999999999"};
+    static char const* const lines[] = {"Host: x",
+                                        "Content-Length: 5",
+                                        "Content-Length: -1",
+                                        "Transfer-Encoding: chunked",
+                                        ": empty",
+                                        "A",
+                                        "X: \x01",
+                                        "Authorization: Bearer",
+                                        "Mulberry-Deadline-Ms: 1e9"};
+    auto out = std::string(methods[random() % std::size(methods)]) + " " +
+               targets[random() % std::size(targets)] + " HTTP/1." + std::to_string(random() % 3) +
+               "\r\n";
+    for (auto n = random() % 6; n != 0; --n)
+        out += std::string(lines[random() % std::size(lines)]) + "\r\n";
+    return out + "Connection: close\r\n\r\n" + random_bytes(random, 32);
+}
+
+class caller_duty_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(caller_duty_test);
+    CPPUNIT_TEST(a_header_over_the_limit_is_refused);
+    CPPUNIT_TEST(a_body_over_the_limit_is_refused);
+    CPPUNIT_TEST(a_slow_sender_is_cut_at_the_limit);
+    CPPUNIT_TEST(random_bytes_end_with_a_closed_connection);
+    CPPUNIT_TEST(almost_valid_requests_end_with_a_closed_connection);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { duty_ = std::make_unique<running_duty>(); }
+    void tearDown() override { duty_.reset(); }
+
+    void a_header_over_the_limit_is_refused()
+    {
+        auto const text = "GET /r/ HTTP/1.1\r\nX: " + std::string(3000, 'x') + "\r\n\r\n";
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 431 Request Header Fields Too Large"),
+                             status_line(duty_->exchange(text)));
+    }
+
+    void a_body_over_the_limit_is_refused()
+    {
+        auto const text =
+            "POST /r/ HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + std::string(5000, 'x');
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 413 Payload Too Large"),
+                             status_line(duty_->exchange(text)));
+    }
+
+    void a_slow_sender_is_cut_at_the_limit()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string(), duty_->exchange("GET /r/ HTTP/1.1\r\nHost:"));
+    }
+
+    void random_bytes_end_with_a_closed_connection()
+    {
+        std::mt19937_64 random(20261204);
+        for (int n = 0; n != 200; ++n)
+            duty_->exchange(random_bytes(random, 3000) + "\r\n\r\n", after_sending::hang_up);
+        still_answers();
+    }
+
+    void almost_valid_requests_end_with_a_closed_connection()
+    {
+        std::mt19937_64 random(20261205);
+        for (int n = 0; n != 200; ++n)
+            duty_->exchange(almost_a_request(random), after_sending::hang_up);
+        still_answers();
+    }
+
+private:
+    void still_answers()
+    {
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("HTTP/1.1 200 OK"),
+            status_line(duty_->exchange("GET /v1/health HTTP/1.1\r\nConnection: close\r\n\r\n")));
+    }
+
+    std::unique_ptr<running_duty> duty_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(caller_duty_test);
+
+} // namespace
+
+} // namespace mulberryrudder::caller_http
