--- a/plugins/control/ledger/ledger.cpp
+++ b/plugins/control/ledger/ledger.cpp
@@ -1,6 +1,8 @@
 #include "ledger.hpp"
 
+#include <algorithm>
 #include <array>
+#include <set>
 
 namespace mulberryrudder::control
 {
@@ -18,6 +20,9 @@
 
 std::array const handlers{on<&ledger::borrowed>()};
 
+/// Questions that wait; more are answered at once with what there is.
+constexpr std::size_t most_waiting = 4096;
+
 /// Part of the loan time that an entry's slower clock may take longer.
 constexpr std::int64_t loan_margin_divisor = 50;
 
@@ -53,28 +58,72 @@
     configure(with);
 }
 
+void ledger::following(context&)
+{
+    waiting_.clear();
+}
+
 void ledger::tick(context& with)
 {
     configure(with);
+    answer_waiting(with);
 }
 
 void ledger::borrowed(instance_id from, messages::borrow_request const& it, context& with)
 {
-    auto const& log = services_.require<replicated_log>();
     with.counters.add(loans_asked);
+    auto const same = [&](waiting_loan const& other)
+    { return other.asked.customer == it.customer; };
+    bool const behind = std::any_of(waiting_.begin(), waiting_.end(), same);
+    bool const may_wait = it.needed > millitokens{} && waiting_.size() < most_waiting &&
+                          services_.require<replicated_log>().may_act(with.now);
+    if (may_wait && (behind || rates_.available(with.now, it.customer) < it.needed))
+    {
+        waiting_.push_back({.from = from,
+                            .asked = it,
+                            .arrived = with.now,
+                            .until = with.now + settings_.loan_wait});
+        return;
+    }
+    answer(from, it, span{}, with);
+}
+
+void ledger::answer_waiting(context& with)
+{
+    std::set<customer_id> blocked;
+    std::deque<waiting_loan> still;
+    for (auto& it : waiting_)
+    {
+        bool const enough = !blocked.contains(it.asked.customer) &&
+                            rates_.available(with.now, it.asked.customer) >= it.asked.needed;
+        if (enough || it.until <= with.now)
+        {
+            answer(it.from, it.asked, with.now - it.arrived, with);
+            continue;
+        }
+        blocked.insert(it.asked.customer);
+        still.push_back(std::move(it));
+    }
+    waiting_ = std::move(still);
+}
+
+void ledger::answer(instance_id to, messages::borrow_request const& it, span waited, context& with)
+{
+    auto const& log = services_.require<replicated_log>();
     messages::borrow_grant out{.sequence = it.sequence,
                                .term = log.term(),
                                .customer = it.customer,
                                .lent = {},
-                               .valid_for = settings_.loan_time};
+                               .valid_for = waited + settings_.loan_time};
+    // The entry counts from when it asked, which was before the question arrived.
     out.valid_for -= out.valid_for / loan_margin_divisor;
     if (log.may_act(with.now))
-        out.lent = rates_.lend(with.now, from, it);
+        out.lent = rates_.lend(with.now, to, it);
     else
         with.counters.add(loans_not_leader);
     if (out.lent == millitokens{})
         with.counters.add(loans_refused);
-    with.send(from, out);
+    with.send(to, out);
 }
 
 } // namespace mulberryrudder::control
--- a/plugins/control/ledger/ledger.hpp
+++ b/plugins/control/ledger/ledger.hpp
@@ -7,6 +7,8 @@
 #include <mulberryrudder/control/fleet_state_view.hpp>
 #include <mulberryrudder/control/replicated_log.hpp>
 
+#include <deque>
+
 namespace mulberryrudder::control
 {
 
@@ -21,6 +23,7 @@
     void received(envelope const& it, context& with) override;
     void applied(log_entry const& it, context& with) override;
     void leading(context& with) override;
+    void following(context& with) override;
     void tick(context& with) override;
 
     std::vector<lease_part*> const& all() override { return parts_; }
@@ -32,13 +35,25 @@
     void borrowed(instance_id from, messages::borrow_request const& it, context& with);
 
 private:
+    /// A question that waits until there are tokens for it.
+    struct waiting_loan
+    {
+        instance_id from;
+        messages::borrow_request asked;
+        instant arrived;
+        instant until;
+    };
+
     void configure(context const& with);
+    void answer(instance_id to, messages::borrow_request const& it, span waited, context& with);
+    void answer_waiting(context& with);
 
     ledger_settings const& settings_;
     kernel::service_map const& services_;
     rate_ledger rates_;
     headroom_ledger headroom_;
     std::vector<lease_part*> parts_;
+    std::deque<waiting_loan> waiting_; ///< In the order of arrival.
 };
 
 } // namespace mulberryrudder::control
--- a/plugins/control/ledger/ledger_settings.cpp
+++ b/plugins/control/ledger/ledger_settings.cpp
@@ -10,11 +10,19 @@
                       "Thousandths of a customer's rate that go into slices; the rest is lent."),
         kernel::field("leased_burst", &ledger_settings::leased_burst, {0, 1000},
                       "Thousandths of a customer's burst that go into slices; the rest is lent."),
+        kernel::field("calm_below", &ledger_settings::calm_below, {0, 999},
+                      "Thousandths of its rate up to which a customer's demand gets the whole "
+                      "leased shares; above, the shares shrink, and more is lent."),
+        kernel::field("least_leased", &ledger_settings::least_leased, {0, 1000},
+                      "Thousandths of the leased shares that remain at full demand."),
         kernel::field("clock_drift", &ledger_settings::clock_drift, {0, 100},
                       "Thousandths of the rate that are not given out, against clocks of the "
                       "entries that run too fast."),
         kernel::field("loan_time", &ledger_settings::loan_time, {10, 10'000},
                       "Milliseconds in which an entry may use a loan."),
+        kernel::field("loan_wait", &ledger_settings::loan_wait, {0, 10'000},
+                      "Most milliseconds that a question for tokens waits for them here; less "
+                      "than the entries wait for the answer."),
         kernel::field("spill_share", &ledger_settings::spill_share, {0, 1000},
                       "Thousandths of a domain's free slots that other domains may fill."),
         kernel::field("crowded_below", &ledger_settings::crowded_below, {0, 1000},
--- a/plugins/control/ledger/ledger_settings.hpp
+++ b/plugins/control/ledger/ledger_settings.hpp
@@ -12,9 +12,12 @@
 struct ledger_settings
 {
     per_mille leased_rate{800};
-    per_mille leased_burst{400};
+    per_mille leased_burst{300};
+    per_mille calm_below{500};
+    per_mille least_leased{250};
     per_mille clock_drift{1};
-    milliseconds loan_time{400};
+    milliseconds loan_time{150};
+    milliseconds loan_wait{120};
     per_mille spill_share{800};
     per_mille crowded_below{200};
     bytes_per_second link_use{1'000'000};
--- a/plugins/control/ledger/rate_account.cpp
+++ b/plugins/control/ledger/rate_account.cpp
@@ -10,10 +10,12 @@
 namespace
 {
 
-/// Weight of the newest report in the smoothed demand, as 1 / smoothing.
-constexpr std::int64_t smoothing = 3;
+/// Weight of the newest report in a rising demand, as 1 / smoothing.
+constexpr std::int64_t smoothing = 2;
 /// A slice is at most this many times the entry's own demand.
 constexpr std::int64_t most_headroom = 2;
+/// A smaller bucket overflows by the chance of arrivals, which loses its tokens.
+constexpr millitokens least_burst(10 * request_cost.count());
 /// Demand below one request in 100 s counts as none.
 constexpr millitokens_per_second least_demand{10};
 
@@ -115,16 +117,27 @@
     wanted_ -= it.wanted;
 }
 
+per_mille rate_account::calmness() const
+{
+    auto const spare = positive(limit_.rate - wanted_);
+    auto const most = part_of(limit_.rate, whole_share - settings_.calm_below);
+    auto const share = proportion(whole_share.count(), spare.count(), most.count());
+    return std::clamp(per_mille(share), settings_.least_leased, whole_share);
+}
+
 rate_amount rate_account::target(holder const& it) const
 {
-    auto const rate = part_of(limit_.rate, settings_.leased_rate);
-    auto const burst = part_of(limit_.burst, settings_.leased_burst);
+    // Near the limit tokens that lie idle in slices are missed elsewhere, so fewer are leased.
+    auto const calm = calmness();
+    auto const rate = part_of(part_of(limit_.rate, settings_.leased_rate), calm);
+    auto const burst = part_of(part_of(limit_.burst, settings_.leased_burst), calm);
     rate_amount out{
         millitokens_per_second(proportion(rate.count(), it.wanted.count(), wanted_.count())),
         millitokens(proportion(burst.count(), it.wanted.count(), wanted_.count()))};
     out.rate = std::min(out.rate, millitokens_per_second(it.wanted.count() * most_headroom));
-    // A bucket that cannot hold one request's tokens would only waste its rate.
-    return out.burst < request_cost ? rate_amount{} : out;
+    // One second of its own demand; who reports first must not get what others need.
+    out.burst = std::min(out.burst, millitokens(it.wanted.count()));
+    return out.burst < least_burst ? rate_amount{} : out;
 }
 
 rate_amount rate_account::allowed(instant now, holder const& it, rate_amount target) const
@@ -134,7 +147,7 @@
     auto const room = positive(limit_.burst - exposed_.burst - lent_out_);
     rate_amount out{std::min(target.rate, it.counted.rate + positive(limit_.rate - exposed_.rate)),
                     std::min(target.burst, it.counted.burst + room)};
-    return out.burst < request_cost ? rate_amount{} : out;
+    return out.burst < least_burst ? rate_amount{} : out;
 }
 
 millitokens rate_account::move_tokens(instant now, millitokens grown)
@@ -184,6 +197,14 @@
     }
 }
 
+millitokens rate_account::available(instant now)
+{
+    open(now);
+    expire_loans(now);
+    reshape(now);
+    return own_.tokens();
+}
+
 millitokens rate_account::lend(instant now, instance_id entry,
                                messages::borrow_request const& asked)
 {
--- a/plugins/control/ledger/rate_account.hpp
+++ b/plugins/control/ledger/rate_account.hpp
@@ -51,6 +51,9 @@
     /// Decides the slice for the grant that answers `asked`.
     messages::rate_slice slice(instant now, messages::renew_request const& asked, instant until);
 
+    /// Returns the tokens that could be lent now.
+    millitokens available(instant now);
+
     /// Lends tokens; zero if there are none.
     millitokens lend(instant now, instance_id entry, messages::borrow_request const& asked);
 
@@ -90,6 +93,7 @@
     void settle_loans(instance_id entry, sequence_id settled);
     void expire_loans(instant now);
     void forget_wanted(holder& it);
+    per_mille calmness() const;
     rate_amount target(holder const& it) const;
     rate_amount allowed(instant now, holder const& it, rate_amount target) const;
     millitokens move_tokens(instant now, millitokens grown);
--- a/plugins/control/ledger/rate_ledger.cpp
+++ b/plugins/control/ledger/rate_ledger.cpp
@@ -105,6 +105,12 @@
     held_.erase(entry);
 }
 
+millitokens rate_ledger::available(instant now, customer_id const& customer)
+{
+    auto* const account = account_of(customer, now);
+    return account == nullptr ? millitokens{} : account->available(now);
+}
+
 millitokens rate_ledger::lend(instant now, instance_id entry, messages::borrow_request const& asked)
 {
     auto* const account = account_of(asked.customer, now);
--- a/plugins/control/ledger/rate_ledger.hpp
+++ b/plugins/control/ledger/rate_ledger.hpp
@@ -31,6 +31,9 @@
     void restarted(instance_id entry, instant now) override;
     void lapsed(instance_id entry, instant now) override;
 
+    /// Returns the tokens of a customer that could be lent now.
+    millitokens available(instant now, customer_id const& customer);
+
     /// Lends tokens of a customer; zero if it is unknown or has none left.
     millitokens lend(instant now, instance_id entry, messages::borrow_request const& asked);
 
--- a/plugins/entry/rate/customer_slice.cpp
+++ b/plugins/entry/rate/customer_slice.cpp
@@ -76,9 +76,10 @@
 
 messages::customer_demand customer_slice::report(instant now, sequence_id carried_by, bool live)
 {
-    auto const elapsed = std::max<std::int64_t>((now - reported_).count(), 1000);
-    messages::customer_demand out{.wanted = millitokens_per_second(
-                                      arrived_.count() * microseconds_per_second / elapsed)};
+    // Few requests soon after the last report tell little of the rate.
+    auto const elapsed = std::max((now - reported_).count(), microseconds_per_second);
+    messages::customer_demand out{
+        .wanted = millitokens_per_second(arrived_.count() * microseconds_per_second / elapsed)};
     reported_ = now;
     arrived_ = {};
     if (!live)
--- a/plugins/entry/rate/rate_settings.hpp
+++ b/plugins/entry/rate/rate_settings.hpp
@@ -14,8 +14,8 @@
     milliseconds patience{400};
     requests most_waiting{256};
     milliseconds borrow_timeout{300};
-    milliseconds borrow_again{40};
-    milliseconds borrow_most{320};
+    milliseconds borrow_again{20};
+    milliseconds borrow_most{80};
     milliseconds top_up_period{100};
 };
 
--- a/plugins/entry/rate/rate_stage.cpp
+++ b/plugins/entry/rate/rate_stage.cpp
@@ -46,8 +46,8 @@
 kernel::counter_kind const admitted_count("rate.admitted", "Requests that paid their token here.");
 kernel::counter_kind const waited_count("rate.waited", "Requests that waited for tokens.");
 kernel::counter_kind const borrow_requests("rate.borrow_requests", "Questions to the ledger.");
-kernel::counter_kind const
-    borrow_short("rate.borrow_short", "Questions after which requests still waited for tokens.");
+kernel::counter_kind const borrow_short("rate.borrow_short",
+                                        "Questions after which requests still waited for tokens.");
 kernel::counter_kind const borrow_timeouts("rate.borrow_timeouts",
                                            "Questions that were not answered in time.");
 kernel::counter_kind const loans_stale("rate.loans_stale",
