--- a/include/mulberryrudder/messages/lease.hpp
+++ b/include/mulberryrudder/messages/lease.hpp
@@ -71,8 +71,8 @@
     std::vector<version_observation> observations;
     std::vector<domain_load> load;
     std::vector<digest>
-        suspects; ///< Fingerprints of requests a target died of, once for each death.
-    sequence_id accepted; ///< Newest sequence whose grant is in force; 0 for none.
+        suspects;           ///< Fingerprints of requests a target died of, once for each death.
+    sequence_id accepted;   ///< Newest sequence whose grant is in force; 0 for none.
     member_version members; ///< Version of the member list the entry holds; 0 for none.
     std::vector<domain_id> adopted; ///< Domains whose targets the entry took over.
 };
@@ -120,7 +120,7 @@
     std::shared_ptr<fleet_config const> config; ///< Null if the entry holds the newest.
     std::vector<rate_slice> slices;
     std::vector<headroom_grant> headroom;
-    std::vector<member> members; ///< Whole in stage::leased(); on the wire only what changed.
+    std::vector<member> members;    ///< Whole in stage::leased(); on the wire only what changed.
     std::vector<domain_id> adopted; ///< Domains whose targets this instance takes over.
     std::shared_ptr<config_delta const> delta; ///< Instead of `config`, if the base is held.
     member_version members_base; ///< The list that `members` changes; 0 if it is whole.
--- a/plugins/entry/rate/customer_slice.hpp
+++ b/plugins/entry/rate/customer_slice.hpp
@@ -51,13 +51,13 @@
     millitokens surplus() const;
 
     token_bucket bucket_;
-    messages::rate_slice slice_;        ///< As granted.
-    millitokens excess_;                ///< Cut off by a smaller slice, to be given back.
-    millitokens room_;                  ///< Largest burst that `excess_` was cut from.
+    messages::rate_slice slice_;         ///< As granted.
+    millitokens excess_;                 ///< Cut off by a smaller slice, to be given back.
+    millitokens room_;                   ///< Largest burst that `excess_` was cut from.
     std::optional<millitokens> ceiling_; ///< Most the bucket may hold while tokens that were
                                          ///< given back may not have reached the ledger.
-    sequence_id ceiling_until_;         ///< A grant that answers this renewal lifts it.
-    millitokens arrived_;               ///< Since the last report.
+    sequence_id ceiling_until_;          ///< A grant that answers this renewal lifts it.
+    millitokens arrived_;                ///< Since the last report.
     instant reported_;
     bool handed_back_ = false;
 };
--- a/tests/lease_fleet/lease_fleet.cpp
+++ b/tests/lease_fleet/lease_fleet.cpp
@@ -173,8 +173,10 @@
         return it.held.push_back(what);
     if (it.entry)
         return handle(it, entry::message_arrived{what.message});
+    auto const start = std::chrono::steady_clock::now();
     it.control->handle(local_now(it.id), control::message_arrived{what.message},
                        it.control_effects);
+    control_time_ += std::chrono::steady_clock::now() - start;
     take_effects(it);
 }
 
@@ -183,9 +185,13 @@
     if (it.frozen || it.dead)
         return;
     if (it.entry)
+    {
         it.entry->tick(local_now(it.id), it.entry_effects);
-    else
-        it.control->tick(local_now(it.id), it.control_effects);
+        return take_effects(it);
+    }
+    auto const start = std::chrono::steady_clock::now();
+    it.control->tick(local_now(it.id), it.control_effects);
+    control_time_ += std::chrono::steady_clock::now() - start;
     take_effects(it);
 }
 
--- a/tests/lease_fleet/lease_fleet.hpp
+++ b/tests/lease_fleet/lease_fleet.hpp
@@ -94,6 +94,8 @@
     control::core& control_core(unsigned control) const;
     entry::core& entry_core(unsigned entry) const;
     kernel::counter_set const& counters(instance_id id) const;
+    /// Machine time that the control cores took for messages and ticks so far.
+    std::chrono::duration<double> control_time() const { return control_time_; }
     /// An instance's own clock.
     instant local_now(instance_id id) const;
     std::map<request_id, ending> const& endings() const { return endings_; }
@@ -149,6 +151,7 @@
     std::priority_queue<delivery, std::vector<delivery>, later> queue_;
     using tick_time = std::pair<instant, instance_id>;
     std::priority_queue<tick_time, std::vector<tick_time>, std::greater<>> ticks_;
+    std::chrono::duration<double> control_time_{};
     std::set<instance_id> cut_;
     std::map<request_id, ending> endings_;
     std::map<customer_id, std::vector<instant>> admissions_;
