Let the deposed leader of the racing test hear of rival entries first

Cause: a trial that ignored the term of a committed entry passed the racing operators' test, since the old leader always heard of its end first. Now it hears of the new leader's entries before or after, at random.

--- a/tests/control/release_notes/racing_operators_test.cpp
+++ b/tests/control/release_notes/racing_operators_test.cpp
@@ -121,15 +121,11 @@
     void deliver_all()
     {
         for (std::size_t n = 0; n != members_.size(); ++n)
-        {
-            auto& log = members_[n]->log();
-            for (auto k = log.last_applied.value(); k != truth_.size(); ++k)
-                log.committed.push_back(truth_[k]);
-            tick(n);
-        }
+            catch_up(n);
     }
 
-    /// Of what the old leader proposed a random first part survives.
+    /// Of what the old leader proposed a random first part survives. The old leader
+    /// hears of its end before or after it hears of the new leader's entries.
     void change_leader()
     {
         auto& old_log = members_[leader_]->log();
@@ -138,16 +134,30 @@
             truth_.push_back(old_log.proposed[n]);
         old_log.proposed.clear();
         old_log.leads = false;
-        bool const told_first = pick(2) == 0;
-        old_log.step_down = told_first;
         auto const old_leader = leader_;
+        bool const told_first = pick(2) == 0;
+        if (told_first)
+            tell_end(old_leader);
         leader_ = pick(replicas_a_group);
-        for (std::size_t k = old_log.last_applied.value(); !told_first && k != truth_.size(); ++k)
-            old_log.committed.push_back(truth_[k]);
-        tick(old_leader);
-        old_log.step_down = true;
-        tick(old_leader);
         lead();
+        if (told_first)
+            return;
+        catch_up(old_leader);
+        tell_end(old_leader);
+    }
+
+    void tell_end(std::size_t n)
+    {
+        members_[n]->log().step_down = true;
+        tick(n);
+    }
+
+    void catch_up(std::size_t n)
+    {
+        auto& log = members_[n]->log();
+        for (auto k = log.last_applied.value(); k != truth_.size(); ++k)
+            log.committed.push_back(truth_[k]);
+        tick(n);
     }
 
     void lead()
@@ -158,10 +168,8 @@
         auto& log = members_[leader_]->log();
         log.current_term = term_id(term_);
         truth_.push_back({term_id(term_), log_index(truth_.size() + 1), any_message::of(0)});
-        for (auto k = log.last_applied.value(); k != truth_.size(); ++k)
-            log.committed.push_back(truth_[k]);
+        catch_up(leader_);
         log.leads = true;
-        tick(leader_);
     }
 
     void pass_time() { tick(pick(replicas_a_group), seconds(4)); }
