Serve the control group's membership to operators

GET /v1/members and POST /v1/members/replace; `members replace` takes the new instance's peer address. Questions prefer the leader's answer.

--- a/plugins/control_io/operator_http/order_requests.cpp
+++ b/plugins/control_io/operator_http/order_requests.cpp
@@ -1,11 +1,8 @@
-#include "duplicate_names.hpp"
+#include "object_decoding.hpp"
 #include "state_json.hpp"
-#include "value_readers.hpp"
 
 #include <mulberryrudder/control/operator_orders.hpp>
 
-#include <boost/leaf/handle_errors.hpp>
-
 namespace mulberryrudder::operator_http
 {
 
@@ -36,25 +33,6 @@
     return it;
 }
 
-template <class Order, std::vector<kernel::field_spec<Order>> const& (*Rows)()>
-decoded decode_order(request_text const& from)
-{
-    return boost::leaf::try_handle_all(
-        [&]() -> result<decoded>
-        {
-            BOOST_LEAF_AUTO(root, kernel::parse_json(from.body, "order"));
-            failures failed;
-            find_duplicate_names(from.body, failed);
-            Order order;
-            kernel::read_members(root, {"", failed}, Rows(), order);
-            if (!failed.empty())
-                return boost::leaf::new_error(std::move(failed));
-            return decoded(any_message::of(std::move(order)));
-        },
-        [](failures const& failed) -> decoded { return refuse(failed); },
-        []() -> decoded { return refuse({{.place = "order", .expected = "an order"}}); });
-}
-
 json_answer encode_order_answer(order_answer const& it)
 {
     return encode_result(it.result);
@@ -62,10 +40,10 @@
 
 request_codec const drain({.method = "POST",
                            .path = "/v1/drain",
-                           .decode = &decode_order<set_draining, &drain_rows>});
+                           .decode = &decode_object<set_draining, &drain_rows>});
 request_codec const quarantine({.method = "POST",
                                 .path = "/v1/quarantine",
-                                .decode = &decode_order<set_quarantine, &quarantine_rows>});
+                                .decode = &decode_object<set_quarantine, &quarantine_rows>});
 answer_registrar<order_answer, &encode_order_answer> const order_answer_entered;
 
 } // namespace
--- a/programs/ctl/control_group.cpp
+++ b/programs/ctl/control_group.cpp
@@ -30,6 +30,13 @@
     return it != nullptr && it->is_bool() && it->get_bool();
 }
 
+/// Returns whether the answering instance leads.
+bool is_of_leader(boost::json::object const& body)
+{
+    auto const leader = number_in(body, "leader");
+    return is_true(body, "may_act") || (leader != 0 && leader == number_in(body, "instance"));
+}
+
 } // namespace
 
 int exit_code_of(unsigned status)
@@ -119,7 +126,7 @@
         auto answer = ask_one(where, what);
         if (!answer)
             continue;
-        if (is_true(answer->body, "may_act"))
+        if (is_of_leader(answer->body))
             return *answer;
         if (best.body.empty() ||
             number_in(answer->body, "generation") > number_in(best.body, "generation"))
--- a/programs/ctl/control_group.hpp
+++ b/programs/ctl/control_group.hpp
@@ -31,8 +31,8 @@
     /// the deadline has passed. Only for requests that may be sent twice.
     group_answer change(http_question const& what);
 
-    /// Sends a question that each instance answers; takes the answer of one that may
-    /// act, or else the one of the highest generation.
+    /// Sends a question that each instance answers; takes the answer of the leader, or
+    /// else the one of the highest generation.
     group_answer read(http_question const& what);
 
     std::vector<endpoint> const& addresses() const { return addresses_; }
--- a/programs/ctl/main.cpp
+++ b/programs/ctl/main.cpp
@@ -24,8 +24,8 @@
             "list, make, digest, add and withdraw keys; a key is read from --file or standard "
             "input only",
             1, 2, &handle_keys},
-    command{"members", "list|replace OLD NEW", "show or change the control group", 1, 3,
-            &handle_members},
+    command{"members", "list|replace OLD NEW PEER-ADDRESS",
+            "show the control group, or replace an instance of it", 1, 4, &handle_members},
     command{"drain", "list|INSTANCE on|off", "take an entry instance out, or back in", 1, 2,
             &handle_drain},
     command{"quarantine", "list|lift FINGERPRINT", "show or lift quarantined requests", 1, 2,
--- a/programs/ctl/order_commands.cpp
+++ b/programs/ctl/order_commands.cpp
@@ -25,6 +25,14 @@
     return n;
 }
 
+void print_result(boost::json::object const& body)
+{
+    std::cout << text_in(body, "result");
+    if (body.if_contains("generation") != nullptr)
+        std::cout << ", generation " << number_in(body, "generation");
+    std::cout << "\n";
+}
+
 int send_order(invocation const& with, std::string path, boost::json::object const& body)
 {
     auto const answer = group_of(with).change(
@@ -34,8 +42,7 @@
     if (answer.exit_code != exit_ok)
         print_problem(answer, "order");
     else
-        std::cout << text_in(answer.body, "result") << ", generation "
-                  << number_in(answer.body, "generation") << "\n";
+        print_result(answer.body);
     return answer.exit_code;
 }
 
@@ -63,6 +70,36 @@
     return exit_ok;
 }
 
+std::string yes_or_no(boost::json::object const& from, std::string_view name)
+{
+    auto const* const it = from.if_contains(name);
+    return it != nullptr && it->is_bool() && it->get_bool() ? "yes" : "no";
+}
+
+int list_members(invocation const& with)
+{
+    auto const answer = group_of(with).read({.path = "/v1/members"});
+    if (print_json(with, answer))
+        return answer.exit_code;
+    if (answer.exit_code != exit_ok)
+    {
+        print_problem(answer, "members");
+        return answer.exit_code;
+    }
+    std::vector<table_row> rows;
+    auto const* const all = answer.body.if_contains("members");
+    if (all != nullptr && all->is_array())
+        for (auto const& it : all->get_array())
+            if (it.is_object())
+                rows.push_back({std::to_string(number_in(it.get_object(), "id")),
+                                yes_or_no(it.get_object(), "votes"),
+                                yes_or_no(it.get_object(), "reachable"),
+                                std::to_string(number_in(it.get_object(), "synced"))});
+    print_table({"INSTANCE", "VOTES", "REACHABLE", "SYNCED"}, rows);
+    std::cout << "settled: " << yes_or_no(answer.body, "settled") << "\n";
+    return exit_ok;
+}
+
 } // namespace
 
 int handle_drain(invocation const& with)
@@ -88,16 +125,18 @@
 
 int handle_members(invocation const& with)
 {
-    if (with.arguments[0] == "list" && with.arguments.size() == 1)
-        return print_list(with, "/v1/members", "members", "MEMBER");
-    auto const old_member =
-        with.arguments.size() == 3 ? instance_number(with.arguments[1]) : std::nullopt;
-    auto const new_member =
-        with.arguments.size() == 3 ? instance_number(with.arguments[2]) : std::nullopt;
-    if (with.arguments[0] != "replace" || !old_member || !new_member)
-        return refuse_use("members takes list, or replace and the numbers of the old and the new "
-                          "instance");
-    return send_order(with, "/v1/members/replace", {{"old", *old_member}, {"new", *new_member}});
+    auto const& given = with.arguments;
+    if (given[0] == "list" && given.size() == 1)
+        return list_members(with);
+    bool const whole = given.size() == 4 && given[0] == "replace";
+    auto const leaving = whole ? instance_number(given[1]) : std::nullopt;
+    auto const joining = whole ? instance_number(given[2]) : std::nullopt;
+    endpoint peer;
+    if (!leaving || !joining || !parse_endpoint(given[3], peer))
+        return refuse_use("members takes list, or replace, the numbers of the old and the new "
+                          "instance, and the new one's peer address");
+    return send_order(with, "/v1/members/replace",
+                      {{"leaving", *leaving}, {"joining", *joining}, {"peer", to_string(peer)}});
 }
 
 } // namespace mulberryrudder::ctl
--- a/tests/control_io/operator_http/request_codec_test.cpp
+++ b/tests/control_io/operator_http/request_codec_test.cpp
@@ -2,6 +2,7 @@
 #include <tests/control/support/sample_notes.hpp>
 
 #include <mulberryrudder/control/operator_answers.hpp>
+#include <mulberryrudder/control/operator_members.hpp>
 #include <mulberryrudder/control/operator_moves.hpp>
 #include <mulberryrudder/control/operator_notes.hpp>
 #include <mulberryrudder/control/operator_orders.hpp>
@@ -26,6 +27,8 @@
     CPPUNIT_TEST(a_wrong_order_is_refused_with_its_place);
     CPPUNIT_TEST(the_answers_have_their_status);
     CPPUNIT_TEST(a_conflict_shows_what_won);
+    CPPUNIT_TEST(a_refused_replacement_has_its_own_status);
+    CPPUNIT_TEST(a_move_is_explained_with_its_steps);
     CPPUNIT_TEST(long_names_are_shortened_in_places);
     CPPUNIT_TEST(the_configuration_shows_digests_of_keys);
     CPPUNIT_TEST(the_counters_have_the_form_of_prometheus);
@@ -42,6 +45,10 @@
         CPPUNIT_ASSERT(type_of("GET", "/v1/status?x=1") == typeid(control::status_query));
         CPPUNIT_ASSERT(type_of("GET", "/v1/config") == typeid(control::config_query));
         CPPUNIT_ASSERT(type_of("GET", "/v1/moves/timing") == typeid(control::move_query));
+        CPPUNIT_ASSERT(type_of("GET", "/v1/members") == typeid(control::list_members));
+        CPPUNIT_ASSERT(type_of("POST", "/v1/members/replace",
+                               R"({"leaving": 3, "joining": 4, "peer": "127.0.0.1:7400"})") ==
+                       typeid(control::replace_member));
         CPPUNIT_ASSERT(type_of("POST", "/v1/drain", R"({"instance": 5, "draining": true})") ==
                        typeid(control::set_draining));
         CPPUNIT_ASSERT(type_of("POST", "/v1/quarantine",
@@ -90,6 +97,24 @@
         CPPUNIT_ASSERT(got.find(to_hex(sha256("n"))) != std::string::npos);
     }
 
+    void a_refused_replacement_has_its_own_status()
+    {
+        using control::replace_refusal;
+        CPPUNIT_ASSERT_EQUAL(200U, replaced(replace_refusal::none));
+        CPPUNIT_ASSERT_EQUAL(421U, replaced(replace_refusal::not_leader));
+        CPPUNIT_ASSERT_EQUAL(422U, replaced(replace_refusal::unknown_member));
+        CPPUNIT_ASSERT_EQUAL(503U, replaced(replace_refusal::not_confirmed));
+    }
+
+    void a_move_is_explained_with_its_steps()
+    {
+        control::move_report it{.route = route_id("timing"), .state = "held"};
+        it.steps.push_back({control::utc_time(1'796'409'000'000'000), "step", per_mille(50), "ok"});
+        auto const got = text(encode_answer(any_message::of(it)));
+        CPPUNIT_ASSERT(got.find("2026-12-04T18:30:00Z") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(404U, encode_answer(any_message::of(control::move_report{})).status);
+    }
+
     void long_names_are_shortened_in_places()
     {
         std::string const key = "a-planted-key-of-more-than-24-characters";
@@ -149,6 +174,12 @@
         return encode_answer(any_message::of(it)).status;
     }
 
+    static unsigned replaced(control::replace_refusal refusal)
+    {
+        return encode_answer(any_message::of(control::member_replaced{refusal, std::nullopt}))
+            .status;
+    }
+
     static std::string text(json_answer const& it) { return boost::json::serialize(it.body); }
 
     kernel::counter_set counters_;
