Keep names out of the reasons and events of refused notes

Cause: a key written where a customer's name belongs was repeated in the reason of the refusal and in event 601, whose places are not shortened as answers' are. Names now stand in places only, and event 601 gives the entry's index and the number of errors.

--- a/plugins/control/fleet_state/fleet_state.cpp
+++ b/plugins/control/fleet_state/fleet_state.cpp
@@ -161,8 +161,8 @@
         with.events.record(changed_event,
                            {{"generation", std::to_string(last_.generation.value())}});
     else if (last_.outcome != change_outcome::unchanged)
-        with.events.record(refused_event,
-                           {{"place", last_.failed.empty() ? "" : last_.failed.front().place}});
+        with.events.record(refused_event, {{"index", std::to_string(last_.index.value())},
+                                           {"errors", std::to_string(last_.failed.size())}});
 }
 
 void fleet_state::apply_commit(log_index, commit_note const& command, context&)
--- a/plugins/control/fleet_state/plan_check.cpp
+++ b/plugins/control/fleet_state/plan_check.cpp
@@ -254,9 +254,9 @@
     for (auto const& [id, it] : config.routes)
         for (auto const& customer : it.customers)
             if (!config.customers.contains(customer))
-                failed.push_back({.place = "/routes/" + id.value() + "/customers",
-                                  .expected = "customers that exist; " + customer.value() +
-                                              " does not after this note"});
+                failed.push_back(
+                    {.place = "/routes/" + id.value() + "/customers/" + customer.value(),
+                     .expected = "a customer that exists after this note"});
 }
 
 void check_moves(fleet_plan const& plan, failures& failed)
--- a/plugins/control/ledger/rate_account.cpp
+++ b/plugins/control/ledger/rate_account.cpp
@@ -87,9 +87,8 @@
     it.reported = {demand.held_rate, demand.held_burst};
     forget_wanted(it);
     auto const step = (demand.wanted - it.wanted).count() / smoothing;
-    it.wanted = it.wanted == millitokens_per_second{}
-                    ? demand.wanted
-                    : it.wanted + millitokens_per_second(step);
+    it.wanted = it.wanted == millitokens_per_second{} ? demand.wanted
+                                                      : it.wanted + millitokens_per_second(step);
     if (it.wanted < least_demand || from.stopping)
         it.wanted = {};
     wanted_ += it.wanted;
@@ -125,9 +124,8 @@
     if (now < settled_)
         return {std::min(target.rate, it.reported.rate), std::min(target.burst, it.reported.burst)};
     auto const room = positive(limit_.burst - exposed_.burst - lent_out_);
-    rate_amount out{
-        std::min(target.rate, it.counted.rate + positive(limit_.rate - exposed_.rate)),
-        std::min(target.burst, it.counted.burst + room)};
+    rate_amount out{std::min(target.rate, it.counted.rate + positive(limit_.rate - exposed_.rate)),
+                    std::min(target.burst, it.counted.burst + room)};
     return out.burst < request_cost ? rate_amount{} : out;
 }
 
@@ -162,8 +160,7 @@
 
 void rate_account::settle_loans(instance_id entry, sequence_id settled)
 {
-    auto const done = [&](loan const& it)
-    { return it.entry == entry && it.sequence <= settled; };
+    auto const done = [&](loan const& it) { return it.entry == entry && it.sequence <= settled; };
     for (auto const& it : loans_)
         if (done(it))
             lent_out_ -= it.amount;
@@ -197,7 +194,8 @@
     reshape(now);
     // Tokens in advance leave half of the bucket for requests that wait.
     auto const spare = millitokens(own_.tokens().count() / 2);
-    auto const most = std::max(std::min(asked.needed, own_.tokens()), std::min(asked.wanted, spare));
+    auto const most =
+        std::max(std::min(asked.needed, own_.tokens()), std::min(asked.wanted, spare));
     auto const lent = own_.take_up_to(most);
     if (lent == millitokens{})
         return lent;
--- a/tests/control/fleet_state/note_application_test.cpp
+++ b/tests/control/fleet_state/note_application_test.cpp
@@ -108,7 +108,7 @@
     {
         release_note note{.number = note_number(2)};
         note.withdraw.customers.insert(customer_id("relay"));
-        CPPUNIT_ASSERT_EQUAL(std::string("/routes/timing/customers"),
+        CPPUNIT_ASSERT_EQUAL(std::string("/routes/timing/customers/relay"),
                              places(note, after(first_note())));
     }
 
--- a/tests/control/support/replica.hpp
+++ b/tests/control/support/replica.hpp
@@ -9,10 +9,26 @@
 
 #include <map>
 #include <stdexcept>
+#include <string>
 
 namespace mulberryrudder::control::testing
 {
 
+/// Keeps the values of all events as one text.
+class text_event_sink final : public kernel::event_sink
+{
+public:
+    void record(kernel::event_kind const& kind, std::vector<kernel::event_field> fields) override
+    {
+        text += std::string(kind.what().name);
+        for (auto const& it : fields)
+            text += " " + std::string(it.name) + "=" + it.value;
+        text += "\n";
+    }
+
+    std::string text;
+};
+
 /// A decision core over a fake log on virtual time, for tests.
 class replica
 {
@@ -58,6 +74,18 @@
         return answer<Answer>(id);
     }
 
+    /// Sends an operator's request of any type; returns its answer after a commit.
+    any_message commit_any(any_message body)
+    {
+        operator_request_id const id(++last_id_);
+        core_.handle(now_, operator_asked{id, std::move(body)}, effects_);
+        log().commit_all();
+        tick();
+        return answers_.at(id);
+    }
+
+    std::string const& events() const { return events_.text; }
+
     bool has_answer(operator_request_id id) const { return answers_.contains(id); }
 
     /// Returns the answer's type, or that of `void` if there is none.
@@ -91,7 +119,7 @@
 
     kernel::settings config_ = kernel::settings::defaults();
     kernel::counter_set counters_;
-    kernel::null_event_sink events_;
+    text_event_sink events_;
     core core_;
     instant now_;
     effects effects_;
