--- a/programs/ctl/command_line.cpp
+++ b/programs/ctl/command_line.cpp
@@ -95,34 +95,39 @@
     return out;
 }
 
+/// Describes the options; popt writes their values into `out`.
+std::vector<poptOption> options_into(raw_options& out)
+{
+    return {{"control", 'c', POPT_ARG_STRING, &out.control, 0,
+             "Operators' addresses of the control instances (default: $MULBERRYCTL_CONTROL, else "
+             "127.0.0.1:7300)",
+             "ADDRESS,..."},
+            {"entry", 'e', POPT_ARG_STRING, &out.entry, 0,
+             "Address of an entry instance, for explain and counters", "ADDRESS"},
+            {"file", 'f', POPT_ARG_STRING, &out.file, 0,
+             "Read a key from FILE instead of standard input", "FILE"},
+            {"number", 'n', POPT_ARG_LONG, &out.number, 0,
+             "Number of the note that `keys add` and `keys withdraw` write (default: the next one)",
+             "N"},
+            {"timeout", 't', POPT_ARG_LONG, &out.timeout, 0,
+             "Seconds to wait for an answer (default: 20)", "S"},
+            {"every", 0, POPT_ARG_LONG, &out.every, 0,
+             "Seconds between looks of watch (default: 2)", "S"},
+            {"count", 0, POPT_ARG_LONG, &out.count, 0,
+             "Looks of watch (default: until interrupted)", "N"},
+            {"json", 'j', POPT_ARG_NONE, &out.json, 0, "Print JSON instead of tables", nullptr},
+            {"version", 0, POPT_ARG_NONE, &out.version, 0, "Print the version and exit", nullptr},
+            POPT_AUTOHELP POPT_TABLEEND};
+}
+
 } // namespace
 
 invocation read_command_line(int argc, char** argv)
 {
     raw_options raw;
-    poptOption const table[] = {
-        {"control", 'c', POPT_ARG_STRING, &raw.control, 0,
-         "Operators' addresses of the control instances (default: $MULBERRYCTL_CONTROL, else "
-         "127.0.0.1:7300)",
-         "ADDRESS,..."},
-        {"entry", 'e', POPT_ARG_STRING, &raw.entry, 0,
-         "Address of an entry instance, for explain and counters", "ADDRESS"},
-        {"file", 'f', POPT_ARG_STRING, &raw.file, 0,
-         "Read a key from FILE instead of standard input", "FILE"},
-        {"number", 'n', POPT_ARG_LONG, &raw.number, 0,
-         "Number of the note that `keys add` and `keys withdraw` write (default: the next one)",
-         "N"},
-        {"timeout", 't', POPT_ARG_LONG, &raw.timeout, 0,
-         "Seconds to wait for an answer (default: 20)", "S"},
-        {"every", 0, POPT_ARG_LONG, &raw.every, 0, "Seconds between looks of watch (default: 2)",
-         "S"},
-        {"count", 0, POPT_ARG_LONG, &raw.count, 0, "Looks of watch (default: until interrupted)",
-         "N"},
-        {"json", 'j', POPT_ARG_NONE, &raw.json, 0, "Print JSON instead of tables", nullptr},
-        {"version", 0, POPT_ARG_NONE, &raw.version, 0, "Print the version and exit", nullptr},
-        POPT_AUTOHELP POPT_TABLEEND};
+    auto const table = options_into(raw);
     auto const argv_const = const_cast<char const**>(argv);
-    popt_handle const context(poptGetContext("mulberryctl", argc, argv_const, table, 0));
+    popt_handle const context(poptGetContext("mulberryctl", argc, argv_const, table.data(), 0));
     auto const help = help_text();
     poptSetOtherOptionHelp(context.get(), help.c_str());
     int const option = poptGetNextOpt(context.get());
--- a/tests/control/fleet_state/naive_plan.cpp
+++ b/tests/control/fleet_state/naive_plan.cpp
@@ -111,7 +111,7 @@
         to.put(route + "/c/" + id.value(), present);
 }
 
-void change(naive_editor& to, note_changes const& it)
+void change_customers(naive_editor& to, note_changes const& it)
 {
     for (auto const& [id, by] : it.customers)
     {
@@ -124,6 +124,10 @@
         if (by.home)
             to.put(path + "/home", by.home->value());
     }
+}
+
+void change_routes(naive_editor& to, note_changes const& it)
+{
     for (auto const& [id, by] : it.routes)
     {
         auto const path = "r/" + id.value();
@@ -138,6 +142,10 @@
             to.put(path + "/version", by.version->value());
         to.require(!by.version || !to.has("m/" + id.value()));
     }
+}
+
+void change_moves(naive_editor& to, note_changes const& it)
+{
     for (auto const& [id, by] : it.moves)
     {
         auto const path = "m/" + id.value();
@@ -149,6 +157,13 @@
         if (by.cap && std::stol("0" + to.at("r/" + id.value() + "/share")) > by.cap->count())
             to.put("r/" + id.value() + "/share", text(*by.cap));
     }
+}
+
+void change(naive_editor& to, note_changes const& it)
+{
+    change_customers(to, it);
+    change_routes(to, it);
+    change_moves(to, it);
     for (auto const& [id, cap] : it.links)
     {
         to.require(to.has("l/" + text(id)));
@@ -156,7 +171,7 @@
     }
 }
 
-void add(naive_editor& to, note_additions const& it, note_number number)
+void add_customers(naive_editor& to, note_additions const& it)
 {
     for (auto const& [id, by] : it.customers)
     {
@@ -174,6 +189,10 @@
         for (auto const& key : keys)
             to.create("c/" + id.value() + "/k/" + to_hex(key));
     }
+}
+
+void add_routes(naive_editor& to, note_additions const& it)
+{
     for (auto const& [id, by] : it.routes)
     {
         auto const path = "r/" + id.value();
@@ -185,6 +204,10 @@
         to.put(path + "/next", "");
         to.put(path + "/share", "0");
     }
+}
+
+void add_moves(naive_editor& to, note_additions const& it, note_number number)
+{
     for (auto const& [id, by] : it.moves)
     {
         auto const path = "m/" + id.value();
@@ -197,6 +220,13 @@
         to.put("r/" + id.value() + "/next", by.version.value());
         to.put("r/" + id.value() + "/share", "0");
     }
+}
+
+void add(naive_editor& to, note_additions const& it, note_number number)
+{
+    add_customers(to, it);
+    add_routes(to, it);
+    add_moves(to, it, number);
     for (auto const& [id, cap] : it.links)
         to.create("l/" + text(id), text(cap));
 }
