Let only notes make a note's base old, and forget the oldest note first

Cause: each step of a running move makes a generation, so a note with `based_on` was a conflict nearly always while a move ran; and with a full history a note of a low number was forgotten at once, so that its resend got a conflict. Ruled out: leaving steps out of the generations, since entries must see them grow. Conclusion: a base is old once another note was accepted after it; the note of the lowest generation is forgotten. Tests: a_step_of_a_move_makes_no_base_old and the_oldest_note_is_forgotten_and_not_the_lowest_number; both fail on the code before.

--- a/include/mulberryrudder/control/release_note.hpp
+++ b/include/mulberryrudder/control/release_note.hpp
@@ -110,7 +110,8 @@
 struct release_note
 {
     note_number number;
-    /// Generation that the operator looked at; the note is a conflict on any other.
+    /// Generation that the operator looked at; the note is a conflict if another note
+    /// was accepted after it.
     std::optional<generation_id> based_on;
     std::string comment;
     note_additions add;
--- a/plugins/control/fleet_state/fleet_state.cpp
+++ b/plugins/control/fleet_state/fleet_state.cpp
@@ -3,6 +3,7 @@
 #include <mulberryrudder/control/replicated_log.hpp>
 #include <mulberryrudder/core/invariant.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace mulberryrudder::control::internal
@@ -104,17 +105,24 @@
                                           ": lower ones are no longer remembered"});
         return out;
     }
-    auto const base = command.note.based_on;
-    if (!base || *base == state_.plan.config->generation)
+    if (!command.note.based_on || is_newest_base(*command.note.based_on))
         return std::nullopt;
-    out.failed.push_back(
-        {.place = "/based_on",
-         .expected = "the newest generation, " + std::to_string(out.generation.value())});
-    if (auto const last = newest_note())
+    out.failed.push_back({.place = "/based_on",
+                          .expected = "a generation up to " +
+                                      std::to_string(out.generation.value()) +
+                                      " that no later note has changed"});
+    if (auto const* const last = newest_note())
         out.winner = *last;
     return out;
 }
 
+bool fleet_state::is_newest_base(generation_id base) const
+{
+    // Steps of moves make generations too; they are no operator's change.
+    auto const* const last = newest_note();
+    return base <= state_.plan.config->generation && (last == nullptr || last->generation <= base);
+}
+
 note_record const* fleet_state::newest_note() const
 {
     note_record const* out = nullptr;
@@ -201,8 +209,12 @@
     state_.notes.emplace(record.number, std::move(record));
     if (state_.notes.size() <= notes_kept)
         return;
-    state_.forgotten = state_.notes.begin()->first;
-    state_.notes.erase(state_.notes.begin());
+    // The oldest by generation, since a note of a low number may have come late.
+    auto const oldest = std::min_element(state_.notes.begin(), state_.notes.end(),
+                                         [](auto const& a, auto const& b)
+                                         { return a.second.generation < b.second.generation; });
+    state_.forgotten = std::max(state_.forgotten, oldest->first);
+    state_.notes.erase(oldest);
 }
 
 void fleet_state::remember(ended_move ended)
--- a/plugins/control/fleet_state/fleet_state.hpp
+++ b/plugins/control/fleet_state/fleet_state.hpp
@@ -41,6 +41,8 @@
 
     /// Returns the result if the number or the base decides, else nothing.
     std::optional<change_result> decided_before(commit_note const& command) const;
+    /// Returns whether no note was accepted after that generation.
+    bool is_newest_base(generation_id base) const;
     note_record const* newest_note() const;
     move_order const* find_move(move_key const& move) const;
     fleet_config next_config() const;
--- a/tests/control/fleet_state/fleet_state_test.cpp
+++ b/tests/control/fleet_state/fleet_state_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(a_snapshot_gives_the_same_state_and_history);
     CPPUNIT_TEST(a_snapshot_never_takes_the_generation_back);
     CPPUNIT_TEST(forgotten_numbers_are_a_conflict);
+    CPPUNIT_TEST(the_oldest_note_is_forgotten_and_not_the_lowest_number);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -117,6 +118,23 @@
         CPPUNIT_ASSERT(next.result.outcome == change_outcome::accepted);
     }
 
+    void the_oldest_note_is_forgotten_and_not_the_lowest_number()
+    {
+        constexpr std::uint64_t notes_kept = 5000;
+        replica it;
+        fleet_snapshot part;
+        for (std::uint64_t n = 1; n <= notes_kept; ++n)
+            part.notes[note_number(n + 10)] = {note_number(n + 10), {}, generation_id(n), ""};
+        fleet_config config{.generation = generation_id(notes_kept)};
+        part.plan.config = std::make_shared<fleet_config const>(config);
+        load(it, {any_message::of(part)});
+        it.commit<note_answer>(submission(first_note(5)));
+        auto const again = it.commit<note_answer>(submission(first_note(5)));
+        CPPUNIT_ASSERT(again.result.outcome == change_outcome::accepted);
+        CPPUNIT_ASSERT(it.state().find_note(note_number(11)) == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{notes_kept}, it.state().notes().size());
+    }
+
 private:
     static void start_move(replica& it)
     {
--- a/tests/control/release_notes/release_notes_test.cpp
+++ b/tests/control/release_notes/release_notes_test.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(of_two_proposed_notes_with_an_equal_number_the_first_committed_wins);
     CPPUNIT_TEST(numbers_may_have_gaps_and_come_late);
     CPPUNIT_TEST(an_old_base_is_a_conflict);
+    CPPUNIT_TEST(a_step_of_a_move_makes_no_base_old);
+    CPPUNIT_TEST(a_base_that_is_not_reached_yet_is_a_conflict);
     CPPUNIT_TEST(a_wrong_note_is_refused_as_a_whole_with_every_error);
     CPPUNIT_TEST(a_replica_that_does_not_lead_names_the_leader);
     CPPUNIT_TEST(a_replica_that_does_not_lead_still_tells_what_was_committed);
@@ -123,6 +125,27 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, lost.result.winner->number.value());
     }
 
+    void a_step_of_a_move_makes_no_base_old()
+    {
+        replica it;
+        it.commit<answer>(submission(first_note()));
+        it.commit<answer>(submission(move_note()));
+        it.state().propose_change(step_move{{route_id("timing"), note_number(2)}, per_mille(100)});
+        auto note = rate_note(3, 5000);
+        note.based_on = generation_id(2);
+        auto const got = it.commit<answer>(submission(note));
+        expect(change_outcome::accepted, got);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, got.result.generation.value());
+    }
+
+    void a_base_that_is_not_reached_yet_is_a_conflict()
+    {
+        replica it;
+        auto note = first_note();
+        note.based_on = generation_id(1);
+        expect(change_outcome::conflict, it.commit<answer>(submission(note)));
+    }
+
     void a_wrong_note_is_refused_as_a_whole_with_every_error()
     {
         replica it;
