--- a/plugins/control/moves/running_move.cpp
+++ b/plugins/control/moves/running_move.cpp
@@ -47,9 +47,6 @@
     follow(now_is, now);
     if (judge_.is_bad())
         cycle_.process(move_happening::fault_seen);
-    // A note lowered the cap; going down needs no measurement.
-    if (share_ > cap_ && phase() != move_phase::taking_back)
-        return step_move{key_, cap_};
     check_measurements();
     check_steps(now_is);
     if (step_)
