--- a/tests/lease_fleet/lease_fleet.hpp
+++ b/tests/lease_fleet/lease_fleet.hpp
@@ -85,6 +85,9 @@
     request_id request(unsigned entry, std::string const& customer, std::string const& route = "k",
                        span patience = seconds(1));
 
+    /// Sends a request that the probe holds on to a target, also on a frozen instance.
+    void release(unsigned entry, request_id id);
+
     entry::fleet_view const& view(unsigned entry) const;
     admission_probe& probe(unsigned entry) const;
     fake_replica& replica(unsigned control) const;
@@ -94,6 +97,10 @@
     /// An instance's own clock.
     instant local_now(instance_id id) const;
     std::map<request_id, ending> const& endings() const { return endings_; }
+    /// Returns "answered", the refusal's name, or "unanswered".
+    std::string outcome_of(request_id id) const;
+    /// Gives an instance a message as if it had just arrived.
+    void hand_over(envelope const& message) { deliver({now_, 0, message}); }
     /// Admissions on the clock of the test, in order, by customer.
     std::map<customer_id, std::vector<instant>> const& admissions() const { return admissions_; }
 
@@ -119,7 +126,8 @@
     node& at(instance_id id) const;
     std::unique_ptr<node> make_entry(unsigned entry, std::uint64_t boot);
     std::unique_ptr<node> make_control(unsigned control);
-    void step();
+    /// Goes on to the next message or tick, at most until `end`.
+    void step(instant end);
     void confirm_leader();
     void tick(node& it);
     void deliver(delivery const& it);
@@ -139,6 +147,8 @@
     std::optional<unsigned> leader_;
     std::map<instance_id, std::unique_ptr<node>> nodes_;
     std::priority_queue<delivery, std::vector<delivery>, later> queue_;
+    using tick_time = std::pair<instant, instance_id>;
+    std::priority_queue<tick_time, std::vector<tick_time>, std::greater<>> ticks_;
     std::set<instance_id> cut_;
     std::map<request_id, ending> endings_;
     std::map<customer_id, std::vector<instant>> admissions_;
