--- a/include/mulberryrudder/messages/claims.hpp
+++ b/include/mulberryrudder/messages/claims.hpp
@@ -104,7 +104,7 @@
     std::vector<claim_record> records;
     bool more = false;
     claim_id next; ///< With `more`: where the next pull goes on.
-    digest view; ///< Of the members and home regions that the sender sees.
+    digest view;   ///< Of the members and home regions that the sender sees.
     /// For how long the sender has seen the same members, with complete records.
     microseconds settled_for{};
 };
--- a/plugins/entry/claims/claim_keeper.cpp
+++ b/plugins/entry/claims/claim_keeper.cpp
@@ -15,7 +15,7 @@
 {
 
 constexpr std::size_t page_size = 256;
-constexpr std::size_t page_bytes = 64 * 1024;
+constexpr std::size_t page_bytes = 65'536;
 constexpr span pull_period = seconds(1);
 
 bool has_ended(claim_state state)
--- a/plugins/entry/claims/claims_settings.hpp
+++ b/plugins/entry/claims/claims_settings.hpp
@@ -16,8 +16,8 @@
     milliseconds member_hold{30'000};
     milliseconds timeout{500};
     milliseconds end_retry{10'000};
-    byte_count reply_limit{16 * 1024};
-    byte_count store_limit{16 * 1024 * 1024};
+    byte_count reply_limit{16L * 1024L};
+    byte_count store_limit{16L * 1024L * 1024L};
     std::int64_t record_limit = 100'000;
 
     /// Returns how long before a key's time nothing may have changed for a keeper
