Try a lost election again sooner

Cause: a candidate that lost waited a whole election timeout again, though the lost leader's lease had ended by then.

--- a/plugins/control/replica/election.cpp
+++ b/plugins/control/replica/election.cpp
@@ -6,11 +6,29 @@
 namespace mulberryrudder::control
 {
 
+namespace
+{
+
+/// Part of the election timeout after which a lost election is tried again.
+constexpr int retry_divisor = 3;
+
+} // namespace
+
 void replica::await_leader()
+{
+    wait_for_election(config_.election_timeout, config_.election_timeout * 2);
+}
+
+void replica::await_votes()
+{
+    // The lost leader's lease has ended here, so the next try need not wait for it again.
+    wait_for_election(config_.election_timeout / retry_divisor, config_.election_timeout);
+}
+
+void replica::wait_for_election(span least, span most)
 {
     // Replicas that wait for different times seldom split the vote.
-    auto const least = span(config_.election_timeout).count();
-    std::uniform_int_distribution<span::rep> spread(least, 2 * least);
+    std::uniform_int_distribution<span::rep> spread(least.count(), most.count());
     election_due_ = now() + span(spread(with_->random));
 }
 
@@ -30,7 +48,7 @@
 {
     if (now() < election_due_ || hears_leader() || !has_vote() || !is_registered())
         return;
-    await_leader();
+    await_votes();
     role_.election_due();
     leader_.reset();
     votes_.clear();
@@ -65,6 +83,7 @@
 void replica::stand_for_election()
 {
     role_.trial_won();
+    await_votes();
     votes_.clear();
     with_->counters.add(replica_events::elections);
     state_.term = term_id(state_.term.value() + 1);
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -101,6 +101,8 @@
 
     // election.cpp
     void await_leader();
+    void await_votes();
+    void wait_for_election(span least, span most);
     bool hears_leader() const;
     bool is_up_to_date(messages::vote_request const& it) const;
     void campaign_if_due();
