--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -63,11 +63,18 @@
                        .settled =
                            members().pending.empty() && members_.newest_index() <= committed_};
     for (auto const& it : members().voters)
-        out.members.push_back({.id = it.id, .disk = it.disk, .votes = true});
+    {
+        bool const self = it.id == self_.self.id && is_leader();
+        out.members.push_back({.id = it.id,
+                               .disk = it.disk,
+                               .votes = true,
+                               .reachable = self,
+                               .synced = self ? queue_.durable() : log_index()});
+    }
     for (auto const& [peer_id, peer] : peers_)
     {
         bool const votes = members().counts(peer_id, peer.disk);
-        auto const same = [&](member_status const& it) { return it.id == peer_id; };
+        auto const same = [sought = peer_id](member_status const& it) { return it.id == sought; };
         auto at = std::find_if(out.members.begin(), out.members.end(), same);
         if (at == out.members.end())
             at = out.members.insert(at, member_status{.id = peer_id});
