--- a/plugins/control_io/disk/segment_log.cpp
+++ b/plugins/control_io/disk/segment_log.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstdio>
 
 namespace mulberryrudder::disk
 {
@@ -14,12 +13,12 @@
 /// Size at which the next batch goes into a new segment.
 constexpr std::uint64_t full_size = 1 << 20;
 
+/// Pads the first batch's number, so that names sort as numbers do.
 std::string segment_name(batch_number before)
 {
-    char buf[40];
-    std::snprintf(buf, sizeof buf, "log-%020llu",
-                  static_cast<unsigned long long>(before.value() + 1));
-    return buf;
+    constexpr std::size_t width = 20;
+    auto const digits = std::to_string(before.value() + 1);
+    return std::string(prefix) + std::string(width - digits.size(), '0') + digits;
 }
 
 bool parse_name(std::string const& name, batch_number& before)
