--- a/tests/control/replica/random_schedules_test.cpp
+++ b/tests/control/replica/random_schedules_test.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <array>
+#include <cstdlib>
 #include <sstream>
 
 namespace mulberryrudder::control::testing
@@ -13,7 +14,17 @@
 namespace
 {
 
-constexpr std::uint64_t first_seed = 20261204;
+/// Returns a number from the environment, for longer runs and for one failed seed.
+std::uint64_t number_from(char const* variable, std::uint64_t otherwise)
+{
+    auto const* const text = std::getenv(variable);
+    return text == nullptr ? otherwise : std::stoull(text);
+}
+
+std::uint64_t first_seed()
+{
+    return number_from("MULBERRYRUDDER_SEED", 20261204);
+}
 
 /// One fault of a schedule; the names tell a failed run's reader what happened.
 struct fault
@@ -32,17 +43,18 @@
     {
         for (std::uint32_t id = 1; id <= size_; ++id)
         {
-            // Rates differ by up to two in a hundred, offsets by anything.
+            // Rates differ by up to eight in a hundred, offsets by anything.
             auto& it = group_.at(id);
-            it.clock_rate = 0.99 + 0.02 * share();
+            it.clock_rate = 0.96 + 0.08 * share();
             it.clock_offset = seconds(pick(1000));
             group_.start(id);
         }
         if (!group_.run_until([this] { return group_.acting() != 0; }, seconds(20)))
             throw invariant_violated("no leader after the founding");
+        copy_disk();
     }
 
-    void run(std::array<fault, 13> const& faults)
+    void run(std::array<fault, 14> const& faults)
     {
         group_.network.lost = 0.05 * share();
         group_.network.duplicated = 0.1 * share();
@@ -103,6 +115,22 @@
         if (auto const id = group_.acting())
             group_.isolate(id);
     }
+    /// One replica hears nothing of the leader for a while, then the leader is cut
+    /// off, and the third may restart: nobody may lead before the lease has ended.
+    void silence_leader()
+    {
+        auto const leader = group_.acting();
+        auto const deaf = any();
+        if (leader == 0 || deaf == leader)
+            return;
+        group_.set_cut(leader, deaf, true);
+        group_.run_for(milliseconds(1000 + pick(2500)));
+        group_.isolate(leader);
+        if (auto const id = any(); id != leader && id != deaf && pick(2) == 0)
+            restart(id);
+        group_.run_for(milliseconds(1500));
+        heal_cuts();
+    }
     void heal_cuts()
     {
         for (std::uint32_t from = 1; from <= size_; ++from)
@@ -125,6 +153,7 @@
     {
         auto const id = any();
         heal_cuts();
+        restart_all();
         group_.run_for(seconds(5));
         auto const image = group_.at(id).disk.contents();
         restart(id);
@@ -159,6 +188,7 @@
         trace_ << "!";
         id = id == 0 ? any() : id;
         group_.kill(id);
+        lost_disks_.insert(disk_of(instance_id(id)));
         group_.at(id).disk.replace_contents(contents);
         group_.start(id);
     }
@@ -174,7 +204,7 @@
         auto const& listed = *group_.answers.back().get<members_listed>();
         std::size_t n = 0;
         for (auto const& it : listed.members)
-            n += it.votes && disk_of(it.id) == it.disk ? 1 : 0;
+            n += it.votes && disk_of(it.id) == it.disk && lost_disks_.count(it.disk) == 0 ? 1 : 0;
         return n == size_ && listed.settled;
     }
 
@@ -201,18 +231,20 @@
     random_source random_;
     std::uint64_t last_value_ = 0;
     std::set<std::uint64_t> accepted_;
+    std::set<disk_id> lost_disks_; ///< An older image of one must not vote again.
     disk_recovered older_;
     std::uint32_t copied_ = 0;
     std::ostringstream trace_;
 };
 
-constexpr std::array<fault, 13> faults{{
+constexpr std::array<fault, 14> faults{{
     {"nothing", [](schedule& it) { it.nothing(); }},
     {"kill", [](schedule& it) { it.kill_one(); }},
     {"restart", [](schedule& it) { it.restart_one(); }},
     {"restart_all", [](schedule& it) { it.restart_all(); }},
     {"cut_one_way", [](schedule& it) { it.cut_one_way(); }},
     {"isolate_leader", [](schedule& it) { it.isolate_leader(); }},
+    {"silence_leader", [](schedule& it) { it.silence_leader(); }},
     {"heal", [](schedule& it) { it.heal_cuts(); }},
     {"freeze", [](schedule& it) { it.freeze_one(); }},
     {"fail_disk", [](schedule& it) { it.fail_disk(); }},
@@ -230,17 +262,25 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void three_replicas_keep_what_was_accepted() { run_schedules(3, 1000); }
-    void five_replicas_keep_what_was_accepted() { run_schedules(5, 200); }
+    void three_replicas_keep_what_was_accepted()
+    {
+        run_schedules(3, number_from("MULBERRYRUDDER_SCHEDULES", 2000));
+    }
+
+    void five_replicas_keep_what_was_accepted()
+    {
+        run_schedules(5, number_from("MULBERRYRUDDER_SCHEDULES", 400));
+    }
 
 private:
     static void run_schedules(std::size_t size, std::uint64_t count)
     {
         std::size_t accepted = 0;
-        for (auto seed = first_seed; seed != first_seed + count; ++seed)
+        for (auto seed = first_seed(); seed != first_seed() + count; ++seed)
             accepted += run_one(size, seed);
-        // Schedules in which nothing is accepted would prove nothing.
-        CPPUNIT_ASSERT(accepted > 10 * count);
+        // Schedules in which little is accepted would prove little.
+        constexpr std::size_t least_on_average = 10;
+        CPPUNIT_ASSERT(accepted >= least_on_average * count);
     }
 
     static std::size_t run_one(std::size_t size, std::uint64_t seed)
