Leave a failure domain without room alone for 20 ms instead of 200

Cause: one refusal kept a source away from a domain that had room again at once. Conclusion: the pause is about one way there and back.

--- a/plugins/entry/regions/regions_stage.hpp
+++ b/plugins/entry/regions/regions_stage.hpp
@@ -23,7 +23,7 @@
     milliseconds patience{50};
     milliseconds least_time_left{100};
     milliseconds hold_margin{1000};
-    milliseconds full_pause{200};
+    milliseconds full_pause{20};
     std::int64_t most_tries = 3;
 };
 
