Send waiting requests elsewhere as soon as a grant is free

Cause: requests that found no grant free at their arrival waited here for targets that were dead, until it was too late. Now the fair queue gives them up in its order whenever a grant is free, and a request may wait here although no target is known as long as this instance holds grants.

--- a/include/mulberryrudder/entry/queue_view.hpp
+++ b/include/mulberryrudder/entry/queue_view.hpp
@@ -5,6 +5,7 @@
 #include <mulberryrudder/entry/request.hpp>
 
 #include <cstddef>
+#include <optional>
 
 namespace mulberryrudder::entry
 {
@@ -23,6 +24,11 @@
     /// Returns how long a request of the version runs on a target, on average.
     virtual span expected_service(version_id const& version) const = 0;
 
+    /// Removes and returns the request that is first in turn among those for which no
+    /// target here has slots, so that it can be sent elsewhere. The caller goes on with
+    /// it by pipeline::resume_from().
+    virtual std::optional<request_id> take_stranded() = 0;
+
     /// Returns how many requests of the version wait.
     virtual std::size_t waiting(version_id const& version) const = 0;
 };
--- a/plugins/entry/fair_queue/fair_queue_stage.cpp
+++ b/plugins/entry/fair_queue/fair_queue_stage.cpp
@@ -1,6 +1,6 @@
 #include "fair_queue_stage.hpp"
 
-#include <mulberryrudder/core/invariant.hpp>
+#include <mulberryrudder/entry/spill_view.hpp>
 
 #include <algorithm>
 
@@ -86,7 +86,9 @@
 step fair_queue_stage::admit(request& what, context& with)
 {
     auto const& directory = services_.require<target_directory>();
-    if (!directory.is_known(what.route, what.version))
+    auto const* const elsewhere = services_.find<spill_view>();
+    bool const may_leave = elsewhere != nullptr && !what.origin && elsewhere->has_grants(with.now);
+    if (!may_leave && !directory.is_known(what.route, what.version))
         return refuse(no_target);
     auto& of = groups_[what.version];
     auto const charge = charge_of(what, of);
@@ -212,6 +214,19 @@
     return it == groups_.end() ? span(0) : it->second.service;
 }
 
+std::optional<request_id> fair_queue_stage::take_stranded()
+{
+    auto const& directory = services_.require<target_directory>();
+    for (auto& [version, of] : groups_)
+    {
+        auto const is_stranded = [&](route_id const& route)
+        { return directory.usable(route, version).empty(); };
+        if (auto const next = of.queue.pop(is_stranded))
+            return next->id;
+    }
+    return std::nullopt;
+}
+
 std::size_t fair_queue_stage::waiting(version_id const& version) const
 {
     auto const it = groups_.find(version);
--- a/plugins/entry/fair_queue/fair_queue_stage.hpp
+++ b/plugins/entry/fair_queue/fair_queue_stage.hpp
@@ -47,6 +47,7 @@
 
     span expected_wait(request const& what, instant now) const override;
     span expected_service(version_id const& version) const override;
+    std::optional<request_id> take_stranded() override;
     std::size_t waiting(version_id const& version) const override;
 
     start_time_queue::charge charge_of(request const& what, group const& of) const;
--- a/plugins/entry/regions/regions_stage.cpp
+++ b/plugins/entry/regions/regions_stage.cpp
@@ -72,6 +72,14 @@
 regions_stage::regions_stage(stage_parts const& parts)
     : config_(parts.config.get(region_section)), self_(parts.self), services_(parts.services)
 {
+    parts.services.provide<spill_view>(*this);
+}
+
+bool regions_stage::has_grants(instant now) const
+{
+    auto const granted = [](auto const& it) { return it.second.granted.count() > 0; };
+    return config_.spill && services_.require<fleet_view>().lease_live(now) &&
+           std::any_of(rooms_.begin(), rooms_.end(), granted);
 }
 
 step regions_stage::admit(request& what, context& with)
@@ -118,6 +126,23 @@
     return false;
 }
 
+void regions_stage::spill_waiting(context& with)
+{
+    auto& queue = services_.require<queue_view>();
+    while (services_.require<fleet_view>().lease_live(with.now) &&
+           !domains_with_room(with.now).empty())
+    {
+        auto const before = spilled_.size();
+        auto const next = queue.take_stranded();
+        if (!next)
+            return;
+        with.flow.resume_from(*next, "regions");
+        // It waits again, so the others would too.
+        if (spilled_.size() <= before)
+            return;
+    }
+}
+
 std::vector<domain_id> regions_stage::domains_with_room(instant now) const
 {
     std::vector<std::pair<std::int64_t, domain_id>> free;
@@ -194,7 +219,10 @@
         return;
     what->run_elsewhere = it.run;
     if (it.content)
-        return with.flow.finish(it.id, answered{it.content});
+    {
+        with.flow.finish(it.id, answered{it.content});
+        return spill_waiting(with);
+    }
     if (it.run != verdict::not_run)
         return with.flow.finish(it.id, refused{.why = &failed_elsewhere, .run = it.run});
     with.counters.add(spills_returned);
@@ -305,6 +333,7 @@
             release(it);
         it = next;
     }
+    spill_waiting(with);
 }
 
 std::optional<bytes_per_second> regions_stage::part_of_link(region_id const& to) const
--- a/plugins/entry/regions/regions_stage.hpp
+++ b/plugins/entry/regions/regions_stage.hpp
@@ -6,6 +6,7 @@
 #include <mulberryrudder/entry/fleet_view.hpp>
 #include <mulberryrudder/entry/lease_shares.hpp>
 #include <mulberryrudder/entry/queue_view.hpp>
+#include <mulberryrudder/entry/spill_view.hpp>
 #include <mulberryrudder/entry/stage.hpp>
 #include <mulberryrudder/entry/target_directory.hpp>
 #include <mulberryrudder/messages/spill.hpp>
@@ -29,7 +30,7 @@
 
 /// Sends requests that the own failure domain has no room for to an entry instance of
 /// another one, within headroom grants and link caps, and takes such requests in.
-class regions_stage final : public stage
+class regions_stage final : public stage, private spill_view
 {
 public:
     explicit regions_stage(stage_parts const& parts);
@@ -57,12 +58,15 @@
         std::uint64_t turn = 0; ///< Lets the domain's instances take turns.
     };
 
+    bool has_grants(instant now) const override;
+
     void request_came(instance_id from, messages::spill_request const& it, context& with);
     void reply_came(instance_id from, messages::spill_reply const& it, context& with);
     void cancel_came(instance_id from, messages::spill_cancel const& it, context& with);
 
     bool is_local_enough(request const& what, context& with) const;
     bool spill(request& what, context& with);
+    void spill_waiting(context& with);
     messages::member const* receiver_for(domain_id const& domain, headroom& room) const;
     std::vector<domain_id> domains_with_room(instant now) const;
     void send_away(request& what, messages::member const& to, headroom& room, context& with);
