Mend what the linter found in the operators' interface

Cause: the linter's run over all 87 files of this part named widening multiplications in the settings and a test, and string sums in mulberryctl's output.

--- a/plugins/control_io/operator_http/operator_settings.cpp
+++ b/plugins/control_io/operator_http/operator_settings.cpp
@@ -7,8 +7,8 @@
 {
 
 constexpr kernel::limits instance_numbers{1, 65535};
-constexpr kernel::limits header_bytes{256, 1024 * 1024};
-constexpr kernel::limits body_bytes{1024, 64 * 1024 * 1024};
+constexpr kernel::limits header_bytes{256, 1024L * 1024};
+constexpr kernel::limits body_bytes{1024, 64L * 1024 * 1024};
 constexpr kernel::limits times{10, 600'000};
 constexpr kernel::limits connection_counts{1, 1000};
 
--- a/plugins/control_io/operator_http/operator_settings.hpp
+++ b/plugins/control_io/operator_http/operator_settings.hpp
@@ -22,8 +22,8 @@
 {
     endpoint listen{"127.0.0.1", 7300};
     std::vector<operator_address> control;
-    byte_count most_header{16 * 1024};
-    byte_count most_body{1024 * 1024};
+    byte_count most_header{16L * 1024};
+    byte_count most_body{1024L * 1024};
     milliseconds read_limit{10'000};
     milliseconds answer_limit{15'000};
     connections most_connections{64};
--- a/programs/ctl/output.cpp
+++ b/programs/ctl/output.cpp
@@ -34,10 +34,10 @@
     {
         if (!it.is_object())
             continue;
-        auto place = text_in(it.get_object(), "place");
+        auto const place = text_in(it.get_object(), "place");
         bool const in_text = place.starts_with("note:");
-        place = in_text ? file + place.substr(4) : file + "#" + place;
-        std::cerr << place << ": expected " << text_in(it.get_object(), "expected") << "\n";
+        std::cerr << file << (in_text ? "" : "#") << (in_text ? place.substr(4) : place);
+        std::cerr << ": expected " << text_in(it.get_object(), "expected") << "\n";
     }
 }
 
--- a/tests/control/release_notes/racing_operators_test.cpp
+++ b/tests/control/release_notes/racing_operators_test.cpp
@@ -79,7 +79,8 @@
     /// Few numbers and few contents, so that races and resends are frequent.
     release_note racing_note()
     {
-        auto out = rate_note(1 + pick(numbers_raced_for), 1000 * (1 + static_cast<int>(pick(3))));
+        auto out =
+            rate_note(1 + pick(numbers_raced_for), 1000 * static_cast<std::int64_t>(1 + pick(3)));
         if (pick(4) == 0)
             out.based_on = generation_id(1 + pick(4));
         if (pick(5) == 0)
