--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -1,6 +1,8 @@
 #include "membership.hpp"
 #include "replica.hpp"
 
+#include <mulberryrudder/core/invariant.hpp>
+
 #include <algorithm>
 
 namespace mulberryrudder::control
@@ -49,7 +51,14 @@
     auto next = next_step();
     if (!next)
         return;
-    append_command(any_message::of(messages::membership_changed{.members = std::move(*next)}));
+    append_membership(std::move(*next));
+}
+
+void replica::append_membership(group_membership next)
+{
+    check_invariant(members_.newest_index() <= committed_,
+                    "a membership follows only a committed one");
+    append_command(any_message::of(messages::membership_changed{.members = std::move(next)}));
     learn_addresses();
     send_to_idle();
 }
@@ -99,11 +108,7 @@
                   { return each.leaving == it.leaving && each.joining != it.leaving; });
     next.pending.push_back(wanted);
     if (next != members())
-    {
-        append_command(any_message::of(messages::membership_changed{.members = std::move(next)}));
-        learn_addresses();
-        send_to_idle();
-    }
+        append_membership(std::move(next));
     if (members_.newest_index() <= committed_)
         return answer_replaced(id, refusal);
     replacing_[id] = members_.newest_index();
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -134,6 +134,7 @@
     void commit_by_majority();
     void announce_if_confirmed();
     void advance_membership();
+    void append_membership(group_membership next);
     bool holds_full_state(progress const& it) const;
     std::optional<group_membership> next_step() const;
     void take_list(operator_request_id id, list_members const& it, context& with);
--- a/tests/control/replica/replica_test.cpp
+++ b/tests/control/replica/replica_test.cpp
@@ -113,6 +113,7 @@
     CPPUNIT_TEST(a_replica_gets_no_vote_while_others_hear_the_leader);
     CPPUNIT_TEST(a_replica_with_a_failed_disk_neither_votes_nor_leads);
     CPPUNIT_TEST(a_blank_disk_gets_its_vote_back_by_itself);
+    CPPUNIT_TEST(a_blank_disk_gets_no_vote_before_it_holds_everything);
     CPPUNIT_TEST(a_blank_replica_gives_no_vote);
     CPPUNIT_TEST(a_second_loss_right_after_a_repair_loses_nothing);
     CPPUNIT_TEST(a_copied_disk_takes_a_new_identity);
@@ -257,6 +258,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, group.members().members.size());
     }
 
+    void a_blank_disk_gets_no_vote_before_it_holds_everything()
+    {
+        running_group group(3, {.append_batch = 1});
+        group.propose_many(100);
+        auto const id = group.follower();
+        group.replace_disk(id);
+        CPPUNIT_ASSERT(group.wait_for_vote(id));
+        CPPUNIT_ASSERT(group.has_value(id, 100));
+    }
+
     void a_blank_replica_gives_no_vote()
     {
         running_group group(3);
