--- a/tests/control/replica/commit_rule_test.cpp
+++ b/tests/control/replica/commit_rule_test.cpp
@@ -73,18 +73,18 @@
     {
         effects out;
         core_->handle(now_, what, out);
-        carry_out(std::move(out));
+        carry_out(out);
     }
 
     void tick()
     {
         effects out;
         core_->tick(now_, out);
-        carry_out(std::move(out));
+        carry_out(out);
     }
 
     /// Syncs each write at once and notes what the next answers need.
-    void carry_out(effects out)
+    void carry_out(effects const& out)
     {
         for (auto const& it : out)
         {
