--- a/plugins/entry/fair_queue/fair_queue_stage.cpp
+++ b/plugins/entry/fair_queue/fair_queue_stage.cpp
@@ -217,11 +217,11 @@
 std::optional<request_id> fair_queue_stage::take_stranded()
 {
     auto const& directory = services_.require<target_directory>();
-    for (auto& [version, of] : groups_)
+    for (auto& it : groups_)
     {
         auto const is_stranded = [&](route_id const& route)
-        { return directory.usable(route, version).empty(); };
-        if (auto const next = of.queue.pop(is_stranded))
+        { return directory.usable(route, it.first).empty(); };
+        if (auto const next = it.second.queue.pop(is_stranded))
             return next->id;
     }
     return std::nullopt;
--- a/plugins/entry/lookup/block_file.cpp
+++ b/plugins/entry/lookup/block_file.cpp
@@ -39,7 +39,7 @@
     {
         if (!failed_.empty())
             return boost::leaf::new_error(failed_);
-        return block_file{std::move(names_), block_table(std::move(blocks_))};
+        return block_file{std::move(names_), block_table(blocks_)};
     }
 
 private:
