Run the documented commands with a limit, and stop what they start

Cause: the run hung twice: the programs' folder was given relative to another folder, so a wait for a leader never ended; and one SIGTERM begins a planned stop, which lasts the drain's minutes by design. A second signal ends at once. Ruled out: a fault of the programs (the same commands by hand worked).

--- a/tests/process/bad_settings.sh
+++ b/tests/process/bad_settings.sh
@@ -3,7 +3,7 @@
 # that names the place, and no process.
 # Usage: bad_settings.sh BIN
 set -euo pipefail
-bin=$1
+bin=$(cd "$1" && pwd)
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 failures=0
--- a/tests/process/catalogues.sh
+++ b/tests/process/catalogues.sh
@@ -3,7 +3,7 @@
 # and no event number to stand twice.
 # Usage: catalogues.sh BIN
 set -euo pipefail
-bin=$1
+bin=$(cd "$1" && pwd)
 cd "$(dirname "$0")/../.."
 diff <(scripts/catalogue.sh "$bin" events) docs/EVENTS.md
 diff <(scripts/catalogue.sh "$bin" settings) docs/SETTINGS.md
--- a/tests/process/documented_commands.sh
+++ b/tests/process/documented_commands.sh
@@ -4,7 +4,7 @@
 # the path, ROOT naming the repository; processes that a page starts are ended with it.
 # Usage: documented_commands.sh BIN
 set -euo pipefail
-bin=$1
+bin=$(cd "$1" && pwd)
 root=$(cd "$(dirname "$0")/../.." && pwd)
 pages=0
 for page in "$root"/README.md "$root"/docs/*.md "$root"/samples/*/README.md; do
@@ -13,8 +13,8 @@
   pages=$((pages + 1))
   work=$(mktemp -d)
   echo "- ${page#"$root"/}"
-  if ! (cd "$work" && PATH=$bin:$PATH ROOT=$root bash -euo pipefail -c "
-      trap 'kill \$(jobs -p) 2> /dev/null || true; wait' EXIT
+  if ! (cd "$work" && PATH=$bin:$PATH ROOT=$root timeout 60 bash -euo pipefail -c "
+      trap 'kill \$(jobs -p) 2> /dev/null || true; sleep 0.5; kill \$(jobs -p) 2> /dev/null || true; wait' EXIT
       $commands") > "$work.out" 2>&1; then
     cat "$work.out"
     echo "FAILED: a command of ${page#"$root"/}"
