--- a/plugins/entry_io/caller_http/caller_duty.cpp
+++ b/plugins/entry_io/caller_http/caller_duty.cpp
@@ -19,6 +19,8 @@
 
 using boost::asio::ip::tcp;
 
+/// How long accepting waits after an error, such as too many open files.
+constexpr milliseconds accept_pause{100};
 /// Answers that are written before the sockets have their turn.
 constexpr int batch_size = 256;
 
@@ -98,8 +100,9 @@
         acceptor_.async_accept(
             [this](boost::system::error_code ec, tcp::socket socket)
             {
-                if (!ec)
-                    open(std::move(socket));
+                if (ec)
+                    return run_once(accept_pause, [this] { accept(); });
+                open(std::move(socket));
                 accept();
             });
     }
