Grant headroom from the sum of a domain's reports

Cause: each entry instance reports its own part of its domain's slots (target registry: limit and running of its part), but the ledger took the lowest report as the whole domain's free slots, so a domain with two entries gave out half, and none once one of them was full. Ruled out: reporting the whole domain by each entry, since an entry does not know what its siblings run.

--- a/include/mulberryrudder/messages/lease.hpp
+++ b/include/mulberryrudder/messages/lease.hpp
@@ -50,7 +50,7 @@
     bool tripped = false; ///< The instance withdrew the version by itself.
 };
 
-/// How many slots of a failure domain's targets are free, as one entry instance sees it.
+/// The part of a failure domain's slots that one entry instance may use, and does use.
 struct domain_load
 {
     domain_id domain;
--- a/plugins/control/ledger/headroom_ledger.cpp
+++ b/plugins/control/ledger/headroom_ledger.cpp
@@ -45,14 +45,14 @@
 slots headroom_ledger::free_in(domain_id const& where) const
 {
     auto const it = domains_.find(where);
-    return it == domains_.end() ? slots{} : it->second.lowest;
+    return it == domains_.end() ? slots{} : it->second.all_free;
 }
 
-void headroom_ledger::find_lowest(domain& of)
+void headroom_ledger::add_up(domain& of)
 {
-    auto const less = [](auto const& a, auto const& b) { return a.second < b.second; };
-    auto const it = std::min_element(of.free.begin(), of.free.end(), less);
-    of.lowest = it == of.free.end() ? slots{} : it->second;
+    of.all_free = {};
+    for (auto const& [entry, free] : of.free)
+        of.all_free += free;
 }
 
 slots headroom_ledger::granted_into(domain_id const& where) const
@@ -85,7 +85,7 @@
         if (found == domains_.end())
             continue;
         found->second.free.insert_or_assign(asked.self.id, free);
-        find_lowest(found->second);
+        add_up(found->second);
         if (it.domain == asked.self.domain && free <= part_of(it.usable, settings_.crowded_below))
             weight = crowded_weight;
     }
@@ -192,7 +192,7 @@
     weigh(found->second, 0);
     for (auto& [id, it] : domains_)
         if (it.free.erase(entry) > 0)
-            find_lowest(it);
+            add_up(it);
     holders_.erase(found);
 }
 
--- a/plugins/control/ledger/headroom_ledger.hpp
+++ b/plugins/control/ledger/headroom_ledger.hpp
@@ -35,7 +35,7 @@
     void restarted(instance_id entry, instant now) override;
     void lapsed(instance_id entry, instant now) override;
 
-    /// Returns a domain's free slots by the lowest of its reports, and what is granted
+    /// Returns a domain's free slots by the sum of its entries' reports, and what is granted
     /// into it; for checks.
     slots free_in(domain_id const& where) const;
     slots granted_into(domain_id const& where) const;
@@ -45,7 +45,7 @@
     {
         region_id region;
         std::map<instance_id, slots> free; ///< As each of the entries reported it.
-        slots lowest;                      ///< Of the reports.
+        slots all_free;                    ///< Sum of the reports, each of an entry's own part.
         slots granted;
         std::int64_t weight = 0; ///< Of the domain's own entries.
     };
@@ -61,7 +61,7 @@
         std::map<domain_id, share> shares;
     };
 
-    static void find_lowest(domain& of);
+    static void add_up(domain& of);
     void report(messages::renew_request const& asked);
     void weigh(holder& it, std::int64_t weight);
     void recount(holder const& of, domain_id const& into, share& it);
