--- a/include/mulberryrudder/entry/core.hpp
+++ b/include/mulberryrudder/entry/core.hpp
@@ -30,6 +30,10 @@
         std::uint64_t seed; ///< For the injected random source.
     };
 
+    /// Returns what the core is told when a duty's ring holds this.
+    static input to_input(input what) { return what; }
+    static input to_input(envelope message) { return message_arrived{std::move(message)}; }
+
     explicit core(options with);
     ~core() override;
 
