--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,6 +3,8 @@
 # address and undefined behaviour sanitizers, the real processes also with the thread sanitizer.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+# The cache serves clones in other folders too.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=true
 scripts/install.sh
 jobs=${JOBS:-10}
 programs=(mulberryrudder-entry mulberryrudder-control mulberryctl
