--- a/programs/entry.cpp
+++ b/programs/entry.cpp
@@ -5,6 +5,7 @@
 {
     return mulberryrudder::kernel::run_program(
         {.name = "mulberryrudder-entry",
-         .summary = "Answers callers' look-ups, admits their requests and forwards them to targets"},
+         .summary =
+             "Answers callers' look-ups, admits their requests and forwards them to targets"},
         argc, argv);
 }
