--- a/fakes/caller/http_client.cpp
+++ b/fakes/caller/http_client.cpp
@@ -37,7 +37,7 @@
     auto& idle = idle_[to];
     while (!idle.empty())
     {
-        auto const it = idle.back();
+        auto it = idle.back();
         idle.pop_back();
         if (!was_closed(it->stream))
             return it;
--- a/include/mulberryrudder/kernel/outbox.hpp
+++ b/include/mulberryrudder/kernel/outbox.hpp
@@ -36,9 +36,8 @@
     /// Sends a message, or keeps it for flush().
     void post(T message)
     {
-        if (kept_.empty() && to_.try_push(std::move(message)))
-            return;
         kept_.push_back(std::move(message));
+        flush();
     }
 
     void flush() override
--- a/plugins/entry_io/caller_http/caller_settings.cpp
+++ b/plugins/entry_io/caller_http/caller_settings.cpp
@@ -6,8 +6,8 @@
 namespace
 {
 
-constexpr kernel::limits header_bytes{256, 1024 * 1024};
-constexpr kernel::limits body_bytes{0, 64 * 1024 * 1024};
+constexpr kernel::limits header_bytes{256, 1'048'576};
+constexpr kernel::limits body_bytes{0, 67'108'864};
 constexpr kernel::limits short_times{10, 600'000};
 constexpr kernel::limits long_times{10, 86'400'000};
 constexpr kernel::limits connection_counts{1, 60'000};
--- a/plugins/entry_io/caller_http/caller_settings.hpp
+++ b/plugins/entry_io/caller_http/caller_settings.hpp
@@ -10,8 +10,8 @@
 /// The `callers` section: limits on what callers and targets may send.
 struct caller_settings
 {
-    byte_count most_header{16 * 1024};
-    byte_count most_body{1024 * 1024};
+    byte_count most_header{16'384};
+    byte_count most_body{1'048'576};
     milliseconds start_limit{10000};
     milliseconds read_limit{5000};
     milliseconds idle_limit{60000};
--- a/plugins/entry_io/caller_http/request_codec.cpp
+++ b/plugins/entry_io/caller_http/request_codec.cpp
@@ -107,7 +107,7 @@
     return true;
 }
 
-decoded decode_lookup(boost::urls::url_view target, decoding const& with)
+decoded decode_lookup(boost::urls::url_view const& target, decoding const& with)
 {
     entry::lookup_arrived out{.id = with.id, .client = with.client};
     for (auto const& it : target.params())
@@ -133,7 +133,8 @@
     return entry::question_arrived{.id = with.id, .body = std::move(asked)};
 }
 
-decoded decode_own(http_request const& from, boost::urls::url_view target, decoding const& with)
+decoded decode_own(http_request const& from, boost::urls::url_view const& target,
+                   decoding const& with)
 {
     auto const path = target.encoded_path();
     bool const is_get = from.method() == http::verb::get;
--- a/plugins/entry_io/caller_http/session.cpp
+++ b/plugins/entry_io/caller_http/session.cpp
@@ -126,7 +126,6 @@
     if (ended_)
         return;
     unanswered_.reset();
-    boost::system::error_code ec;
     bool const old = monotonic_now() >= close_after_;
     bool const keep_open = keep_alive_ && !old && !owner_.closing();
     response_.emplace(std::move(what));
--- a/plugins/entry_io/target_http/connection.cpp
+++ b/plugins/entry_io/target_http/connection.cpp
@@ -126,7 +126,7 @@
         done(std::move(how));
 }
 
-void connection::watch_idle(std::function<void()> closed)
+void connection::watch_idle(std::function<void()> const& closed)
 {
     auto const epoch = ++idle_epoch_;
     // Only waits, for a read could take bytes of the next reply.
--- a/plugins/entry_io/target_http/connection.hpp
+++ b/plugins/entry_io/target_http/connection.hpp
@@ -44,7 +44,7 @@
     void cancel();
 
     /// Calls `closed` once the idle connection is closed by either side.
-    void watch_idle(std::function<void()> closed);
+    void watch_idle(std::function<void()> const& closed);
 
     bool reusable() const { return reusable_; }
     void close();
--- a/plugins/entry_io/target_http/pool.cpp
+++ b/plugins/entry_io/target_http/pool.cpp
@@ -14,7 +14,7 @@
     target.where = where;
     if (!target.idle.empty())
     {
-        auto const it = std::move(target.idle.back().it);
+        auto it = std::move(target.idle.back().it);
         target.idle.pop_back();
         return it;
     }
--- a/plugins/entry_io/target_http/target_settings.cpp
+++ b/plugins/entry_io/target_http/target_settings.cpp
@@ -8,8 +8,8 @@
 
 constexpr kernel::limits connect_times{10, 60'000};
 constexpr kernel::limits idle_times{10, 3'600'000};
-constexpr kernel::limits header_bytes{256, 1024 * 1024};
-constexpr kernel::limits body_bytes{0, 256 * 1024 * 1024};
+constexpr kernel::limits header_bytes{256, 1'048'576};
+constexpr kernel::limits body_bytes{0, 268'435'456};
 
 } // namespace
 
--- a/plugins/entry_io/target_http/target_settings.hpp
+++ b/plugins/entry_io/target_http/target_settings.hpp
@@ -12,8 +12,8 @@
 {
     milliseconds connect_limit{500};
     milliseconds idle_limit{30000};
-    byte_count most_header{16 * 1024};
-    byte_count most_body{4 * 1024 * 1024};
+    byte_count most_header{16'384};
+    byte_count most_body{4'194'304};
 };
 
 extern kernel::section<target_settings> const target_section;
--- a/tests/control/leases/rate_differential_test.cpp
+++ b/tests/control/leases/rate_differential_test.cpp
@@ -31,7 +31,8 @@
         {
             auto const fleet = run(first_seed + n, 5.0);
             token_bucket naive;
-            naive.reshape({}, millitokens_per_second(1000 * rate), millitokens(1000 * burst));
+            naive.reshape({}, millitokens_per_second(std::int64_t{1000} * rate),
+                          millitokens(std::int64_t{1000} * burst));
             naive.add(naive.burst());
             for (auto const when : fleet->admissions().at(customer_id("c")))
             {
--- a/tests/control/ledger/rate_invariant_test.cpp
+++ b/tests/control/ledger/rate_invariant_test.cpp
@@ -172,7 +172,8 @@
             CPPUNIT_ASSERT_MESSAGE(what.str(), excess <= millitokens{});
             admitted += it.admitted();
         }
-        CPPUNIT_ASSERT_MESSAGE("the schedules must admit something", admitted > schedules * 100);
+        CPPUNIT_ASSERT_MESSAGE("the schedules must admit something",
+                               admitted > std::uint64_t{schedules} * 100);
     }
 };
 
