Mend a use after free and a data race that the thread sanitizer found

Cause 1: the operators' answers looked up the leader's number through a pointer into a JSON object after a member was added, which moves members (2 reports in one run of process_faults with the thread sanitizer). Cause 2: each drain of a duty's rings asked the wiring for its inbox, and a duty without one added it to the map while others read it (targets' stand-ins, 5 of 6 processes). Ruled out: spurious reports by fences (both name maps and heap blocks). The inbox is looked up once, before the threads start.

--- a/include/mulberryrudder/kernel/asio_duty.hpp
+++ b/include/mulberryrudder/kernel/asio_duty.hpp
@@ -53,6 +53,7 @@
     duty_parts parts_;
     ring_event_sink events_;
     boost::asio::io_context loop_{1};
+    std::vector<ring_base const*> const& inbox_; ///< Looked up once: the wiring is not locked.
     waker& waker_;
     boost::asio::posix::stream_descriptor wake_descriptor_;
     std::vector<std::shared_ptr<boost::asio::steady_timer>> timers_;
--- a/kernel/asio_duty.cpp
+++ b/kernel/asio_duty.cpp
@@ -30,7 +30,8 @@
 
 asio_duty::asio_duty(duty_name name, duty_parts const& parts)
     : name_(std::move(name)), parts_(parts), events_(name_, parts_),
-      waker_(parts_.links.waker_of(name_)), wake_descriptor_(loop_)
+      inbox_(parts_.links.inbox(name_)), waker_(parts_.links.waker_of(name_)),
+      wake_descriptor_(loop_)
 {
 }
 
@@ -97,7 +98,7 @@
 
 bool asio_duty::any_ring_readable() const
 {
-    for (auto const* const it : parts_.links.inbox(name_))
+    for (auto const* const it : inbox_)
         if (it->readable())
             return true;
     return false;
--- a/plugins/control_io/operator_http/operator_duty.cpp
+++ b/plugins/control_io/operator_http/operator_duty.cpp
@@ -167,8 +167,10 @@
         auto const* const leader = body.if_contains("leader");
         if (leader == nullptr || !leader->is_number())
             return;
+        // Copied first: a new member may move the others.
+        auto const number = leader->to_number<std::uint64_t>();
         for (auto const& it : config_.control)
-            if (it.id.value() == leader->to_number<std::uint64_t>())
+            if (it.id.value() == number)
                 body["leader_address"] = to_string(it.listen);
     }
 
