--- a/entry/core.cpp
+++ b/entry/core.cpp
@@ -72,6 +72,8 @@
         return "malformed";
     case attempt_failure::shed:
         return "shed";
+    case attempt_failure::misdirected:
+        return "misdirected";
     case attempt_failure::cancelled:
         return "cancelled";
     }
@@ -132,7 +134,11 @@
            .idempotency_key = it.idempotency_key,
            .client = it.client,
            .arrived = context_.now,
-           .deadline = it.deadline},
+           .deadline = it.deadline,
+           .origin = std::nullopt,
+           .host = it.host,
+           .object = it.object,
+           .caller_reference = it.caller_reference},
           0);
 }
 
@@ -163,7 +169,7 @@
 
 void core::take(attempt_failed const& it)
 {
-    end_attempt(it.id, {.failed = it.cause, .run = it.run});
+    end_attempt(it.id, {.failed = it.cause, .run = it.run, .content = nullptr, .load = it.load});
 }
 
 void core::take(announcement const& it)
@@ -364,10 +370,7 @@
         return;
     auto const ended = std::move(found->second.what);
     live_.erase(found);
-    auto const [first, last] = deadlines_.equal_range(ended.deadline);
-    auto const same = [id](auto const& it) { return it.second == id; };
-    if (auto const it = std::find_if(first, last, same); it != last)
-        deadlines_.erase(it);
+    forget_deadline(id, ended.deadline);
     if (auto* const no = std::get_if<refused>(&what))
         no->run = worse(no->run, run_of(ended));
     cancel_running(ended);
@@ -401,6 +404,24 @@
         context_.counters.add(requests_answered);
 }
 
+void core::forget_deadline(request_id id, instant deadline)
+{
+    auto const [first, last] = deadlines_.equal_range(deadline);
+    auto const same = [id](auto const& it) { return it.second == id; };
+    if (auto const it = std::find_if(first, last, same); it != last)
+        deadlines_.erase(it);
+}
+
+void core::limit_deadline(request_id id, instant deadline)
+{
+    auto* const what = find(id);
+    if (what == nullptr || deadline >= what->deadline)
+        return;
+    forget_deadline(id, what->deadline);
+    what->deadline = deadline;
+    deadlines_.emplace(deadline, id);
+}
+
 request* core::find(request_id id)
 {
     auto const it = live_.find(id);
--- a/fakes/caller/http_client.cpp
+++ b/fakes/caller/http_client.cpp
@@ -15,11 +15,6 @@
 namespace http = boost::beast::http;
 using asio::use_awaitable;
 
-std::chrono::steady_clock::time_point on_steady_clock(instant when)
-{
-    return std::chrono::steady_clock::time_point(when.time_since_epoch());
-}
-
 /// An idle connection that is readable was closed by the other side.
 bool was_closed(boost::beast::tcp_stream& stream)
 {
--- a/include/mulberryrudder/control/component.hpp
+++ b/include/mulberryrudder/control/component.hpp
@@ -11,6 +11,7 @@
 #include <mulberryrudder/kernel/service_map.hpp>
 #include <mulberryrudder/kernel/settings.hpp>
 
+#include <map>
 #include <typeindex>
 #include <vector>
 
@@ -23,6 +24,10 @@
     instance_description self;
     boot_id boot;
     std::vector<instance_id> initial_voters; ///< The control group when it was founded.
+    /// Where control instances that the settings name by address only are reached.
+    std::map<instance_id, endpoint> contacts;
+    endpoint operators;    ///< Where this instance takes operators' requests, as others see it.
+    bool may_found = true; ///< Initial voters with blank disks found a group.
 };
 
 /// What a component is made with. All of it outlives the component.
@@ -132,10 +137,13 @@
 inline constexpr int replica = 100;
 inline constexpr int membership = 150;
 inline constexpr int fleet_state = 200;
+inline constexpr int steering = 250;
 inline constexpr int release_notes = 300;
 inline constexpr int moves = 400;
+inline constexpr int rollouts = 450;
 inline constexpr int ledger = 500;
 inline constexpr int leases = 600;
+inline constexpr int roster = 650;
 inline constexpr int queries = 700;
 } // namespace component_order
 
--- /dev/null
+++ b/include/mulberryrudder/control/roster.hpp
@@ -0,0 +1,65 @@
+#ifndef MULBERRYRUDDER_CONTROL_ROSTER_HPP
+#define MULBERRYRUDDER_CONTROL_ROSTER_HPP
+
+#include <mulberryrudder/core/endpoint.hpp>
+#include <mulberryrudder/core/error.hpp>
+#include <mulberryrudder/messages/roster.hpp>
+
+#include <vector>
+
+namespace mulberryrudder::control
+{
+
+/// A target announced itself.
+struct target_announced
+{
+    messages::target_notice what;
+};
+
+/// A target said that it stops. It names itself only, and its start if it knows it.
+struct target_leaves
+{
+    target_id id;
+    std::optional<start_id> start;
+};
+
+/// Answers an announcement once the control group holds it. A target that leaves is
+/// told so only after the instances that could send it requests will hear of it.
+struct announcement_taken
+{
+    bool held = true; ///< False if this instance cannot pass it on; ask another one.
+};
+
+/// A caller asks which entry instances to use.
+struct entry_question
+{
+    std::string host;
+    region_id region;
+    domain_id domain;
+};
+
+/// Answers an entry_question, best first. Empty if there is none.
+struct entries_told
+{
+    std::vector<endpoint> entries;
+    milliseconds time_to_live{0}; ///< How long the caller may use the answer.
+};
+
+/// Shows the targets that announced themselves to the other components.
+///
+/// Thread safety: the decision core's thread.
+class roster_view
+{
+public:
+    virtual ~roster_view() = default;
+
+    /// Returns the versions of a service's targets that serve, the oldest start first.
+    virtual std::vector<version_id> versions_of(service_id const& service) const = 0;
+
+    /// Returns and forgets the outcomes that entries reported since the last call.
+    virtual std::vector<messages::version_outcomes> take_outcomes() = 0;
+};
+
+} // namespace mulberryrudder::control
+
+#endif
--- a/include/mulberryrudder/control_io/operator_codec.hpp
+++ b/include/mulberryrudder/control_io/operator_codec.hpp
@@ -8,6 +8,8 @@
 
 #include <boost/json/object.hpp>
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <typeindex>
@@ -23,6 +25,9 @@
     std::string_view body;
     control::utc_time now; ///< Wall-clock time of the arrival.
     kernel::counter_set const& counters;
+    std::string_view query; ///< Behind the path's '?'.
+    /// Returns a header field's value; empty if it is absent. May be empty itself.
+    std::function<std::string_view(std::string_view name)> field;
 };
 
 /// An answer as a JSON object, which the front end may add to.
@@ -30,6 +35,8 @@
 {
     unsigned status = 200;
     boost::json::object body;
+    std::string location;                ///< Where to ask instead; empty for nowhere.
+    std::optional<std::string> document; ///< Sent as it is in place of `body`, if given.
 };
 
 /// An answer in another form.
@@ -53,6 +60,7 @@
         std::string_view method;
         std::string_view path; ///< Such as `/v1/notes`; with `named`, up to the last slash.
         bool named = false;    ///< Whether a segment follows behind the path.
+        std::string_view tail; ///< With `named`, what follows behind the segment.
         decoded (*decode)(request_text const& from) = nullptr;
     };
 
--- a/include/mulberryrudder/core/ids.hpp
+++ b/include/mulberryrudder/core/ids.hpp
@@ -38,6 +38,14 @@
 using request_id = strong_id<struct request_tag, std::uint64_t>;
 /// Numbers one sending of a request to a target by one entry instance.
 using attempt_id = strong_id<struct attempt_tag, std::uint64_t>;
+/// Names a service: targets of one kind, of which any can take its requests.
+using service_id = strong_id<struct service_tag, std::string>;
+/// Names an object that requests are about, as their callers tell it.
+using object_id = strong_id<struct object_tag, std::string>;
+/// Numbers a traffic plan; operators choose it, and it grows by uneven steps.
+using plan_number = strong_id<struct plan_number_tag, std::uint64_t>;
+/// Numbers one start of a target; a later start has a greater number.
+using start_id = strong_id<struct start_tag, std::uint64_t>;
 /// Numbers a message that expects an answer, per sender.
 using sequence_id = strong_id<struct sequence_tag, std::uint64_t>;
 
--- a/include/mulberryrudder/core/time.hpp
+++ b/include/mulberryrudder/core/time.hpp
@@ -2,6 +2,7 @@
 #define MULBERRYRUDDER_CORE_TIME_HPP
 
 #include <chrono>
+#include <ctime>
 
 namespace mulberryrudder
 {
@@ -30,13 +31,26 @@
 /// A deadline that never comes.
 inline constexpr instant never = instant::max();
 
-/// Reads the machine's monotonic clock, for duties at the edge.
+/// Reads the machine's monotonic clock, for duties at the edge. It goes on while the
+/// machine is suspended, so that what was promised for a time ends by that time.
 ///
 /// Thread safety: may be called from any thread.
 inline instant monotonic_now()
 {
-    auto const since = std::chrono::steady_clock::now().time_since_epoch();
-    return instant(std::chrono::duration_cast<span>(since));
+    std::timespec now{};
+    // Fails only for a clock that does not exist.
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return instant(std::chrono::duration_cast<span>(seconds(now.tv_sec) +
+                                                    std::chrono::nanoseconds(now.tv_nsec)));
+}
+
+/// Returns a point on the clock of timers, which stands still while the machine is
+/// suspended.
+///
+/// Thread safety: may be called from any thread.
+inline std::chrono::steady_clock::time_point on_steady_clock(instant when)
+{
+    return std::chrono::steady_clock::now() + (when - monotonic_now());
 }
 
 } // namespace mulberryrudder
--- a/include/mulberryrudder/core/units.hpp
+++ b/include/mulberryrudder/core/units.hpp
@@ -25,6 +25,13 @@
 /// A share in thousandths; 0 to 1000.
 using per_mille = quantity<struct per_mille_tag, std::int64_t>;
 
+/// A part of a split, relative to the other parts.
+using weight = quantity<struct weight_tag, std::int64_t>;
+/// A place in an order of urgency; 0 is the most urgent.
+using urgency = quantity<struct urgency_tag, std::int64_t>;
+/// Targets that a request may be sent to.
+using target_count = quantity<struct target_count_tag, std::int64_t>;
+
 /// The whole, as a share.
 inline constexpr per_mille whole_share{1000};
 /// Millitokens that one request costs.
--- a/include/mulberryrudder/entry/context.hpp
+++ b/include/mulberryrudder/entry/context.hpp
@@ -11,6 +11,7 @@
 #include <mulberryrudder/messages/lease.hpp>
 
 #include <functional>
+#include <map>
 #include <vector>
 
 namespace mulberryrudder::entry
@@ -21,7 +22,8 @@
 {
     instance_description self;
     boot_id boot;
-    std::vector<instance_id> control; ///< The control instances.
+    std::vector<instance_id> control;       ///< The control instances.
+    std::map<domain_id, region_id> regions; ///< Of each failure domain that is known.
 };
 
 /// What a stage is made with. All of it outlives the stage.
@@ -48,6 +50,9 @@
     /// Ends a request, whatever state it is in; its attempts are cancelled.
     virtual void finish(request_id id, outcome what) = 0;
 
+    /// Ends a request's time at `deadline`, if that is earlier than its own.
+    virtual void limit_deadline(request_id id, instant deadline) = 0;
+
     /// Returns a live request, or null.
     virtual request* find(request_id id) = 0;
 
--- a/include/mulberryrudder/entry/core.hpp
+++ b/include/mulberryrudder/entry/core.hpp
@@ -78,6 +78,7 @@
     void resume(request_id id) override;
     void resume_from(request_id id, std::string_view stage) override;
     void finish(request_id id, outcome what) override;
+    void limit_deadline(request_id id, instant deadline) override;
     request* find(request_id id) override;
     void inject(request taken, std::string_view stage) override;
     void start_attempt(request_id id, chosen_target const& target) override;
@@ -98,6 +99,7 @@
     void recover(request_id id, attempt const& last, attempt_end const& how);
     void cancel_running(request const& what);
     void count(outcome const& what);
+    void forget_deadline(request_id id, instant deadline);
     void end_overdue();
     std::size_t position(std::string_view name) const;
 
--- a/include/mulberryrudder/entry/inputs.hpp
+++ b/include/mulberryrudder/entry/inputs.hpp
@@ -22,6 +22,9 @@
     std::optional<std::string> idempotency_key;
     client_address client;
     instant deadline;
+    std::string host;             ///< That it was sent to, where front ends tell hosts apart.
+    object_id object;             ///< What it is about; empty if its caller does not say.
+    std::string caller_reference; ///< The caller's own id of the request, for the log.
 };
 
 /// The caller closed its connection before it was answered.
@@ -59,6 +62,7 @@
     attempt_id id;
     attempt_failure cause;
     verdict run; ///< `not_run` only if no byte was written, or the target said so.
+    std::optional<load_report> load;
 };
 
 /// The life-cycle state a target announces.
--- a/include/mulberryrudder/entry/numbering.hpp
+++ b/include/mulberryrudder/entry/numbering.hpp
@@ -23,14 +23,20 @@
 {
 public:
     numbering(instance_id instance, boot_id boot, number_space space)
-        : base_((std::uint64_t{instance.value() & 0xFFFFU} << 48U) |
-                ((boot.value() & 0x7FFFU) << 33U) | (static_cast<std::uint64_t>(space) << 32U))
+        : base_((std::uint64_t{folded(instance)} << 48U) | ((boot.value() & 0x7FFFU) << 33U) |
+                (static_cast<std::uint64_t>(space) << 32U))
     {
     }
 
     std::uint64_t next() { return base_ | ++count_; }
 
 private:
+    /// Instances that are numbered by their IPv4 address differ in all four bytes.
+    static std::uint32_t folded(instance_id it)
+    {
+        return (it.value() ^ (it.value() >> 16U)) & 0xFFFFU;
+    }
+
     std::uint64_t base_;
     std::uint32_t count_ = 0;
 };
--- /dev/null
+++ b/include/mulberryrudder/entry/plan_view.hpp
@@ -0,0 +1,60 @@
+#ifndef MULBERRYRUDDER_ENTRY_PLAN_VIEW_HPP
+#define MULBERRYRUDDER_ENTRY_PLAN_VIEW_HPP
+
+#include <mulberryrudder/core/traffic_plan.hpp>
+#include <mulberryrudder/messages/roster.hpp>
+
+#include <cstdint>
+#include <map>
+
+namespace mulberryrudder::entry
+{
+
+/// A target as this instance knows it from the roster.
+struct listed_target
+{
+    messages::target_notice what;
+    instant cold_until; ///< The epoch if it is warm.
+    instant learned;    ///< When this instance heard of the newest change.
+};
+
+/// Shows what control told this instance of the fleet.
+///
+/// Thread safety: the decision core's thread.
+class plan_view
+{
+public:
+    virtual ~plan_view() = default;
+
+    /// Returns the newest steering state; null before the first.
+    virtual shared_steering const& steering() const = 0;
+
+    /// Returns the targets that are not gone.
+    virtual std::map<target_id, listed_target> const& targets() const = 0;
+
+    /// Returns a number that changes with targets() and steering().
+    virtual std::uint64_t revision() const = 0;
+
+    /// Returns how many entry instances are ready, here included; at least 1.
+    virtual std::int64_t entries() const = 0;
+    virtual std::int64_t entries_in_domain() const = 0;
+
+    /// Returns this instance's part of a customer's rate.
+    virtual per_mille share_of(customer_id const& customer) const = 0;
+};
+
+/// Shows what customers ask of this instance.
+///
+/// Thread safety: the decision core's thread.
+class demand_view
+{
+public:
+    virtual ~demand_view() = default;
+
+    /// Returns each customer's requests a second, as of the last seconds.
+    virtual std::map<customer_id, millitokens_per_second> demand(instant now) = 0;
+};
+
+} // namespace mulberryrudder::entry
+
+#endif
--- a/include/mulberryrudder/entry/request.hpp
+++ b/include/mulberryrudder/entry/request.hpp
@@ -7,6 +7,7 @@
 #include <mulberryrudder/core/exchange.hpp>
 #include <mulberryrudder/core/ids.hpp>
 #include <mulberryrudder/core/time.hpp>
+#include <mulberryrudder/core/traffic_plan.hpp>
 #include <mulberryrudder/core/units.hpp>
 #include <mulberryrudder/core/verdict.hpp>
 #include <mulberryrudder/entry/refusal.hpp>
@@ -58,12 +59,21 @@
     instant arrived;
     instant deadline;
     std::optional<forwarded_from> origin;
+    std::string host;
+    object_id object;
+    std::string caller_reference;
 
     customer_id customer;    ///< Set by the key stage; empty on open routes without a key.
     bool repeatable = false; ///< Idempotent by method or route; set by the key stage.
     version_id version;      ///< Set by the version stage.
     std::optional<chosen_target> chosen; ///< Set by the target stage for the next attempt.
     std::vector<attempt> attempts;
+    /// The plan under which it was admitted, and its route there; set by the route stage
+    /// of fleets that are steered by plans.
+    shared_steering steering;
+    plan_route const* planned = nullptr;
+    plan_customer const* payer = nullptr; ///< Null on open routes.
+    service_id service;                   ///< Set by the placement stage, once.
     /// What another instance may have done with it; set by the stage that forwards.
     verdict run_elsewhere = verdict::not_run;
 };
@@ -92,8 +102,9 @@
     connect_timeout,
     closed, ///< The connection ended before the whole reply.
     timeout,
-    malformed, ///< Not a valid reply, too large, or of another request.
-    shed,      ///< The target said that it did not run the request.
+    malformed,   ///< Not a valid reply, too large, or of another request.
+    shed,        ///< The target said that it did not run the request.
+    misdirected, ///< Another target has the address; it did not run the request.
     cancelled
 };
 
--- a/include/mulberryrudder/entry/stage.hpp
+++ b/include/mulberryrudder/entry/stage.hpp
@@ -135,6 +135,13 @@
 inline constexpr int choice = 900;
 inline constexpr int retries = 1000;
 inline constexpr int lookup = 1100;
+// Stages of fleets that are steered by plans take the places of those above that
+// do the same work for fleets with release notes.
+inline constexpr int roster = lease;
+inline constexpr int plan_routes = keys;
+inline constexpr int quota = rate;
+inline constexpr int placement = choice;
+inline constexpr int repeats = retries;
 } // namespace stage_order
 
 /// Calls the member function for the type of a message, by a table of pointers.
--- a/include/mulberryrudder/kernel/counters.hpp
+++ b/include/mulberryrudder/kernel/counters.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -64,6 +65,12 @@
     std::unique_ptr<std::atomic<std::uint64_t>[]> values_;
 };
 
+/// Content type of counters_text().
+inline constexpr std::string_view counters_text_type = "text/plain; version=0.0.4";
+
+/// Returns the counters in the text form that common collectors read. Any thread.
+std::string counters_text(counter_set const& counters);
+
 } // namespace mulberryrudder::kernel
 
 #endif
--- a/kernel/command_line.cpp
+++ b/kernel/command_line.cpp
@@ -5,6 +5,7 @@
 #include <mulberryrudder/kernel/settings.hpp>
 
 #include <algorithm>
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <popt.h>
@@ -117,6 +118,18 @@
     return exit_bad_input;
 }
 
+/// Environment variable that names the settings file where the command line does not.
+constexpr char const* settings_variable = "MULBERRYRUDDER_CONFIG";
+
+void read_environment(program_options const& what, command_line& out)
+{
+    if (char const* const file = std::getenv(settings_variable))
+        out.settings_file = file;
+    if (out.settings_file.empty())
+        out.exit_code =
+            refuse(what, std::string("--settings FILE or ") + settings_variable + " is required");
+}
+
 } // namespace
 
 command_line read_command_line(program_options const& what, int argc, char** argv)
@@ -152,7 +165,7 @@
     else if (char const* const rest = poptPeekArg(context.get()))
         out.exit_code = refuse(what, std::string(rest) + ": no arguments are taken");
     else if (out.settings_file.empty())
-        out.exit_code = refuse(what, "--settings FILE is required");
+        read_environment(what, out);
     return out;
 }
 
--- a/kernel/counters.cpp
+++ b/kernel/counters.cpp
@@ -25,4 +25,16 @@
     return out;
 }
 
+std::string counters_text(counter_set const& counters)
+{
+    std::string out;
+    for (auto const& [name, value] : counters.snapshot())
+    {
+        std::string metric = "mulberryrudder_" + std::string(name);
+        std::replace(metric.begin(), metric.end(), '.', '_');
+        out += metric + " " + std::to_string(value) + "\n";
+    }
+    return out;
+}
+
 } // namespace mulberryrudder::kernel
--- a/kernel/program.cpp
+++ b/kernel/program.cpp
@@ -37,6 +37,8 @@
     {
         // Blocked signals are inherited, so only signal_set's own thread sees them.
         std::signal(SIGPIPE, SIG_IGN);
+        // Settings are read at the start only; a hang-up must not end the process.
+        std::signal(SIGHUP, SIG_IGN);
         boost::asio::signal_set signals(loop_, SIGTERM, SIGINT);
         duties_ = duty_registry::instance().make_all(parts_);
         for (auto const& it : duties_)
--- a/plugins/control/replica/replica.cpp
+++ b/plugins/control/replica/replica.cpp
@@ -3,6 +3,7 @@
 #include "replica_events.hpp"
 
 #include <mulberryrudder/core/invariant.hpp>
+#include <mulberryrudder/messages/roster.hpp>
 
 #include <array>
 
@@ -97,6 +98,8 @@
         on<&replica::take_piece>(),        on<&replica::take_piece_reply>(),
     };
     with_ = &with;
+    if (it.body.get<messages::roster_exchange>() != nullptr)
+        acquaintances_.insert(it.from);
     if (!is_failed())
         dispatch(*this, table, it.from, it.body, with);
 }
@@ -113,7 +116,7 @@
     with_ = &with;
     if (is_failed())
         return;
-    if (must_announce() && now() >= announce_due_)
+    if (takes_part() && must_announce() && now() >= announce_due_)
         announce_start();
     if (is_leader())
         lead_tick();
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -88,6 +88,8 @@
 
     // starting.cpp: first starts, restarts and disks that are replaced.
     bool is_blank() const;
+    bool takes_part() const;
+    voter founding_voter(instance_id id, disk_id disk) const;
     bool is_registered() const;
     bool must_announce() const;
     std::vector<instance_id> known_instances() const;
@@ -177,6 +179,7 @@
     std::map<instance_id, messages::start_reply> blank_replies_;
     bool fresh_disk_ = false; ///< No earlier start can have voted from this disk.
     bool announced_joining_ = false;
+    std::set<instance_id> acquaintances_; ///< Control instances that spoke to this one.
     instant announce_due_;
 
     std::optional<instance_id> leader_;
--- a/plugins/control/replica/starting.cpp
+++ b/plugins/control/replica/starting.cpp
@@ -22,6 +22,24 @@
     return members().group == group_id() && log_.last().index == log_index();
 }
 
+/// An instance that no settings name as a founder waits until it is asked to join. A
+/// restarted one may have had a vote that it lost with its disk, so it speaks up.
+bool replica::takes_part() const
+{
+    auto const& founders = self_.initial_voters;
+    bool const founds =
+        std::find(founders.begin(), founders.end(), self_.self.id) != founders.end();
+    return founds || !self_.may_found || !is_blank();
+}
+
+voter replica::founding_voter(instance_id id, disk_id disk) const
+{
+    auto const contact = self_.contacts.find(id);
+    return {.id = id,
+            .disk = disk,
+            .peer = contact == self_.contacts.end() ? endpoint() : contact->second};
+}
+
 bool replica::is_registered() const
 {
     if (fresh_disk_)
@@ -49,6 +67,7 @@
 std::vector<instance_id> replica::known_instances() const
 {
     std::set<instance_id> out(self_.initial_voters.begin(), self_.initial_voters.end());
+    out.insert(acquaintances_.begin(), acquaintances_.end());
     for (auto const& it : members().voters)
         out.insert(it.id);
     for (auto const& [id, reply] : blank_replies_)
@@ -60,7 +79,8 @@
 
 void replica::announce_start()
 {
-    announce_due_ = now() + config_.heartbeat;
+    // Without a vote there is no hurry, and there may be many such instances.
+    announce_due_ = now() + (has_vote() || is_blank() ? span(config_.heartbeat) : span(seconds(1)));
     for (auto const id : known_instances())
         send_synced(id, messages::start_request{.disk = state_.disk,
                                                 .starts = state_.own_starts,
@@ -156,11 +176,12 @@
 void replica::found_if_all_blank()
 {
     auto const& initial = self_.initial_voters;
-    if (!is_blank() || initial.empty() ||
+    if (!is_blank() || !self_.may_found || initial.empty() ||
         *std::min_element(initial.begin(), initial.end()) != self_.self.id)
         return;
     messages::membership_changed founding{
-        .members = {.group = group_id(draw()), .voters = {own_voter()}}};
+        .members = {.group = group_id(draw()),
+                    .voters = {founding_voter(self_.self.id, state_.disk)}}};
     auto term = state_.term;
     for (auto const id : initial)
     {
@@ -169,7 +190,7 @@
         auto const found = blank_replies_.find(id);
         if (found == blank_replies_.end() || !found->second.blank)
             return;
-        founding.members.voters.push_back({.id = id, .disk = found->second.disk});
+        founding.members.voters.push_back(founding_voter(id, found->second.disk));
         term = std::max(term, found->second.term);
     }
     state_.term = term_id(term.value() + 1);
--- /dev/null
+++ b/plugins/control/rollouts/rollouts.cpp
@@ -0,0 +1,185 @@
+#include <mulberryrudder/control/component.hpp>
+#include <mulberryrudder/control/replicated_log.hpp>
+#include <mulberryrudder/control/roster.hpp>
+#include <mulberryrudder/control/steering.hpp>
+
+#include <algorithm>
+
+namespace mulberryrudder::control
+{
+
+namespace
+{
+
+struct rollout_settings
+{
+    per_mille early_share{50};
+    per_mille late_share{120};
+    per_mille late_from{750};
+    per_mille end_at{900};
+    per_mille bad_beyond{150};
+    requests least_bad{6};
+    milliseconds check_period{200};
+};
+
+constexpr kernel::limits shares{1, 1000};
+
+kernel::section<rollout_settings> const rollout_section{
+    "rollouts",
+    {
+        kernel::field("early_share", &rollout_settings::early_share, shares,
+                      "Thousandths of a service's requests that a new version gets first."),
+        kernel::field("late_share", &rollout_settings::late_share, shares,
+                      "Thousandths that it gets once it has proved itself."),
+        kernel::field("late_from", &rollout_settings::late_from, shares,
+                      "Thousandths of the rollout's duration after which late_share holds."),
+        kernel::field("end_at", &rollout_settings::end_at, shares,
+                      "Thousandths of the rollout's duration after which a good version gets all."),
+        kernel::field("bad_beyond", &rollout_settings::bad_beyond, shares,
+                      "Thousandths by which a bad version fails more often than the old one."),
+        kernel::field("least_bad", &rollout_settings::least_bad, {1, 1000},
+                      "Bad answers before a version is judged."),
+        kernel::field("check_period", &rollout_settings::check_period, {10, 60'000},
+                      "Milliseconds between two looks at a rollout."),
+    }};
+
+kernel::event_kind const judged_event{
+    {.number = 710,
+     .name = "rollout.judged",
+     .level = kernel::severity::info,
+     .meaning = "A rollout's version gets another share, or the rollout ended.",
+     .action = "If it was rolled back, look at the failures of that version's targets."}};
+
+/// Outcomes of one version since its rollout began.
+struct tally
+{
+    std::uint64_t answered = 0;
+    std::uint64_t bad = 0;
+
+    /// Returns the bad ones in thousandths; a version without outcomes has none.
+    std::int64_t bad_per_mille() const
+    {
+        return answered == 0 ? 0 : static_cast<std::int64_t>(bad * 1000 / answered);
+    }
+};
+
+/// Carries rollouts out while this instance leads: a small share first, more once
+/// the version has proved itself, and back at once if it fails more than the old one.
+///
+/// Thread safety: the decision core's thread.
+class rollouts final : public component
+{
+public:
+    explicit rollouts(component_parts const& parts)
+        : services_(parts.services), config_(parts.config.get(rollout_section))
+    {
+    }
+
+    void following(context&) override { running_.clear(); }
+
+    void tick(context& with) override
+    {
+        if (with.now < check_due_)
+            return;
+        check_due_ = with.now + config_.check_period;
+        auto& log = services_.require<replicated_log>();
+        if (!log.may_act(with.now))
+            return;
+        auto const state = services_.require<steering_view>().steering();
+        count(services_.require<roster_view>().take_outcomes());
+        note_base_versions(*state, log);
+        for (auto const& [service, versions] : state->versions)
+        {
+            if (versions.phase == rollout_phase::running)
+                judge(service, versions, log, with);
+            else
+                running_.erase(service);
+        }
+    }
+
+private:
+    struct progress
+    {
+        instant late_from;
+        instant end_at;
+        std::map<version_id, tally> tallies;
+    };
+
+    void count(std::vector<messages::version_outcomes> const& from)
+    {
+        for (auto const& it : from)
+        {
+            auto const found = running_.find(it.service);
+            if (found == running_.end())
+                continue;
+            auto& to = found->second.tallies[it.version];
+            to.answered += it.answered;
+            to.bad += it.bad;
+        }
+    }
+
+    void note_base_versions(steering_state const& state, replicated_log& log)
+    {
+        if (!state.plan)
+            return;
+        for (auto const& it : state.plan->services)
+        {
+            auto const known = state.versions.find(it.id);
+            if (known != state.versions.end() && !known->second.base.value().empty())
+                continue;
+            auto const versions = services_.require<roster_view>().versions_of(it.id);
+            if (!versions.empty())
+                log.propose(any_message::of(note_base_version{it.id, versions.front()}));
+        }
+    }
+
+    void judge(service_id const& service, service_versions const& versions, replicated_log& log,
+               context& with)
+    {
+        auto const [found, added] = running_.try_emplace(service);
+        auto& it = found->second;
+        if (added)
+        {
+            it.late_from = with.now + versions.duration * config_.late_from.count() / 1000;
+            it.end_at = with.now + versions.duration * config_.end_at.count() / 1000;
+        }
+        auto const& fresh = it.tallies[versions.next];
+        auto const& old = it.tallies[versions.base];
+        step_rollout next{.service = service, .version = versions.next, .share = versions.share};
+        bool const enough = static_cast<std::int64_t>(fresh.bad) >= config_.least_bad.count();
+        if (enough && fresh.bad_per_mille() > old.bad_per_mille() + config_.bad_beyond.count())
+        {
+            next.phase = rollout_phase::rolled_back;
+            next.share = per_mille(0);
+        }
+        else if (with.now >= it.end_at)
+        {
+            next.phase = rollout_phase::succeeded;
+            next.share = whole_share;
+        }
+        else if (with.now >= it.late_from)
+            next.share = std::max(versions.share, config_.late_share);
+        if (next.phase == rollout_phase::running && next.share == versions.share)
+            return;
+        with.events.record(judged_event,
+                           {{"service", service.value()},
+                            {"version", versions.next.value()},
+                            {"share", std::to_string(next.share.count())},
+                            {"phase", std::to_string(static_cast<int>(next.phase))},
+                            {"answered", std::to_string(fresh.answered)},
+                            {"bad", std::to_string(fresh.bad)},
+                            {"old_bad_per_mille", std::to_string(old.bad_per_mille())}});
+        log.propose(any_message::of(std::move(next)));
+    }
+
+    kernel::service_map& services_;
+    rollout_settings const& config_;
+    instant check_due_;
+    std::map<service_id, progress> running_;
+};
+
+component_registrar<rollouts> const entered{"rollouts", component_order::rollouts};
+
+} // namespace
+
+} // namespace mulberryrudder::control
--- /dev/null
+++ b/plugins/control/roster/control_table.cpp
@@ -0,0 +1,71 @@
+#include "control_table.hpp"
+
+#include <algorithm>
+
+namespace mulberryrudder::control
+{
+
+bool control_table::add(instance_description const& who, bool kept, instant now)
+{
+    auto const [at, added] = rows_.try_emplace(who.id);
+    auto& it = at->second;
+    it.kept = it.kept || kept;
+    if (added)
+        it.heard = now;
+    if (!added && it.who.peer == who.peer)
+        return false;
+    it.who = who;
+    return true;
+}
+
+void control_table::heard(instance_id id, messages::roster_exchange const& it, instant now)
+{
+    auto& to = rows_.at(id);
+    to.who = it.who;
+    to.operators = it.operators;
+    to.leads = it.leads;
+    to.heard = now;
+    to.taken = it.number;
+    to.acknowledged = it.acknowledged;
+    to.generation = it.generation;
+    to.wants_steering = it.wants_steering;
+}
+
+void control_table::expire(instant since)
+{
+    std::erase_if(rows_,
+                  [since](auto const& it) { return !it.second.kept && it.second.heard < since; });
+}
+
+bool control_table::held_by_majority(sequence_id number) const
+{
+    auto const held =
+        std::count_if(rows_.begin(), rows_.end(),
+                      [&](auto const& it) { return it.second.acknowledged >= number; });
+    return static_cast<std::size_t>(held + 1) * 2 > rows_.size() + 1;
+}
+
+std::optional<endpoint> control_table::leader_since(instant since) const
+{
+    std::optional<endpoint> out;
+    auto latest = since;
+    for (auto const& [id, it] : rows_)
+    {
+        if (!it.leads || it.heard < latest || it.operators.port == 0)
+            continue;
+        latest = it.heard;
+        out = it.operators;
+    }
+    return out;
+}
+
+std::vector<instance_description> control_table::known_since(instant since) const
+{
+    std::vector<instance_description> out;
+    for (auto const& [id, it] : rows_)
+        if (it.heard >= since)
+            out.push_back(it.who);
+    return out;
+}
+
+} // namespace mulberryrudder::control
--- /dev/null
+++ b/plugins/control/roster/control_table.hpp
@@ -0,0 +1,60 @@
+#ifndef MULBERRYRUDDER_PLUGINS_CONTROL_ROSTER_CONTROL_TABLE_HPP
+#define MULBERRYRUDDER_PLUGINS_CONTROL_ROSTER_CONTROL_TABLE_HPP
+
+#include <mulberryrudder/messages/roster.hpp>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace mulberryrudder::control
+{
+
+/// Keeps the other control instances: where they are, what they took in, who leads.
+///
+/// Thread safety: one owner.
+class control_table
+{
+public:
+    /// One other control instance.
+    struct row
+    {
+        instance_description who;
+        endpoint operators;
+        bool leads = false;
+        bool kept = false;        ///< A contact of the settings: never forgotten.
+        instant heard;            ///< Last message from it.
+        sequence_id taken;        ///< Newest number of it that was taken in here.
+        sequence_id acknowledged; ///< Newest number of this instance that it took in.
+        generation_id generation; ///< Of its steering state.
+        bool wants_steering = false;
+    };
+
+    /// Adds an instance; returns whether its address is new.
+    bool add(instance_description const& who, bool kept, instant now);
+
+    /// Notes what a message of it says. Precondition: it was added.
+    void heard(instance_id id, messages::roster_exchange const& it, instant now);
+
+    /// Forgets those that were not heard since a time and are no contacts.
+    void expire(instant since);
+
+    std::map<instance_id, row>& rows() { return rows_; }
+
+    /// Returns whether more than half of the known instances, this one included, took
+    /// in what was sent under a number.
+    bool held_by_majority(sequence_id number) const;
+
+    /// Returns where the instance that says it leads takes operators' requests.
+    std::optional<endpoint> leader_since(instant since) const;
+
+    /// Returns those that were heard since a time, as descriptions of id and peer.
+    std::vector<instance_description> known_since(instant since) const;
+
+private:
+    std::map<instance_id, row> rows_;
+};
+
+} // namespace mulberryrudder::control
+
+#endif
--- a/plugins/control_io/decision/decision_duty.cpp
+++ b/plugins/control_io/decision/decision_duty.cpp
@@ -24,6 +24,17 @@
                                            .meaning = "A planned stop is complete.",
                                            .action = "None."});
 
+/// Settings that number the control instances tell their addresses at each start, so
+/// nothing of them is kept in the log.
+std::map<instance_id, endpoint> contact_map(fleet::instance_settings const& it)
+{
+    std::map<instance_id, endpoint> out;
+    if (it.control.empty())
+        for (auto const& contact : fleet::contacts(it))
+            out.emplace(contact.id, contact.peer);
+    return out;
+}
+
 /// Runs the control's decision core. Nothing is decided before the disk duty has
 /// told what it recovered.
 class decision_duty final
@@ -39,7 +50,10 @@
                  .events = events(),
                  .self = {.self = fleet::describe(config_),
                           .boot = fleet::new_boot_id(),
-                          .initial_voters = fleet::control_ids(config_)},
+                          .initial_voters = fleet::control_ids(config_),
+                          .contacts = contact_map(config_),
+                          .operators = config_.operators,
+                          .may_found = config_.founding},
                  .seed = std::random_device{}()})
     {
         take_from<control::input>(duties::disk);
@@ -51,8 +65,9 @@
 protected:
     void started() override
     {
-        events().record(instance_started, {{"instance", std::to_string(config_.id.value())}});
-        for (auto const& it : config_.control)
+        events().record(instance_started,
+                        {{"instance", std::to_string(fleet::describe(config_).id.value())}});
+        for (auto const& it : fleet::contacts(config_))
             to_peers_.post(peer::learn_instance{it.id, it.peer});
         decision_loop::started();
     }
--- a/plugins/control_io/operator_http/codec_table.cpp
+++ b/plugins/control_io/operator_http/codec_table.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/json/array.hpp>
 
+#include <algorithm>
+
 namespace mulberryrudder::operator_http
 {
 
@@ -70,7 +72,10 @@
     if (!path.starts_with(what.path) || path.size() < what.path.size() + 2 ||
         path[what.path.size()] != '/')
         return std::nullopt;
-    auto const name = path.substr(what.path.size() + 1);
+    auto name = path.substr(what.path.size() + 1);
+    if (!name.ends_with(what.tail) || name.size() == what.tail.size())
+        return std::nullopt;
+    name.remove_suffix(what.tail.size());
     return name.find('/') == std::string_view::npos ? std::optional(name) : std::nullopt;
 }
 
@@ -97,7 +102,12 @@
             continue;
         known = true;
         if (it->what().method == method)
-            return it->what().decode({*name, with.body, with.now, with.counters});
+        {
+            auto asked = with;
+            asked.name = *name;
+            asked.query = target.substr(std::min(path.size() + 1, target.size()));
+            return it->what().decode(asked);
+        }
     }
     if (known)
         return json_answer{.status = 405, .body = {{"result", "method_not_allowed"}}};
--- a/plugins/control_io/operator_http/operator_duty.cpp
+++ b/plugins/control_io/operator_http/operator_duty.cpp
@@ -10,6 +10,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <chrono>
+#include <list>
 #include <set>
 #include <unordered_map>
 
@@ -56,29 +57,27 @@
 public:
     explicit operator_duty(kernel::duty_parts const& given)
         : asio_duty(duties::operator_io, given), config_(given.config.get(operator_section)),
-          self_(given.config.get(fleet::instance_section).id),
+          self_(fleet::describe(given.config.get(fleet::instance_section)).id),
           to_decision_(
               given.links.link<control::input>(name(), duties::decision, duty_ring_capacity)),
           answers_(given.links.link<control::effect>(duties::decision, name(), duty_ring_capacity)),
-          acceptor_(loop()), accept_timer_(loop())
+          accept_timer_(loop())
     {
     }
 
     void connect() override
     {
-        tcp::endpoint const where(boost::asio::ip::make_address(config_.listen.address),
-                                  config_.listen.port);
-        acceptor_.open(where.protocol());
-        acceptor_.set_option(tcp::acceptor::reuse_address(true));
-        acceptor_.bind(where);
-        acceptor_.listen();
+        listen(config_.listen);
+        for (auto const& it : config_.also_listen)
+            listen(it);
     }
 
 protected:
     void started() override
     {
         events().record(listening_event, {{"address", to_string(config_.listen)}});
-        accept();
+        for (auto& it : acceptors_)
+            accept(it);
     }
 
     void take_messages() override
@@ -90,27 +89,44 @@
     }
 
 private:
-    void accept()
+    /// Who waits for an answer, and what was asked.
+    struct asker
     {
-        acceptor_.async_accept(
-            [this](boost::system::error_code ec, tcp::socket socket)
+        std::shared_ptr<session> connection;
+        std::string target; ///< Path and query, for an answer that names another instance.
+    };
+
+    void listen(endpoint const& at)
+    {
+        tcp::endpoint const where(boost::asio::ip::make_address(at.address), at.port);
+        auto& it = acceptors_.emplace_back(loop());
+        it.open(where.protocol());
+        it.set_option(tcp::acceptor::reuse_address(true));
+        it.bind(where);
+        it.listen();
+    }
+
+    void accept(tcp::acceptor& from)
+    {
+        from.async_accept(
+            [this, &from](boost::system::error_code ec, tcp::socket socket)
             {
                 if (ec)
-                    return accept_later();
+                    return accept_later(from);
                 open(std::move(socket));
-                accept();
+                accept(from);
             });
     }
 
     /// Waits before it accepts again, since an error such as too many open files lasts.
-    void accept_later()
+    void accept_later(tcp::acceptor& from)
     {
         accept_timer_.expires_after(accept_pause);
         accept_timer_.async_wait(
-            [this](boost::system::error_code ec)
+            [this, &from](boost::system::error_code ec)
             {
                 if (!ec)
-                    accept();
+                    accept(from);
             });
     }
 
@@ -127,16 +143,23 @@
     void arrived(std::shared_ptr<session> const& from, http_request&& what) override
     {
         parts().counters.add(requests_counter);
-        request_text const with{
-            .name = {}, .body = what.body(), .now = wall_clock(), .counters = parts().counters};
+        auto const field = [&what](std::string_view name) -> std::string_view
+        { return what[boost::beast::string_view(name.data(), name.size())]; };
+        request_text const with{.name = {},
+                                .body = what.body(),
+                                .now = wall_clock(),
+                                .counters = parts().counters,
+                                .query = {},
+                                .field = field};
         auto const target = std::string_view(what.target().data(), what.target().size());
         auto const method =
             std::string_view(what.method_string().data(), what.method_string().size());
         auto read = decode_request(method, target, with);
-        std::visit([&](auto& it) { take(from, it); }, read);
+        asker const by{.connection = from, .target = std::string(target)};
+        std::visit([&](auto& it) { take(by, it); }, read);
     }
 
-    void take(std::shared_ptr<session> const& from, any_message& request)
+    void take(asker const& from, any_message& request)
     {
         control::operator_request_id const id(++last_id_);
         control::input asked = control::operator_asked{id, std::move(request)};
@@ -150,16 +173,20 @@
         take(from, busy);
     }
 
-    void take(std::shared_ptr<session> const& from, json_answer& what)
+    void take(asker const& from, json_answer& what)
     {
+        if (!what.location.empty())
+            what.location += from.target;
+        if (what.document)
+            return write(from, what, "application/json", std::move(*what.document));
         what.body["instance"] = self_.value();
         add_leader_address(what.body);
-        write(from, what.status, "application/json", boost::json::serialize(what.body) + "\n");
+        write(from, what, "application/json", boost::json::serialize(what.body) + "\n");
     }
 
-    void take(std::shared_ptr<session> const& from, text_answer& what)
+    void take(asker const& from, text_answer& what)
     {
-        write(from, 200, what.content_type, std::move(what.body));
+        write(from, json_answer(), what.content_type, std::move(what.body));
     }
 
     void add_leader_address(boost::json::object& body) const
@@ -174,14 +201,16 @@
                 body["leader_address"] = to_string(it.listen);
     }
 
-    static void write(std::shared_ptr<session> const& to, unsigned status,
-                      std::string const& content_type, std::string body)
+    static void write(asker const& to, json_answer const& how, std::string const& content_type,
+                      std::string body)
     {
-        http_response out(static_cast<http::status>(status), 11);
+        http_response out(static_cast<http::status>(how.status), 11);
+        if (!how.location.empty())
+            out.set(http::field::location, how.location);
         out.set(http::field::content_type, content_type);
         out.set(http::field::cache_control, "no-store");
         out.body() = std::move(body);
-        to->answer(std::move(out));
+        to.connection->answer(std::move(out));
     }
 
     void pass_on(control::answer_operator const& it)
@@ -198,7 +227,7 @@
     {
         parts().counters.add(overdue_counter);
         auto answer = encode_answer(any_message::of(control::outcome_unknown{}));
-        take(it, answer);
+        take(asker{.connection = it, .target = {}}, answer);
     }
 
     void unreadable(unsigned status) override
@@ -208,7 +237,7 @@
 
     void ended(std::shared_ptr<session> const& it) override
     {
-        std::erase_if(waiting_, [&](auto const& row) { return row.second == it; });
+        std::erase_if(waiting_, [&](auto const& row) { return row.second.connection == it; });
         sessions_.erase(it);
     }
 
@@ -218,10 +247,10 @@
     instance_id self_;
     kernel::ring<control::input>& to_decision_;
     kernel::ring<control::effect>& answers_;
-    tcp::acceptor acceptor_;
+    std::list<tcp::acceptor> acceptors_; ///< Handlers refer to them, so they stay in place.
     boost::asio::steady_timer accept_timer_;
     std::set<std::shared_ptr<session>> sessions_;
-    std::unordered_map<control::operator_request_id, std::shared_ptr<session>> waiting_;
+    std::unordered_map<control::operator_request_id, asker> waiting_;
     std::uint64_t last_id_ = 0;
 };
 
--- a/plugins/control_io/operator_http/operator_settings.cpp
+++ b/plugins/control_io/operator_http/operator_settings.cpp
@@ -37,6 +37,8 @@
         field("listen", &operator_settings::listen, kernel::unbounded,
               "Address on which a control instance listens for operators; keep it on a network "
               "that only operators reach."),
+        field("also_listen", &operator_settings::also_listen, kernel::unbounded,
+              "Further addresses for the same requests."),
         field("control", &operator_settings::control, kernel::unbounded,
               "Where all control instances listen for operators, objects of \"id\" and "
               "\"listen\": an answer of one that does not lead then names the leader's address."),
--- a/plugins/control_io/operator_http/operator_settings.hpp
+++ b/plugins/control_io/operator_http/operator_settings.hpp
@@ -21,6 +21,7 @@
 struct operator_settings
 {
     endpoint listen{"127.0.0.1", 7300};
+    std::vector<endpoint> also_listen; ///< Further addresses with the same interface.
     std::vector<operator_address> control;
     byte_count most_header{16L * 1024};
     byte_count most_body{1024L * 1024};
--- a/plugins/control_io/operator_http/state_requests.cpp
+++ b/plugins/control_io/operator_http/state_requests.cpp
@@ -28,14 +28,8 @@
 /// Writes the counters in the text form of Prometheus.
 decoded show_counters(request_text const& from)
 {
-    std::string text;
-    for (auto const& [name, value] : from.counters.snapshot())
-    {
-        std::string metric = "mulberryrudder_" + std::string(name);
-        std::replace(metric.begin(), metric.end(), '.', '_');
-        text += metric + " " + std::to_string(value) + "\n";
-    }
-    return text_answer{.content_type = "text/plain; version=0.0.4", .body = std::move(text)};
+    return text_answer{.content_type = std::string(kernel::counters_text_type),
+                       .body = kernel::counters_text(from.counters)};
 }
 
 json_answer encode_status(status_report const& it)
--- /dev/null
+++ b/plugins/entry/placement/placement_stage.cpp
@@ -0,0 +1,439 @@
+#include "object_homes.hpp"
+#include "region_split.hpp"
+#include "target_loads.hpp"
+#include "warm_up_gate.hpp"
+
+#include <mulberryrudder/core/token_bucket.hpp>
+#include <mulberryrudder/entry/plan_view.hpp>
+#include <mulberryrudder/entry/stage.hpp>
+
+#include <algorithm>
+
+namespace mulberryrudder::entry
+{
+
+namespace
+{
+
+struct placement_settings
+{
+    target_count homes{2};
+    per_mille queue_part{250};
+    per_mille overflow{40};
+    milliseconds return_after{400};
+    milliseconds return_spread{600};
+};
+
+kernel::section<placement_settings> const placement_section{
+    "placement",
+    {
+        kernel::field("homes", &placement_settings::homes, {1, 64},
+                      "Targets of each failure domain on which an object is kept warm."),
+        kernel::field("queue_part", &placement_settings::queue_part, {0, 10'000},
+                      "Thousandths of a target's slots that may wait there beyond them."),
+        kernel::field("overflow", &placement_settings::overflow, {0, 1000},
+                      "Thousandths of the requests that may leave their region beyond its split."),
+        kernel::field("return_after", &placement_settings::return_after, {0, 60'000},
+                      "Milliseconds for which a caller without room is asked to wait."),
+        kernel::field("return_spread", &placement_settings::return_spread, {0, 60'000},
+                      "Milliseconds over which such callers' returns are spread."),
+    }};
+
+refusal_kind const no_room({.name = "no_room",
+                            .counter_name = "refused.no_room",
+                            .status = 503,
+                            .meaning = "No target has room to answer the request in time."});
+
+/// Part of a target's slots up to which one that holds nothing of the object is used.
+constexpr double idle_part = 0.5;
+/// Part of the time left within which a queued request must be expected to end.
+constexpr double time_part = 0.85;
+/// Weight of the newest attempt in a route's moving average of service times.
+constexpr double newest_part = 0.1;
+/// Overflow to other regions that quiet times save up.
+constexpr millitokens most_overflow{3000};
+
+/// Which targets are asked first.
+enum class nearness
+{
+    own_domain,
+    own_region,
+    elsewhere
+};
+
+/// A target that may take a request.
+struct candidate
+{
+    listed_target const* target = nullptr;
+    nearness where = nearness::elsewhere;
+    region_id region;
+    double score = 0;     ///< Of the object's homes; higher is better.
+    std::size_t rank = 0; ///< Among the candidates of its failure domain.
+    double busy = 0;
+};
+
+/// Chooses the target of each attempt: an object's homes of the own failure domain,
+/// then those of the own region, within what has room; a stable part of the objects
+/// of a region without enough room is served in another one.
+///
+/// Patterns: work that is faster where its object was handled lately; targets that
+/// cannot carry all work cold; a region with too little room.
+///
+/// Thread safety: as stage.
+class placement_stage final : public stage
+{
+public:
+    explicit placement_stage(stage_parts const& parts)
+        : config_(parts.config.get(placement_section)), services_(parts.services), self_(parts.self)
+    {
+    }
+
+    step admit(request& what, context& with) override
+    {
+        if (what.planned == nullptr)
+            return proceed{};
+        if (what.service.value().empty())
+            what.service = drawn_service(*what.planned, with);
+        auto found = candidates(what, with);
+        auto const* const chosen = choose(what, found, with);
+        if (chosen == nullptr)
+            return refuse_for_now(with);
+        auto const& it = chosen->target->what;
+        if (chosen->target->cold_until > with.now)
+            gate_.take(it.id);
+        what.version = it.version;
+        what.chosen = chosen_target{.id = it.id,
+                                    .where = it.where,
+                                    .version = it.version,
+                                    .most_connections = most_connections(what)};
+        return proceed{};
+    }
+
+    void attempt_started(request const&, attempt const& it, context&) override
+    {
+        loads_.started(it.target.id);
+    }
+
+    void attempt_ended(request const& what, attempt const& it, attempt_end const& how,
+                       context& with) override
+    {
+        // A caller that left says nothing of the target, a deadline does.
+        bool const judged = how.failed != attempt_failure::cancelled || with.now >= what.deadline;
+        auto const listed = view().targets().find(it.target.id);
+        auto const capacity =
+            listed == view().targets().end() ? slots(1) : listed->second.what.capacity;
+        loads_.ended(it.target.id, how, judged, capacity, with.now);
+        if (how.failed)
+            return;
+        auto& average = service_times_[what.route];
+        auto const took = static_cast<double>((with.now - it.started).count());
+        average = average == 0 ? took : average * (1 - newest_part) + took * newest_part;
+    }
+
+    void tick(context& with) override
+    {
+        if (with.now < split_due_)
+            return;
+        split_due_ = with.now + region_split::step_period;
+        update_splits(with.now);
+        gate_.forget_all_but(view().targets(), with.now);
+    }
+
+private:
+    plan_view& view() { return services_.require<plan_view>(); }
+
+    service_id drawn_service(plan_route const& route, context& with) const
+    {
+        if (route.services.size() == 1)
+            return route.services.front().service;
+        std::int64_t sum = 0;
+        for (auto const& it : route.services)
+            sum += it.part.count();
+        std::uniform_int_distribution<std::int64_t> draw(0, sum - 1);
+        auto left = draw(with.random);
+        for (auto const& it : route.services)
+        {
+            if (left < it.part.count())
+                return it.service;
+            left -= it.part.count();
+        }
+        return route.services.back().service;
+    }
+
+    plan_service const* planned_service(request const& what) const
+    {
+        for (auto const& it : what.steering->plan->services)
+            if (it.id == what.service)
+                return &it;
+        return nullptr;
+    }
+
+    connections most_connections(request const& what)
+    {
+        auto const* const service = planned_service(what);
+        auto const all = service == nullptr ? 1 : service->most_connections.count();
+        return connections(std::max<std::int64_t>(all / view().entries(), 1));
+    }
+
+    /// Returns the versions of the service that this request may run on: that of a
+    /// running rollout for its share of the requests, else the one that carries it.
+    static bool is_allowed_version(service_versions const* versions, bool newer,
+                                   version_id const& it)
+    {
+        if (versions == nullptr || versions->base.value().empty())
+            return true;
+        if (versions->phase == rollout_phase::running && newer)
+            return it == versions->next;
+        return it == versions->base;
+    }
+
+    bool may_serve(request const& what, region_id const& region) const
+    {
+        auto const fits = [&](std::set<region_id> const& homes)
+        { return homes.empty() || homes.contains(region); };
+        return fits(what.planned->homes) && (what.payer == nullptr || fits(what.payer->homes));
+    }
+
+    /// A domain that the settings do not name counts as a region of its own.
+    region_id region_of(domain_id const& domain) const
+    {
+        auto const it = self_.regions.find(domain);
+        return it == self_.regions.end() ? region_id(domain.value()) : it->second;
+    }
+
+    std::vector<candidate> candidates(request const& what, context& with)
+    {
+        auto const& all = view().steering()->versions;
+        auto const found = all.find(what.service);
+        auto const* const versions = found == all.end() ? nullptr : &found->second;
+        std::uniform_int_distribution<std::int64_t> draw(0, whole_share.count() - 1);
+        bool const newer = versions != nullptr && versions->phase == rollout_phase::running &&
+                           draw(with.random) < versions->share.count();
+        auto out = candidates_of(what, versions, newer, with);
+        if (out.empty() && newer)
+            out = candidates_of(what, versions, false, with);
+        return out;
+    }
+
+    std::vector<candidate> candidates_of(request const& what, service_versions const* versions,
+                                         bool newer, context& with)
+    {
+        auto const* const service = planned_service(what);
+        std::vector<candidate> out;
+        for (auto const& [id, it] : view().targets())
+        {
+            auto const& told = it.what;
+            if (told.service != what.service || !is_usable(it, what, service, with) ||
+                !is_allowed_version(versions, newer, told.version))
+                continue;
+            auto const region = region_of(told.domain);
+            if (!may_serve(what, region))
+                continue;
+            out.push_back({.target = &it,
+                           .where = nearness_of(told.domain, region),
+                           .region = region,
+                           .score = score_of(what, told),
+                           .rank = 0,
+                           .busy = loads_.busy(id, with.now)});
+        }
+        rank_within_domains(out);
+        return out;
+    }
+
+    bool is_usable(listed_target const& it, request const& what, plan_service const* service,
+                   context& with)
+    {
+        auto const& told = it.what;
+        if (told.standing != messages::target_standing::serving ||
+            view().steering()->evacuated.contains(told.domain) ||
+            loads_.is_avoided(told.id, it.learned, with.now))
+            return false;
+        auto const same = [&](attempt const& each) { return each.target.id == told.id; };
+        if (std::any_of(what.attempts.begin(), what.attempts.end(), same))
+            return false;
+        if (it.cold_until <= with.now || service == nullptr)
+            return true;
+        return told.domain == self_.self.domain &&
+               gate_.has_room(told.id, *service, view().entries_in_domain(), with.now);
+    }
+
+    nearness nearness_of(domain_id const& domain, region_id const& region) const
+    {
+        if (domain == self_.self.domain)
+            return nearness::own_domain;
+        return region == self_.self.region ? nearness::own_region : nearness::elsewhere;
+    }
+
+    double score_of(request const& what, messages::target_notice const& it)
+    {
+        bool const warms = what.planned->sticky && !what.object.value().empty();
+        return warms ? home_score(what.object, it.id, it.capacity) : 0;
+    }
+
+    static void rank_within_domains(std::vector<candidate>& all)
+    {
+        std::sort(all.begin(), all.end(),
+                  [](candidate const& a, candidate const& b)
+                  {
+                      if (a.target->what.domain != b.target->what.domain)
+                          return a.target->what.domain < b.target->what.domain;
+                      if (a.score != b.score)
+                          return a.score > b.score;
+                      return a.busy < b.busy;
+                  });
+        for (std::size_t n = 1; n < all.size(); ++n)
+            if (all[n].target->what.domain == all[n - 1].target->what.domain)
+                all[n].rank = all[n - 1].rank + 1;
+    }
+
+    candidate const* choose(request const& what, std::vector<candidate>& found, context& with)
+    {
+        if (found.empty())
+            return nullptr;
+        bool const stays = stays_in_region(what, found);
+        auto& overflow = overflow_;
+        overflow.add(millitokens(config_.overflow.count()));
+        if (overflow.tokens() > most_overflow)
+            overflow.take(overflow.tokens() - most_overflow);
+        order_by_nearness(what, found, stays);
+        if (auto const* const it = first_with_room(what, found, stays, with))
+            return it;
+        return least_queue(what, found, stays, with);
+    }
+
+    bool stays_in_region(request const& what, std::vector<candidate> const& found)
+    {
+        bool const here =
+            std::any_of(found.begin(), found.end(),
+                        [](candidate const& it) { return it.where != nearness::elsewhere; });
+        bool const there =
+            std::any_of(found.begin(), found.end(),
+                        [](candidate const& it) { return it.where == nearness::elsewhere; });
+        if (!here || !there)
+            return here;
+        auto const split = splits_.find(what.service);
+        auto const part = split == splits_.end() ? 1.0 : split->second.own_part();
+        return fraction_for(what) < part;
+    }
+
+    double fraction_for(request const& what)
+    {
+        if (!what.object.value().empty())
+            return object_fraction(what.object, "region");
+        return object_fraction(object_id(std::to_string(what.id.value())), "region");
+    }
+
+    /// Homes come before other targets, near ones before far ones. Of the other regions
+    /// the one that suits the object best comes first.
+    void order_by_nearness(request const& what, std::vector<candidate>& all, bool stays) const
+    {
+        auto const homes = static_cast<std::size_t>(config_.homes.count());
+        auto const place = [&](candidate const& it)
+        {
+            bool const preferred = (it.where != nearness::elsewhere) == stays;
+            auto const suits = it.where == nearness::elsewhere
+                                   ? -object_fraction(what.object, it.region.value())
+                                   : 0.0;
+            return std::tuple(!preferred, it.rank >= homes, static_cast<int>(it.where), suits,
+                              it.rank);
+        };
+        std::stable_sort(all.begin(), all.end(),
+                         [&](candidate const& a, candidate const& b)
+                         { return place(a) < place(b); });
+    }
+
+    bool is_preferred(candidate const& it, bool stays) const
+    {
+        return (it.where != nearness::elsewhere) == stays;
+    }
+
+    candidate const* first_with_room(request const& what, std::vector<candidate> const& all,
+                                     bool stays, context&)
+    {
+        auto const homes = static_cast<std::size_t>(config_.homes.count());
+        bool const warms = what.planned->sticky && !what.object.value().empty();
+        for (auto const& it : all)
+        {
+            auto const capacity = static_cast<double>(it.target->what.capacity.count());
+            auto const limit = warms && it.rank >= homes ? capacity * idle_part : capacity;
+            if (it.busy + 1 > limit)
+                continue;
+            if (is_preferred(it, stays) || overflow_.take(request_cost))
+                return &it;
+            return nullptr;
+        }
+        return nullptr;
+    }
+
+    /// Returns the home with the shortest queue, if the request can end in time there.
+    candidate const* least_queue(request const& what, std::vector<candidate> const& all, bool stays,
+                                 context& with)
+    {
+        auto const homes = static_cast<std::size_t>(config_.homes.count());
+        auto const most = 1.0 + static_cast<double>(config_.queue_part.count()) / 1000;
+        candidate const* best = nullptr;
+        double least = most;
+        for (auto const& it : all)
+        {
+            if (!is_preferred(it, stays) || it.rank >= homes)
+                continue;
+            auto const capacity =
+                static_cast<double>(std::max<std::int64_t>(it.target->what.capacity.count(), 1));
+            auto const use = (it.busy + 1) / capacity;
+            if (use >= least || !ends_in_time(what, it.busy + 1 - capacity, capacity, with.now))
+                continue;
+            least = use;
+            best = &it;
+        }
+        return best;
+    }
+
+    bool ends_in_time(request const& what, double waiting, double capacity, instant now) const
+    {
+        auto const known = service_times_.find(what.route);
+        auto const each = known == service_times_.end()
+                              ? static_cast<double>(span(what.planned->aim).count())
+                              : known->second;
+        auto const expected = each * (1 + std::max(waiting, 0.0) / capacity);
+        return expected < time_part * static_cast<double>((what.deadline - now).count());
+    }
+
+    step refuse_for_now(context& with) const
+    {
+        std::uniform_int_distribution<std::int64_t> spread(0, config_.return_spread.count());
+        return refuse(no_room, config_.return_after + milliseconds(spread(with.random)));
+    }
+
+    void update_splits(instant now)
+    {
+        std::map<service_id, std::map<region_id, region_room>> rooms;
+        for (auto const& [id, it] : view().targets())
+        {
+            auto const& told = it.what;
+            if (told.standing != messages::target_standing::serving || it.cold_until > now ||
+                (view().steering() && view().steering()->evacuated.contains(told.domain)))
+                continue;
+            auto& room = rooms[told.service][region_of(told.domain)];
+            room.capacity += told.capacity;
+            room.busy += loads_.busy(id, now);
+        }
+        for (auto const& [service, regions] : rooms)
+            splits_[service].update(self_.self.region, regions, now);
+    }
+
+    placement_settings const& config_;
+    kernel::service_map& services_;
+    identity const& self_;
+    target_loads loads_;
+    warm_up_gate gate_;
+    std::map<service_id, region_split> splits_;
+    std::map<route_id, double> service_times_; ///< Microseconds, moving averages.
+    token_bucket overflow_;
+    instant split_due_;
+};
+
+stage_registrar<placement_stage> const entered{"placement", stage_order::placement};
+
+} // namespace
+
+} // namespace mulberryrudder::entry
--- /dev/null
+++ b/plugins/entry/placement/target_loads.cpp
@@ -0,0 +1,109 @@
+#include "target_loads.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mulberryrudder::entry
+{
+
+namespace
+{
+
+/// Time in which what was reported of other instances' requests halves: about the time
+/// that a request takes.
+constexpr milliseconds report_half_life{800};
+/// First time for which a target is avoided after a failure; it doubles with each.
+constexpr milliseconds first_avoidance{300};
+/// Failures after which the time does not double any more.
+constexpr int most_doublings = 5;
+/// Weight of a new reply in the average of bad ones: about the last ten replies count.
+constexpr double newest_part = 0.1;
+/// A target whose average is above this is avoided for a while.
+constexpr double most_bad = 0.3;
+/// Replies before the average says anything.
+constexpr int least_replies = 8;
+/// How long a target with many bad replies is avoided.
+constexpr seconds bad_avoidance{4};
+/// A target that sheds below this part of its slots does not shed for lack of room.
+constexpr double room_part = 0.8;
+
+bool is_lost(attempt_failure cause)
+{
+    return cause == attempt_failure::connect_refused || cause == attempt_failure::connect_timeout ||
+           cause == attempt_failure::closed || cause == attempt_failure::timeout ||
+           cause == attempt_failure::cancelled;
+}
+
+} // namespace
+
+void target_loads::started(target_id const& id)
+{
+    ++rows_[id].own;
+}
+
+void target_loads::ended(target_id const& id, attempt_end const& how, bool judged, slots capacity,
+                         instant now)
+{
+    auto& it = rows_[id];
+    bool const has_room =
+        busy(id, now) <
+        room_part * static_cast<double>(std::max<std::int64_t>(capacity.count(), 1));
+    it.own = std::max<std::int64_t>(it.own - 1, 0);
+    if (how.load)
+    {
+        it.others = std::max<std::int64_t>(how.load->busy.count() - it.own, 0);
+        it.reported = now;
+    }
+    if (!judged)
+        return;
+    if (how.failed == attempt_failure::misdirected)
+        it.misdirected = now;
+    else if (how.failed && is_lost(*how.failed))
+        note_failure(it, now);
+    else if (how.failed == attempt_failure::shed)
+        note_quality(it, has_room, now);
+    else
+    {
+        it.failures = 0;
+        note_quality(it, how.failed.has_value() || how.content->status >= 500, now);
+    }
+}
+
+void target_loads::note_failure(row& it, instant now)
+{
+    auto const doublings = std::min(it.failures++, most_doublings);
+    it.avoided_until = std::max(it.avoided_until, now + first_avoidance * (1 << doublings));
+}
+
+void target_loads::note_quality(row& it, bool bad, instant now)
+{
+    it.bad = it.bad * (1 - newest_part) + (bad ? newest_part : 0);
+    ++it.replies;
+    if (it.replies < least_replies || it.bad <= most_bad)
+        return;
+    it.avoided_until = std::max(it.avoided_until, now + bad_avoidance);
+    it.replies = 0;
+    it.bad = 0;
+}
+
+double target_loads::busy(target_id const& id, instant now) const
+{
+    auto const at = rows_.find(id);
+    if (at == rows_.end())
+        return 0;
+    auto const& it = at->second;
+    auto const half_lives = static_cast<double>((now - it.reported).count()) /
+                            static_cast<double>(span(report_half_life).count());
+    return static_cast<double>(it.own) + static_cast<double>(it.others) * std::exp2(-half_lives);
+}
+
+bool target_loads::is_avoided(target_id const& id, instant learned, instant now) const
+{
+    auto const it = rows_.find(id);
+    if (it == rows_.end())
+        return false;
+    return now < it->second.avoided_until ||
+           (it->second.misdirected != instant{} && learned <= it->second.misdirected);
+}
+
+} // namespace mulberryrudder::entry
--- /dev/null
+++ b/plugins/entry/placement/target_loads.hpp
@@ -0,0 +1,59 @@
+#ifndef MULBERRYRUDDER_PLUGINS_ENTRY_PLACEMENT_TARGET_LOADS_HPP
+#define MULBERRYRUDDER_PLUGINS_ENTRY_PLACEMENT_TARGET_LOADS_HPP
+
+#include <mulberryrudder/core/ids.hpp>
+#include <mulberryrudder/core/time.hpp>
+#include <mulberryrudder/core/units.hpp>
+#include <mulberryrudder/entry/stage.hpp>
+
+#include <map>
+#include <optional>
+
+namespace mulberryrudder::entry
+{
+
+/// Estimates how busy each target is, from what this instance has running there and
+/// what targets report with their replies, and keeps requests off targets that fail.
+///
+/// Thread safety: one owner.
+class target_loads
+{
+public:
+    void started(target_id const& id);
+
+    /// Takes an attempt's end in. `judged` is false if it says nothing of the target,
+    /// such as when the caller left.
+    void ended(target_id const& id, attempt_end const& how, bool judged, slots capacity,
+               instant now);
+
+    /// Returns the requests that run or wait there, as far as is known.
+    double busy(target_id const& id, instant now) const;
+
+    /// Returns whether requests are to be kept off the target now. What was heard of
+    /// it later than its last failure clears a doubt about where it is.
+    bool is_avoided(target_id const& id, instant learned, instant now) const;
+
+    void forget(target_id const& id) { rows_.erase(id); }
+
+private:
+    struct row
+    {
+        std::int64_t own = 0;    ///< Attempts that run.
+        std::int64_t others = 0; ///< Of other instances, at the last report.
+        instant reported;
+        int failures = 0; ///< In a row without a reply.
+        double bad = 0;   ///< Moving average of bad replies, 0 to 1.
+        int replies = 0;  ///< That the average is made of.
+        instant avoided_until;
+        instant misdirected; ///< When another target answered at the address.
+    };
+
+    static void note_failure(row& it, instant now);
+    static void note_quality(row& it, bool bad, instant now);
+
+    std::map<target_id, row> rows_;
+};
+
+} // namespace mulberryrudder::entry
+
+#endif
--- a/plugins/entry/retries/retries_stage.cpp
+++ b/plugins/entry/retries/retries_stage.cpp
@@ -1,4 +1,4 @@
-#include "retry_budget.hpp"
+#include <mulberryrudder/entry/retry_budget.hpp>
 
 #include <mulberryrudder/entry/quantile_estimate.hpp>
 #include <mulberryrudder/entry/queue_view.hpp>
--- /dev/null
+++ b/plugins/entry/roster/listed_targets.cpp
@@ -0,0 +1,58 @@
+#include "listed_targets.hpp"
+
+#include <tuple>
+
+namespace mulberryrudder::entry
+{
+
+namespace
+{
+
+using messages::target_notice;
+using messages::target_standing;
+
+/// Targets that are gone are remembered up to this many, which is more than a fleet
+/// replaces while a notice can be under way.
+constexpr std::size_t most_gone = 4096;
+
+auto order_of(target_notice const& it)
+{
+    return std::tuple(it.start, it.sequence, it.standing);
+}
+
+} // namespace
+
+std::vector<target_notice> listed_targets::take(std::vector<target_notice> const& told, instant now)
+{
+    std::vector<target_notice> out;
+    for (auto const& it : told)
+        if (take_one(it, now))
+            out.push_back(it);
+    return out;
+}
+
+bool listed_targets::take_one(target_notice const& it, instant now)
+{
+    auto const known = listed_.find(it.id);
+    if (known != listed_.end() && order_of(it) <= order_of(known->second.what))
+        return false;
+    if (auto const past = gone_.find(it.id); past != gone_.end())
+    {
+        if (order_of(it) <= order_of(past->second))
+            return false;
+        gone_.erase(past);
+    }
+    if (it.standing == target_standing::gone)
+    {
+        bool const listed = listed_.erase(it.id) != 0;
+        gone_[it.id] = it;
+        if (gone_.size() > most_gone)
+            gone_.erase(gone_.begin());
+        return listed;
+    }
+    auto const cold_until = it.cold_for > milliseconds(0) ? now + it.cold_for : instant{};
+    listed_[it.id] = {.what = it, .cold_until = cold_until, .learned = now};
+    return true;
+}
+
+} // namespace mulberryrudder::entry
--- /dev/null
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -0,0 +1,251 @@
+#include "control_choice.hpp"
+#include "listed_targets.hpp"
+
+#include <mulberryrudder/entry/drain_view.hpp>
+#include <mulberryrudder/entry/plan_view.hpp>
+#include <mulberryrudder/entry/stage.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace mulberryrudder::entry
+{
+
+namespace
+{
+
+struct roster_settings
+{
+    milliseconds answer_limit{1300};
+    milliseconds least_pause{40};
+};
+
+kernel::section<roster_settings> const roster_section{
+    "entry_roster",
+    {
+        kernel::field(
+            "answer_limit", &roster_settings::answer_limit, {50, 60'000},
+            "Milliseconds without an answer after which another control instance is asked; "
+            "above the time for which control holds a report back."),
+        kernel::field(
+            "least_pause", &roster_settings::least_pause, {1, 10'000},
+            "Milliseconds between two reports at least, so that a series of changes comes "
+            "together."),
+    }};
+
+kernel::event_kind const target_event{
+    {.number = 300,
+     .name = "targets.learned",
+     .level = kernel::severity::info,
+     .meaning = "This instance believes something new of a target, on control's word.",
+     .action = "None."}};
+kernel::event_kind const steering_event{{.number = 301,
+                                         .name = "steering.learned",
+                                         .level = kernel::severity::info,
+                                         .meaning = "A newer steering state holds here.",
+                                         .action = "None."}};
+kernel::event_kind const control_lost_event{
+    {.number = 302,
+     .name = "control.unanswered",
+     .level = kernel::severity::warning,
+     .meaning = "A control instance did not answer a report; another one is asked.",
+     .action = "If it goes on, look at that instance and the way to it."}};
+kernel::event_kind const control_found_event{
+    {.number = 303,
+     .name = "control.answered",
+     .level = kernel::severity::info,
+     .meaning = "A control instance answers again, after none did or another one had.",
+     .action = "None."}};
+
+kernel::counter_kind const reports_counter("roster.reports", "Reports sent to control.");
+
+/// Reports to a control instance and learns the plan, the targets and the parts of
+/// the rates from its answers.
+///
+/// Thread safety: as stage.
+class roster_stage final : public stage, private plan_view
+{
+public:
+    explicit roster_stage(stage_parts const& parts)
+        : config_(parts.config.get(roster_section)), services_(parts.services)
+    {
+        for (auto const id : parts.self.control)
+            choice_.add_contact(id);
+        parts.services.provide<plan_view>(*this);
+    }
+
+    void received(envelope const& it, context& with) override
+    {
+        static std::array const table{on_message<&roster_stage::take_update>()};
+        dispatch(*this, table, it, with);
+    }
+
+    void attempt_ended(request const& what, attempt const& it, attempt_end const& how,
+                       context& with) override
+    {
+        auto const versions = steering_->versions.find(what.service);
+        if (versions == steering_->versions.end() ||
+            versions->second.phase != rollout_phase::running)
+            return;
+        if (how.failed == attempt_failure::shed)
+            return;
+        auto& out = outcomes_[{what.service, it.target.version}];
+        ++out.answered;
+        // A caller that left says nothing of the target.
+        bool const gave_up = how.failed == attempt_failure::cancelled && with.now < what.deadline;
+        bool const wrong = how.failed ? !gave_up : how.content->status >= 500;
+        if (wrong)
+            ++out.bad;
+        auto const took = std::chrono::duration_cast<milliseconds>(with.now - it.started);
+        out.time_ms += static_cast<std::uint64_t>(took.count());
+    }
+
+    void stopping(context& with) override
+    {
+        stopping_ = true;
+        send_report(with);
+    }
+
+    void tick(context& with) override
+    {
+        if (waiting_for_ && with.now >= answer_due_)
+        {
+            with.events.record(control_lost_event,
+                               {{"control", std::to_string(waiting_for_->value())}});
+            choice_.failed(*waiting_for_, with.now);
+            waiting_for_.reset();
+            answered_by_.reset();
+            report_due_ = with.now;
+        }
+        if (!waiting_for_ && with.now >= report_due_)
+            send_report(with);
+    }
+
+private:
+    shared_steering const& steering() const override { return shown_; }
+    std::map<target_id, listed_target> const& targets() const override { return listed_.all(); }
+    std::uint64_t revision() const override { return revision_; }
+    std::int64_t entries() const override { return entries_; }
+    std::int64_t entries_in_domain() const override { return entries_in_domain_; }
+
+    per_mille share_of(customer_id const& customer) const override
+    {
+        auto const it = shares_.find(customer);
+        return it != shares_.end() ? it->second : per_mille(whole_share.count() / entries_);
+    }
+
+    void send_report(context& with)
+    {
+        auto const to = choice_.best(with.self.self, with.now, with.random);
+        if (!to)
+            return;
+        with.counters.add(reports_counter);
+        number_ = sequence_id(number_.value() + 1);
+        messages::roster_poll out{.self = {.who = with.self.self,
+                                           .boot = with.self.boot,
+                                           .sequence = number_,
+                                           .ready = shown_ != nullptr && !stopping_,
+                                           .demand = {}},
+                                  .generation = steering_->generation,
+                                  .known_boot = to == answered_by_ ? known_boot_ : boot_id(),
+                                  .known = to == answered_by_ ? known_ : sequence_id(),
+                                  .outcomes = {}};
+        if (auto* const demand = services_.find<demand_view>())
+            out.self.demand = demand->demand(with.now);
+        for (auto const& [key, it] : outcomes_)
+        {
+            out.outcomes.push_back(it);
+            out.outcomes.back().service = key.first;
+            out.outcomes.back().version = key.second;
+        }
+        outcomes_.clear();
+        with.send(*to, std::move(out));
+        waiting_for_ = to;
+        answer_due_ = with.now + config_.answer_limit;
+        report_due_ = with.now + config_.least_pause;
+    }
+
+    void take_update(instance_id from, messages::roster_update const& it, context& with)
+    {
+        if (from != waiting_for_ || it.poll != number_)
+            return;
+        waiting_for_.reset();
+        if (answered_by_ != from)
+            with.events.record(control_found_event, {{"control", std::to_string(from.value())}});
+        answered_by_ = from;
+        known_boot_ = it.boot;
+        known_ = it.newest;
+        for (auto const& each : choice_.learn(it.control))
+            with.out.push_back(learn_instance{.id = each.id, .peer = each.peer});
+        for (auto const& changed : listed_.take(it.targets, with.now))
+            note(changed, with);
+        entries_ = std::max<std::int64_t>(it.entries, 1);
+        entries_in_domain_ = std::max<std::int64_t>(it.entries_in_domain, 1);
+        shares_ = it.shares;
+        if (it.steering && it.steering->generation > steering_->generation)
+            take_steering(it.steering, with);
+    }
+
+    void take_steering(shared_steering const& it, context& with)
+    {
+        steering_ = it;
+        ++revision_;
+        auto const plan = it->plan ? it->plan->number.value() : 0;
+        with.events.record(steering_event, {{"generation", std::to_string(it->generation.value())},
+                                            {"plan", std::to_string(plan)},
+                                            {"evacuated", std::to_string(it->evacuated.size())}});
+        if (!it->plan)
+            return;
+        bool const first = shown_ == nullptr;
+        shown_ = it;
+        if (!first)
+            return;
+        with.out.push_back(accept_callers{});
+        // Control names this instance to callers once it hears that it is ready.
+        send_report(with);
+    }
+
+    void note(messages::target_notice const& it, context& with)
+    {
+        static constexpr std::array names{"serving", "leaving", "gone"};
+        ++revision_;
+        with.events.record(target_event,
+                           {{"target", it.id.value()},
+                            {"service", it.service.value()},
+                            {"version", it.version.value()},
+                            {"address", to_string(it.where)},
+                            {"start", std::to_string(it.start.value())},
+                            {"sequence", std::to_string(it.sequence.value())},
+                            {"age_ms", std::to_string(it.age.count())},
+                            {"cold_ms", std::to_string(it.cold_for.count())},
+                            {"standing", names.at(static_cast<std::size_t>(it.standing))}});
+        if (it.standing == messages::target_standing::gone)
+            with.out.push_back(forget_target{it.id});
+    }
+
+    roster_settings const& config_;
+    kernel::service_map& services_;
+    control_choice choice_;
+    listed_targets listed_;
+    shared_steering steering_ = std::make_shared<steering_state const>();
+    shared_steering shown_; ///< The newest with a plan.
+    std::uint64_t revision_ = 0;
+    std::int64_t entries_ = 1;
+    std::int64_t entries_in_domain_ = 1;
+    std::map<customer_id, per_mille> shares_;
+    std::map<std::pair<service_id, version_id>, messages::version_outcomes> outcomes_;
+    sequence_id number_;
+    std::optional<instance_id> waiting_for_;
+    std::optional<instance_id> answered_by_;
+    boot_id known_boot_;
+    sequence_id known_;
+    instant answer_due_;
+    instant report_due_;
+    bool stopping_ = false;
+};
+
+stage_registrar<roster_stage> const entered{"roster", stage_order::roster};
+
+} // namespace
+
+} // namespace mulberryrudder::entry
--- a/plugins/entry/versions/versions_stage.cpp
+++ b/plugins/entry/versions/versions_stage.cpp
@@ -176,6 +176,7 @@
         case attempt_failure::connect_refused:
         case attempt_failure::connect_timeout:
         case attempt_failure::shed:
+        case attempt_failure::misdirected:
             break;
         }
         return std::nullopt;
--- a/plugins/entry_io/caller_http/answer_codec.hpp
+++ b/plugins/entry_io/caller_http/answer_codec.hpp
@@ -14,6 +14,12 @@
 
 using http_response = boost::beast::http::response<boost::beast::http::string_body>;
 
+/// Returns an answer with a body.
+http_response with_body(unsigned status, std::string_view type, std::string body);
+
+/// Returns a problem document (RFC 9457).
+http_response problem(unsigned status, boost::json::object const& what);
+
 /// Encodes what became of a request. A refusal is a problem document (RFC 9457)
 /// with `reason` and `verdict`.
 http_response encode(request_id id, entry::outcome const& what);
--- a/plugins/entry_io/caller_http/caller_duty.cpp
+++ b/plugins/entry_io/caller_http/caller_duty.cpp
@@ -6,7 +6,9 @@
 #include <mulberryrudder/peer/orders.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 
+#include <list>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -46,24 +48,34 @@
           to_decision_(
               given.links.link<entry::input>(name(), duties::decision, duty_ring_capacity)),
           answers_(given.links.link<entry::effect>(duties::decision, name(), duty_ring_capacity)),
-          numbers_(instance_.id, fleet::new_boot_id(), entry::number_space::front_end),
+          numbers_(fleet::describe(instance_).id, fleet::new_boot_id(),
+                   entry::number_space::front_end),
           acceptor_(loop())
     {
     }
 
     void connect() override
     {
-        tcp::endpoint const where(boost::asio::ip::make_address(instance_.caller.address),
-                                  instance_.caller.port);
-        acceptor_.open(where.protocol());
-        acceptor_.set_option(tcp::acceptor::reuse_address(true));
-        acceptor_.bind(where);
+        bind(acceptor_, instance_.caller);
+        for (auto const& it : config_.operators)
+        {
+            auto& made = operator_acceptors_.emplace_back(loop());
+            bind(made, it);
+            made.listen();
+        }
+    }
+
+    void prepare_stop() override
+    {
+        boost::asio::post(loop(), [this] { stopping_ = true; });
     }
 
 protected:
     void started() override
     {
         run_once(config_.start_limit, [this] { listen(); });
+        for (auto& it : operator_acceptors_)
+            accept(it, true);
     }
 
     void take_messages() override
@@ -78,7 +90,10 @@
             else if (auto const* const told = std::get_if<entry::answer_question>(&it))
                 pass_on(told->id, encode(*told));
             else if (std::holds_alternative<entry::accept_callers>(it))
+            {
+                ready_ = true;
                 listen();
+            }
             else if (std::holds_alternative<entry::close_idle_callers>(it))
                 close_idle();
         }
@@ -92,28 +107,38 @@
         if (std::exchange(listening_, true))
             return;
         acceptor_.listen();
-        accept();
+        accept(acceptor_, false);
     }
 
-    void accept()
+    static void bind(tcp::acceptor& it, endpoint const& to)
     {
-        acceptor_.async_accept(
-            [this](boost::system::error_code ec, tcp::socket socket)
+        tcp::endpoint const where(boost::asio::ip::make_address(to.address), to.port);
+        it.open(where.protocol());
+        it.set_option(tcp::acceptor::reuse_address(true));
+        it.bind(where);
+    }
+
+    void accept(tcp::acceptor& from, bool for_operators)
+    {
+        from.async_accept(
+            [this, &from, for_operators](boost::system::error_code ec, tcp::socket socket)
             {
                 if (ec)
-                    return run_once(accept_pause, [this] { accept(); });
-                open(std::move(socket));
-                accept();
+                    return run_once(accept_pause,
+                                    [this, &from, for_operators] { accept(from, for_operators); });
+                open(std::move(socket), for_operators);
+                accept(from, for_operators);
             });
     }
 
-    void open(tcp::socket socket)
+    void open(tcp::socket socket, bool for_operators)
     {
         if (sessions_.size() >= static_cast<std::size_t>(config_.most_connections.count()))
             return parts().counters.add(connections_refused);
         parts().counters.add(connections_opened);
         session_owner& self = *this;
-        auto const it = std::make_shared<session>(std::move(socket), self, monotonic_now());
+        auto const it =
+            std::make_shared<session>(std::move(socket), self, monotonic_now(), for_operators);
         sessions_.insert(it);
         it->start();
     }
@@ -121,8 +146,11 @@
     void arrived(std::shared_ptr<session> const& from, http_request&& what) override
     {
         request_id const id(numbers_.next());
-        decoding const with{
-            .config = config_, .id = id, .client = from->client(), .now = monotonic_now()};
+        decoding const with{.config = config_,
+                            .id = id,
+                            .client = from->client(),
+                            .now = monotonic_now(),
+                            .for_operators = from->for_operators()};
         auto read = decode(std::move(what), with);
         std::visit([&](auto& it) { take(from, id, it); }, read);
     }
@@ -153,6 +181,10 @@
     {
         from->answer(encode_status(closing_ ? 503 : 200));
     }
+    void take(std::shared_ptr<session> const& from, request_id, readiness_asked&)
+    {
+        from->answer(encode_status(ready_ && !stopping_ ? 200 : 503));
+    }
     void take(std::shared_ptr<session> const& from, request_id, bad_request& it)
     {
         parts().counters.add(bad_requests);
@@ -208,10 +240,13 @@
     kernel::ring<entry::effect>& answers_;
     entry::numbering numbers_;
     tcp::acceptor acceptor_;
+    std::list<tcp::acceptor> operator_acceptors_; ///< Handlers refer to them.
     std::set<std::shared_ptr<session>> sessions_;
     std::unordered_map<request_id, std::shared_ptr<session>> unanswered_;
     bool listening_ = false;
     bool closing_ = false;
+    bool ready_ = false;    ///< The decisions take callers' requests.
+    bool stopping_ = false; ///< A planned stop began.
 };
 
 kernel::duty_registrar<caller_duty> const entered{"caller_io", duty_order::caller_io};
--- a/plugins/entry_io/caller_http/caller_settings.cpp
+++ b/plugins/entry_io/caller_http/caller_settings.cpp
@@ -40,6 +40,8 @@
               "Milliseconds a request may take if its caller states no deadline."),
         field("most_deadline", &caller_settings::most_deadline, short_times,
               "Milliseconds a caller may state as deadline at most."),
+        field("operators", &caller_settings::operators, kernel::unbounded,
+              "Addresses at which operators ask whether the instance is ready, and for counters."),
         field("most_connections", &caller_settings::most_connections, connection_counts,
               "Connections of callers and targets that are open at the same time."),
     },
--- a/plugins/entry_io/caller_http/caller_settings.hpp
+++ b/plugins/entry_io/caller_http/caller_settings.hpp
@@ -1,9 +1,12 @@
 #ifndef MULBERRYRUDDER_PLUGINS_ENTRY_IO_CALLER_HTTP_CALLER_SETTINGS_HPP
 #define MULBERRYRUDDER_PLUGINS_ENTRY_IO_CALLER_HTTP_CALLER_SETTINGS_HPP
 
+#include <mulberryrudder/core/endpoint.hpp>
 #include <mulberryrudder/core/units.hpp>
 #include <mulberryrudder/kernel/settings.hpp>
 
+#include <vector>
+
 namespace mulberryrudder::caller_http
 {
 
@@ -19,6 +22,7 @@
     milliseconds default_deadline{2000};
     milliseconds most_deadline{30000};
     connections most_connections{4000};
+    std::vector<endpoint> operators; ///< Where readiness and counters are told.
 };
 
 extern kernel::section<caller_settings> const caller_section;
--- a/plugins/entry_io/caller_http/request_codec.hpp
+++ b/plugins/entry_io/caller_http/request_codec.hpp
@@ -34,9 +34,15 @@
 {
 };
 
+/// Asks whether the instance takes callers.
+struct readiness_asked
+{
+};
+
 /// What a caller or a target can ask for over HTTP.
-using decoded = std::variant<entry::request_arrived, entry::question_arrived, entry::lookup_arrived,
-                             entry::announcement, counters_asked, health_asked, bad_request>;
+using decoded =
+    std::variant<entry::request_arrived, entry::question_arrived, entry::lookup_arrived,
+                 entry::announcement, counters_asked, health_asked, readiness_asked, bad_request>;
 
 /// What the decoder needs besides the request.
 struct decoding
@@ -45,6 +51,7 @@
     request_id id;
     client_address client;
     instant now;
+    bool for_operators = false; ///< It came to an address that is not for callers.
 };
 
 /// Reads a request: `/v1/...` is the system's own, `/ROUTE/...` is forwarded. The
--- a/plugins/entry_io/caller_http/session.cpp
+++ b/plugins/entry_io/caller_http/session.cpp
@@ -1,5 +1,7 @@
 #include "session.hpp"
 
+#include <mulberryrudder/kernel/socket_options.hpp>
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -39,12 +41,14 @@
 
 } // namespace
 
-session::session(boost::asio::ip::tcp::socket socket, session_owner& owner, instant now)
+session::session(boost::asio::ip::tcp::socket socket, session_owner& owner, instant now,
+                 bool for_operators)
     : stream_(std::move(socket)), owner_(owner), client_(address_of(stream_.socket())),
-      close_after_(now + owner.config().connection_lifetime)
+      close_after_(now + owner.config().connection_lifetime), for_operators_(for_operators)
 {
     boost::system::error_code ec;
     stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ec);
+    kernel::limit_silence(stream_.socket(), owner.config().read_limit);
 }
 
 void session::read()
--- a/plugins/entry_io/caller_http/session.hpp
+++ b/plugins/entry_io/caller_http/session.hpp
@@ -42,7 +42,9 @@
 class session final : public std::enable_shared_from_this<session>
 {
 public:
-    session(boost::asio::ip::tcp::socket socket, session_owner& owner, instant now);
+    /// `for_operators` tells that the connection was made to an address of operators.
+    session(boost::asio::ip::tcp::socket socket, session_owner& owner, instant now,
+            bool for_operators);
 
     void start() { read(); }
 
@@ -56,6 +58,7 @@
     void close_if_idle();
 
     client_address const& client() const { return client_; }
+    bool for_operators() const { return for_operators_; }
 
 private:
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -76,6 +79,7 @@
     std::optional<parser> parser_;
     std::optional<http_response> response_;
     std::optional<request_id> unanswered_;
+    bool for_operators_ = false;
     bool keep_alive_ = true;
     bool head_only_ = false;
     bool idle_ = true;
--- a/plugins/entry_io/decision/decision_duty.cpp
+++ b/plugins/entry_io/decision/decision_duty.cpp
@@ -38,7 +38,8 @@
                  .events = events(),
                  .self = {.self = fleet::describe(config_),
                           .boot = fleet::new_boot_id(),
-                          .control = fleet::control_ids(config_)},
+                          .control = fleet::control_ids(config_),
+                          .regions = fleet::regions(config_)},
                  .seed = std::random_device{}()})
     {
         take_from<entry::input>(duties::target_io);
@@ -49,8 +50,9 @@
 protected:
     void started() override
     {
-        events().record(instance_started, {{"instance", std::to_string(config_.id.value())}});
-        for (auto const& it : config_.control)
+        events().record(instance_started,
+                        {{"instance", std::to_string(fleet::describe(config_).id.value())}});
+        for (auto const& it : fleet::contacts(config_))
             to_peers_.post(peer::learn_instance{it.id, it.peer});
         decision_loop::started();
     }
--- a/plugins/entry_io/target_http/connection.cpp
+++ b/plugins/entry_io/target_http/connection.cpp
@@ -1,5 +1,7 @@
 #include "connection.hpp"
 
+#include <mulberryrudder/kernel/socket_options.hpp>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -26,11 +28,6 @@
                                 : entry::attempt_failure::closed;
 }
 
-std::chrono::steady_clock::time_point on_steady_clock(instant when)
-{
-    return std::chrono::steady_clock::time_point(when.time_since_epoch());
-}
-
 } // namespace
 
 connection::connection(boost::asio::io_context& loop, endpoint where, target_settings const& config)
@@ -65,6 +62,7 @@
         return fail(ec, verdict::not_run);
     open_ = true;
     stream_.socket().set_option(tcp::no_delay(true), ec);
+    kernel::limit_silence(stream_.socket(), config_.silence_limit);
     write();
 }
 
@@ -96,11 +94,14 @@
     if (ec || cancelled_)
         return fail(ec, verdict::may_have_run);
     // Bytes behind the reply belong to nothing that was asked, and a reply that
-    // ends with the connection cannot be told from one that was cut.
-    bool const framed = parser_->content_length() || parser_->chunked() || parser_->is_done();
-    if (buf_.size() != 0 || !framed || parser_->need_eof())
+    // ends with the connection cannot be told from one that was cut, unless the
+    // targets are known to reset connections that they cut.
+    bool const framed = !parser_->need_eof() &&
+                        (parser_->content_length() || parser_->chunked() || parser_->is_done());
+    bool const accepted = framed ? buf_.size() == 0 || config_.lenient : config_.lenient;
+    if (!accepted)
         return fail(http::make_error_code(http::error::bad_content_length), verdict::may_have_run);
-    reusable_ = parser_->keep_alive();
+    reusable_ = framed && buf_.size() == 0 && parser_->keep_alive();
     stream_.expires_never();
     finish(parser_->release());
 }
--- a/plugins/entry_io/target_http/exchange_codec.cpp
+++ b/plugins/entry_io/target_http/exchange_codec.cpp
@@ -72,17 +72,17 @@
     return out;
 }
 
-bool is_reply_to(http_reply const& it, request_id expected)
+bool is_reply_to(http_reply const& it, entry::send_attempt const& expected)
 {
     auto const echoed = it.find(header_names::request_id);
-    return echoed == it.end() || echoed->value() == std::to_string(expected.value());
+    return echoed == it.end() || echoed->value() == std::to_string(expected.request.value());
 }
 
-bool says_not_run(http_reply const& it)
+std::optional<entry::attempt_failure> turned_away(http_reply const& it)
 {
-    if (it.result() != http::status::service_unavailable)
-        return false;
-    return it[header_names::not_run] == "true";
+    bool const shed =
+        it.result() == http::status::service_unavailable && it[header_names::not_run] == "true";
+    return shed ? std::optional(entry::attempt_failure::shed) : std::nullopt;
 }
 
 std::optional<entry::load_report> read_load(http_reply const& it)
--- a/plugins/entry_io/target_http/exchange_codec.hpp
+++ b/plugins/entry_io/target_http/exchange_codec.hpp
@@ -21,12 +21,13 @@
 /// Encodes a probe.
 http_request encode(entry::probe_target const& what);
 
-/// Returns whether a whole reply is the one to this request: a target that echoes
-/// a request id must echo the right one.
-bool is_reply_to(http_reply const& it, request_id expected);
+/// Returns whether a whole reply is the one to this attempt: a target that echoes
+/// the request's id must echo the right one.
+bool is_reply_to(http_reply const& it, entry::send_attempt const& expected);
 
-/// Returns whether the target says that it shed the request without running it.
-bool says_not_run(http_reply const& it);
+/// Returns why the target says that it did not run the request; nothing if it does
+/// not say so.
+std::optional<entry::attempt_failure> turned_away(http_reply const& it);
 
 /// Returns the load that the reply tells, if it does.
 std::optional<entry::load_report> read_load(http_reply const& it);
--- a/plugins/entry_io/target_http/target_duty.cpp
+++ b/plugins/entry_io/target_http/target_duty.cpp
@@ -80,29 +80,31 @@
         parts().counters.add(connections_opened);
         running_.emplace(what.id, way);
         way->exchange(encode(what, now), what.deadline,
-                      [this, id = what.id, request = what.request, target = what.target,
-                       way](exchange_end how)
+                      [this, what, way](exchange_end how)
                       {
-                          running_.erase(id);
-                          finish(id, request, std::move(how), *way);
-                          pool_.release(target, way);
+                          running_.erase(what.id);
+                          finish(what, std::move(how), *way);
+                          pool_.release(what.target, way);
                       });
     }
 
-    void finish(attempt_id id, request_id request, exchange_end how, connection& way)
+    void finish(entry::send_attempt const& what, exchange_end how, connection& way)
     {
         if (auto const* const failed = std::get_if<exchange_failed>(&how))
-            return report_failure(id, *failed);
+            return report_failure(what.id, *failed);
         auto& reply = std::get<http_reply>(how);
-        if (!is_reply_to(reply, request))
+        if (!is_reply_to(reply, what))
         {
             way.close();
-            return report_failure(id, {entry::attempt_failure::malformed, verdict::may_have_run});
+            return report_failure(what.id,
+                                  {entry::attempt_failure::malformed, verdict::may_have_run});
         }
-        if (says_not_run(reply))
-            return report_failure(id, {entry::attempt_failure::shed, verdict::not_run});
         auto const load = read_load(reply);
-        tell(entry::attempt_replied{.id = id, .content = decode(std::move(reply)), .load = load});
+        if (auto const cause = turned_away(reply))
+            return tell(entry::attempt_failed{
+                .id = what.id, .cause = *cause, .run = verdict::not_run, .load = load});
+        tell(entry::attempt_replied{
+            .id = what.id, .content = decode(std::move(reply)), .load = load});
     }
 
     void report_failure(attempt_id id, exchange_failed const& how)
--- a/plugins/entry_io/target_http/target_settings.cpp
+++ b/plugins/entry_io/target_http/target_settings.cpp
@@ -20,6 +20,12 @@
               "Milliseconds a connection to a target may take to come about."),
         field("idle_limit", &target_settings::idle_limit, idle_times,
               "Milliseconds an unused connection to a target is kept."),
+        field("silence_limit", &target_settings::silence_limit, connect_times,
+              "Milliseconds for which sent bytes may stay unconfirmed before a connection to a "
+              "target counts as lost."),
+        field("lenient", &target_settings::lenient, kernel::unbounded,
+              "Whether whole replies are passed on that end with their connection or have bytes "
+              "behind them; only for targets that reset the connections they cut."),
         field("most_header", &target_settings::most_header, header_bytes,
               "Bytes of a reply's header at most."),
         field("most_body", &target_settings::most_body, body_bytes,
--- a/plugins/entry_io/target_http/target_settings.hpp
+++ b/plugins/entry_io/target_http/target_settings.hpp
@@ -12,6 +12,8 @@
 {
     milliseconds connect_limit{500};
     milliseconds idle_limit{30000};
+    milliseconds silence_limit{1500};
+    bool lenient = false;
     byte_count most_header{16'384};
     byte_count most_body{4'194'304};
 };
--- a/plugins/log/log_duty.cpp
+++ b/plugins/log/log_duty.cpp
@@ -39,7 +39,7 @@
     "log",
     {
         field("file", &log_settings::file, kernel::unbounded,
-              "File that the log is appended to; standard error if absent."),
+              "File that the log is appended to; standard output if absent."),
         field("format", &log_settings::format, kernel::unbounded,
               "\"text\" for people, \"json\" for one JSON object a line."),
         field("level", &log_settings::level, kernel::unbounded,
@@ -97,7 +97,7 @@
     {
         namespace keywords = boost::log::keywords;
         if (config_.file.empty())
-            boost::log::add_console_log(std::cerr, keywords::auto_flush = true);
+            boost::log::add_console_log(std::cout, keywords::auto_flush = true);
         else
             boost::log::add_file_log(keywords::file_name = config_.file,
                                      keywords::open_mode = std::ios::app,
--- a/plugins/peer/codecs/lease_parts_codec.cpp
+++ b/plugins/peer/codecs/lease_parts_codec.cpp
@@ -11,17 +11,6 @@
 namespace
 {
 
-void encode_endpoint(endpoint const& from, schema::Endpoint::Builder to)
-{
-    to.setAddress(from.address);
-    to.setPort(from.port);
-}
-
-endpoint decode_endpoint(schema::Endpoint::Reader from)
-{
-    return {.address = decode_text(from.getAddress()), .port = from.getPort()};
-}
-
 /// Refuses amounts below zero: arithmetic on them could make tokens.
 template <class Quantity>
 Quantity amount(std::int64_t count)
@@ -33,13 +22,24 @@
 
 } // namespace
 
+void encode(endpoint const& from, schema::Endpoint::Builder to)
+{
+    to.setAddress(from.address);
+    to.setPort(from.port);
+}
+
+endpoint decode(schema::Endpoint::Reader from)
+{
+    return {.address = decode_text(from.getAddress()), .port = from.getPort()};
+}
+
 void encode(instance_description const& from, schema::InstanceDescription::Builder to)
 {
     to.setId(from.id.value());
     to.setRegion(from.region.value());
     to.setDomain(from.domain.value());
-    encode_endpoint(from.peer, to.initPeer());
-    encode_endpoint(from.caller, to.initCaller());
+    encode(from.peer, to.initPeer());
+    encode(from.caller, to.initCaller());
 }
 
 instance_description decode(schema::InstanceDescription::Reader from)
@@ -47,8 +47,8 @@
     return {.id = instance_id(from.getId()),
             .region = region_id(decode_text(from.getRegion())),
             .domain = domain_id(decode_text(from.getDomain())),
-            .peer = decode_endpoint(from.getPeer()),
-            .caller = decode_endpoint(from.getCaller())};
+            .peer = decode(from.getPeer()),
+            .caller = decode(from.getCaller())};
 }
 
 void encode(messages::config_delta const& from, schema::ConfigDelta::Builder to)
--- a/plugins/peer/codecs/lease_parts_codec.hpp
+++ b/plugins/peer/codecs/lease_parts_codec.hpp
@@ -12,6 +12,7 @@
 /// kj::Exception or std::exception for what no instance writes.
 ///
 /// Thread safety: any thread, on distinct builders.
+void encode(endpoint const& from, schema::Endpoint::Builder to);
 void encode(instance_description const& from, schema::InstanceDescription::Builder to);
 void encode(messages::config_delta const& from, schema::ConfigDelta::Builder to);
 void encode(messages::customer_demand const& from, schema::CustomerDemand::Builder to);
@@ -22,6 +23,7 @@
 void encode(messages::member const& from, schema::Member::Builder to);
 void encode(messages::domain_free const& from, schema::DomainFree::Builder to);
 
+endpoint decode(schema::Endpoint::Reader from);
 instance_description decode(schema::InstanceDescription::Reader from);
 messages::config_delta decode(schema::ConfigDelta::Reader from);
 messages::customer_demand decode(schema::CustomerDemand::Reader from);
--- /dev/null
+++ b/plugins/peer/codecs/roster_codec.cpp
@@ -0,0 +1,226 @@
+#include "lease_parts_codec.hpp"
+#include "roster_parts_codec.hpp"
+#include "steering_parts_codec.hpp"
+
+#include "fleet_config_codec.hpp"
+#include "list_codec.hpp"
+
+#include <mulberryrudder/messages/roster.hpp>
+#include <mulberryrudder/wire/codec.hpp>
+
+#include <stdexcept>
+
+namespace mulberryrudder::wire
+{
+
+using namespace schema::steering;
+
+namespace
+{
+
+template <class Quantity>
+void encode_numbers(std::map<customer_id, Quantity> const& from,
+                    capnp::List<CustomerNumber>::Builder to)
+{
+    unsigned n = 0;
+    for (auto const& [customer, number] : from)
+    {
+        auto out = to[n++];
+        out.setCustomer(customer.value());
+        out.setNumber(number.count());
+    }
+}
+
+template <class Quantity>
+void decode_numbers(capnp::List<CustomerNumber>::Reader from, std::map<customer_id, Quantity>& out)
+{
+    for (auto const it : from)
+        out.emplace(customer_id(decode_text(it.getCustomer())), Quantity(it.getNumber()));
+}
+
+messages::target_standing decode_standing(std::uint8_t from)
+{
+    if (from > static_cast<std::uint8_t>(messages::target_standing::gone))
+        throw std::invalid_argument("an unknown standing of a target");
+    return static_cast<messages::target_standing>(from);
+}
+
+} // namespace
+
+void encode(messages::target_notice const& from, TargetNotice::Builder to)
+{
+    to.setId(from.id.value());
+    to.setStart(from.start.value());
+    to.setSequence(from.sequence.value());
+    to.setService(from.service.value());
+    encode(from.where, to.initWhere());
+    to.setDomain(from.domain.value());
+    to.setVersion(from.version.value());
+    to.setCapacity(from.capacity.count());
+    to.setStanding(static_cast<std::uint8_t>(from.standing));
+    to.setColdForMs(from.cold_for.count());
+    to.setAgeMs(from.age.count());
+}
+
+messages::target_notice decode(TargetNotice::Reader from)
+{
+    return {.id = target_id(decode_text(from.getId())),
+            .start = start_id(from.getStart()),
+            .sequence = sequence_id(from.getSequence()),
+            .service = service_id(decode_text(from.getService())),
+            .where = decode(from.getWhere()),
+            .domain = domain_id(decode_text(from.getDomain())),
+            .version = version_id(decode_text(from.getVersion())),
+            .capacity = slots(from.getCapacity()),
+            .standing = decode_standing(from.getStanding()),
+            .cold_for = milliseconds(from.getColdForMs()),
+            .age = milliseconds(from.getAgeMs())};
+}
+
+void encode(messages::version_outcomes const& from, Outcomes::Builder to)
+{
+    to.setService(from.service.value());
+    to.setVersion(from.version.value());
+    to.setAnswered(from.answered);
+    to.setBad(from.bad);
+    to.setTimeMs(from.time_ms);
+}
+
+messages::version_outcomes decode(Outcomes::Reader from)
+{
+    return {.service = service_id(decode_text(from.getService())),
+            .version = version_id(decode_text(from.getVersion())),
+            .answered = from.getAnswered(),
+            .bad = from.getBad(),
+            .time_ms = from.getTimeMs()};
+}
+
+void encode(messages::entry_notice const& from, EntryNotice::Builder to)
+{
+    encode(from.who, to.initWho());
+    to.setBoot(from.boot.value());
+    to.setSequence(from.sequence.value());
+    to.setReady(from.ready);
+    to.setAgeMs(from.age.count());
+    encode_numbers(from.demand, to.initDemand(static_cast<unsigned>(from.demand.size())));
+}
+
+messages::entry_notice decode(EntryNotice::Reader from)
+{
+    messages::entry_notice out{.who = decode(from.getWho()),
+                               .boot = boot_id(from.getBoot()),
+                               .sequence = sequence_id(from.getSequence()),
+                               .ready = from.getReady(),
+                               .age = milliseconds(from.getAgeMs()),
+                               .demand = {}};
+    decode_numbers(from.getDemand(), out.demand);
+    return out;
+}
+
+namespace
+{
+
+void encode_exchange(messages::roster_exchange const& from, Exchange::Builder to)
+{
+    encode(from.who, to.initWho());
+    encode(from.operators, to.initOperators());
+    to.setLeads(from.leads);
+    to.setGeneration(from.generation.value());
+    to.setWantsSteering(from.wants_steering);
+    to.setHasSteering(from.steering != nullptr);
+    if (from.steering)
+        encode_state(*from.steering, true, to.initSteering());
+    to.setNumber(from.number.value());
+    to.setAcknowledged(from.acknowledged.value());
+    encode_list(from.targets, to.initTargets(size_of(from.targets)));
+    encode_list(from.entries, to.initEntries(size_of(from.entries)));
+    encode_list(from.outcomes, to.initOutcomes(size_of(from.outcomes)));
+    encode_list(from.control, to.initControl(size_of(from.control)));
+}
+
+messages::roster_exchange decode_exchange(Exchange::Reader from)
+{
+    messages::roster_exchange out{.who = decode(from.getWho()),
+                                  .operators = decode(from.getOperators()),
+                                  .leads = from.getLeads(),
+                                  .generation = generation_id(from.getGeneration()),
+                                  .wants_steering = from.getWantsSteering(),
+                                  .steering = nullptr,
+                                  .number = sequence_id(from.getNumber()),
+                                  .acknowledged = sequence_id(from.getAcknowledged()),
+                                  .targets = {},
+                                  .entries = {},
+                                  .outcomes = {},
+                                  .control = {}};
+    if (from.getHasSteering())
+        out.steering = std::make_shared<steering_state const>(decode(from.getSteering()));
+    decode_list(from.getTargets(), out.targets);
+    decode_list(from.getEntries(), out.entries);
+    decode_list(from.getOutcomes(), out.outcomes);
+    decode_list(from.getControl(), out.control);
+    return out;
+}
+
+void encode_poll(messages::roster_poll const& from, Poll::Builder to)
+{
+    encode(from.self, to.initSelf());
+    to.setGeneration(from.generation.value());
+    to.setKnownBoot(from.known_boot.value());
+    to.setKnown(from.known.value());
+    encode_list(from.outcomes, to.initOutcomes(size_of(from.outcomes)));
+}
+
+messages::roster_poll decode_poll(Poll::Reader from)
+{
+    messages::roster_poll out{.self = decode(from.getSelf()),
+                              .generation = generation_id(from.getGeneration()),
+                              .known_boot = boot_id(from.getKnownBoot()),
+                              .known = sequence_id(from.getKnown()),
+                              .outcomes = {}};
+    decode_list(from.getOutcomes(), out.outcomes);
+    return out;
+}
+
+void encode_update(messages::roster_update const& from, Update::Builder to)
+{
+    to.setPoll(from.poll.value());
+    to.setBoot(from.boot.value());
+    to.setNewest(from.newest.value());
+    to.setHasSteering(from.steering != nullptr);
+    if (from.steering)
+        encode_state(*from.steering, false, to.initSteering());
+    encode_list(from.targets, to.initTargets(size_of(from.targets)));
+    encode_list(from.control, to.initControl(size_of(from.control)));
+    to.setEntriesInDomain(from.entries_in_domain);
+    to.setEntries(from.entries);
+    encode_numbers(from.shares, to.initShares(static_cast<unsigned>(from.shares.size())));
+}
+
+messages::roster_update decode_update(Update::Reader from)
+{
+    messages::roster_update out{.poll = sequence_id(from.getPoll()),
+                                .boot = boot_id(from.getBoot()),
+                                .newest = sequence_id(from.getNewest()),
+                                .steering = nullptr,
+                                .targets = {},
+                                .control = {},
+                                .entries_in_domain = from.getEntriesInDomain(),
+                                .entries = from.getEntries(),
+                                .shares = {}};
+    if (from.getHasSteering())
+        out.steering = std::make_shared<steering_state const>(decode(from.getSteering()));
+    decode_list(from.getTargets(), out.targets);
+    decode_list(from.getControl(), out.control);
+    decode_numbers(from.getShares(), out.shares);
+    return out;
+}
+
+codec_registrar<messages::roster_exchange, Exchange, &encode_exchange, &decode_exchange> const
+    exchange_entered{210};
+codec_registrar<messages::roster_poll, Poll, &encode_poll, &decode_poll> const poll_entered{211};
+codec_registrar<messages::roster_update, Update, &encode_update, &decode_update> const
+    update_entered{212};
+
+} // namespace
+
+} // namespace mulberryrudder::wire
--- /dev/null
+++ b/plugins/peer/codecs/steering_parts_codec.cpp
@@ -0,0 +1,214 @@
+#include "steering_parts_codec.hpp"
+
+#include "fleet_config_codec.hpp"
+#include "list_codec.hpp"
+
+#include <stdexcept>
+
+namespace mulberryrudder::wire
+{
+
+using namespace schema::steering;
+
+namespace
+{
+
+void encode_regions(std::set<region_id> const& from, capnp::List<capnp::Text>::Builder to)
+{
+    unsigned n = 0;
+    for (auto const& it : from)
+        to.set(n++, it.value());
+}
+
+std::set<region_id> decode_regions(capnp::List<capnp::Text>::Reader from)
+{
+    std::set<region_id> out;
+    for (auto const it : from)
+        out.emplace(decode_text(it));
+    return out;
+}
+
+} // namespace
+
+void encode(service_share const& from, ServiceShare::Builder to)
+{
+    to.setService(from.service.value());
+    to.setPart(from.part.count());
+}
+
+service_share decode(ServiceShare::Reader from)
+{
+    return {.service = service_id(decode_text(from.getService())), .part = weight(from.getPart())};
+}
+
+void encode(plan_route const& from, Route::Builder to)
+{
+    to.setId(from.id.value());
+    to.setHost(from.host);
+    to.setPathPrefix(from.path_prefix);
+    to.setRepeatable(from.repeatable);
+    to.setOpen(from.open);
+    to.setSticky(from.sticky);
+    to.setTimeoutMs(from.timeout.count());
+    to.setAimMs(from.aim.count());
+    to.setRank(from.rank.count());
+    to.setMostTargets(from.most_targets.count());
+    encode_list(from.services, to.initServices(size_of(from.services)));
+    encode_regions(from.homes, to.initHomes(static_cast<unsigned>(from.homes.size())));
+}
+
+plan_route decode(Route::Reader from)
+{
+    plan_route out{.id = route_id(decode_text(from.getId())),
+                   .host = decode_text(from.getHost()),
+                   .path_prefix = decode_text(from.getPathPrefix()),
+                   .repeatable = from.getRepeatable(),
+                   .open = from.getOpen(),
+                   .sticky = from.getSticky(),
+                   .timeout = milliseconds(from.getTimeoutMs()),
+                   .aim = milliseconds(from.getAimMs()),
+                   .rank = urgency(from.getRank()),
+                   .most_targets = target_count(from.getMostTargets()),
+                   .services = {},
+                   .homes = decode_regions(from.getHomes())};
+    decode_list(from.getServices(), out.services);
+    return out;
+}
+
+void encode(plan_service const& from, Service::Builder to)
+{
+    to.setId(from.id.value());
+    to.setHealthPath(from.health_path);
+    to.setMostConnections(from.most_connections.count());
+    to.setWarmUpMs(from.warm_up.count());
+    to.setWarmUpRate(from.warm_up_rate.count());
+}
+
+plan_service decode(Service::Reader from)
+{
+    return {.id = service_id(decode_text(from.getId())),
+            .health_path = decode_text(from.getHealthPath()),
+            .most_connections = connections(from.getMostConnections()),
+            .warm_up = milliseconds(from.getWarmUpMs()),
+            .warm_up_rate = millitokens_per_second(from.getWarmUpRate())};
+}
+
+void encode(plan_customer const& from, Customer::Builder to)
+{
+    to.setId(from.id.value());
+    encode_digests(from.keys, to.initKeys(static_cast<unsigned>(from.keys.size())));
+    to.setRanked(from.rank.has_value());
+    to.setRank(from.rank.value_or(urgency()).count());
+    to.setRate(from.rate.count());
+    to.setBurst(from.burst.count());
+    encode_regions(from.homes, to.initHomes(static_cast<unsigned>(from.homes.size())));
+}
+
+plan_customer decode(Customer::Reader from)
+{
+    plan_customer out{.id = customer_id(decode_text(from.getId())),
+                      .keys = decode_digests(from.getKeys()),
+                      .rank = std::nullopt,
+                      .rate = millitokens_per_second(from.getRate()),
+                      .burst = millitokens(from.getBurst()),
+                      .homes = decode_regions(from.getHomes())};
+    if (from.getRanked())
+        out.rank = urgency(from.getRank());
+    return out;
+}
+
+namespace
+{
+
+void encode_plan(traffic_plan const& from, bool whole, Plan::Builder to)
+{
+    to.setNumber(from.number.value());
+    encode_list(from.routes, to.initRoutes(size_of(from.routes)));
+    encode_list(from.services, to.initServices(size_of(from.services)));
+    encode_list(from.customers, to.initCustomers(size_of(from.customers)));
+    to.setKeyed(from.keyed);
+    to.setMostHeader(from.limits.most_header.count());
+    to.setMostBody(from.limits.most_body.count());
+    to.setHeaderLimitMs(from.limits.header_limit.count());
+    to.setIdleLimitMs(from.limits.idle_limit.count());
+    if (whole)
+        to.setSource(from.source);
+}
+
+} // namespace
+
+void encode(traffic_plan const& from, Plan::Builder to)
+{
+    encode_plan(from, true, to);
+}
+
+traffic_plan decode(Plan::Reader from)
+{
+    traffic_plan out{.number = plan_number(from.getNumber()),
+                     .routes = {},
+                     .services = {},
+                     .customers = {},
+                     .keyed = from.getKeyed(),
+                     .limits = {.most_header = byte_count(from.getMostHeader()),
+                                .most_body = byte_count(from.getMostBody()),
+                                .header_limit = milliseconds(from.getHeaderLimitMs()),
+                                .idle_limit = milliseconds(from.getIdleLimitMs())},
+                     .source = decode_text(from.getSource())};
+    decode_list(from.getRoutes(), out.routes);
+    decode_list(from.getServices(), out.services);
+    decode_list(from.getCustomers(), out.customers);
+    return out;
+}
+
+void encode_state(steering_state const& from, bool whole, State::Builder to)
+{
+    to.setGeneration(from.generation.value());
+    to.setHasPlan(from.plan != nullptr);
+    if (from.plan)
+        encode_plan(*from.plan, whole, to.initPlan());
+    auto evacuated = to.initEvacuated(static_cast<unsigned>(from.evacuated.size()));
+    unsigned n = 0;
+    for (auto const& it : from.evacuated)
+        evacuated.set(n++, it.value());
+    auto versions = to.initVersions(static_cast<unsigned>(from.versions.size()));
+    n = 0;
+    for (auto const& [service, it] : from.versions)
+    {
+        auto out = versions[n++];
+        out.setService(service.value());
+        out.setBase(it.base.value());
+        out.setNext(it.next.value());
+        out.setShare(it.share.count());
+        out.setPhase(static_cast<std::uint8_t>(it.phase));
+        out.setDurationMs(it.duration.count());
+    }
+}
+
+steering_state decode(State::Reader from)
+{
+    steering_state out{.generation = generation_id(from.getGeneration()),
+                       .plan = nullptr,
+                       .evacuated = {},
+                       .versions = {}};
+    if (from.getHasPlan())
+        out.plan = std::make_shared<traffic_plan const>(decode(from.getPlan()));
+    for (auto const it : from.getEvacuated())
+        out.evacuated.emplace(decode_text(it));
+    for (auto const it : from.getVersions())
+        out.versions.emplace(service_id(decode_text(it.getService())),
+                             service_versions{.base = version_id(decode_text(it.getBase())),
+                                              .next = version_id(decode_text(it.getNext())),
+                                              .share = per_mille(it.getShare()),
+                                              .phase = decode_phase(it.getPhase()),
+                                              .duration = milliseconds(it.getDurationMs())});
+    return out;
+}
+
+rollout_phase decode_phase(std::uint8_t from)
+{
+    if (from > static_cast<std::uint8_t>(rollout_phase::rolled_back))
+        throw std::invalid_argument("an unknown phase of a rollout");
+    return static_cast<rollout_phase>(from);
+}
+
+} // namespace mulberryrudder::wire
--- a/plugins/peer/link/link_duty.cpp
+++ b/plugins/peer/link/link_duty.cpp
@@ -111,7 +111,7 @@
     void take(schema::Envelope::Reader from)
     {
         auto message = read_envelope(from);
-        if (!message || message->to != config_.id)
+        if (!message || message->to != fleet::describe(config_).id)
             return parts_.counters.add(messages_refused);
         parts_.counters.add(messages_received);
         if (!arrived_.try_push(std::move(*message)))
--- /dev/null
+++ b/schemas/steering.capnp
@@ -0,0 +1,186 @@
+@0xa1f4c9d27be30586;
+# Traffic plans, rollouts and evacuations, and the roster of targets and entries.
+
+using Cxx = import "/capnp/c++.capnp";
+using Lease = import "lease.capnp";
+$Cxx.namespace("mulberryrudder::schema::steering");
+
+struct ServiceShare {
+  service @0 :Text;
+  part @1 :Int64;
+}
+
+struct Route {
+  id @0 :Text;
+  host @1 :Text;
+  pathPrefix @2 :Text;
+  repeatable @3 :Bool;
+  open @4 :Bool;
+  sticky @5 :Bool;
+  timeoutMs @6 :Int64;
+  aimMs @7 :Int64;
+  rank @8 :Int64;
+  mostTargets @9 :Int64;
+  services @10 :List(ServiceShare);
+  homes @11 :List(Text);
+}
+
+struct Service {
+  id @0 :Text;
+  healthPath @1 :Text;
+  mostConnections @2 :Int64;
+  warmUpMs @3 :Int64;
+  warmUpRate @4 :Int64;
+}
+
+struct Customer {
+  id @0 :Text;
+  keys @1 :List(Data);
+  ranked @2 :Bool;
+  rank @3 :Int64;
+  rate @4 :Int64;
+  burst @5 :Int64;
+  homes @6 :List(Text);
+}
+
+struct Plan {
+  number @0 :UInt64;
+  routes @1 :List(Route);
+  services @2 :List(Service);
+  customers @3 :List(Customer);
+  keyed @4 :Bool;
+  mostHeader @5 :Int64;
+  mostBody @6 :Int64;
+  headerLimitMs @7 :Int64;
+  idleLimitMs @8 :Int64;
+  source @9 :Text;
+}
+
+struct Versions {
+  service @0 :Text;
+  base @1 :Text;
+  next @2 :Text;
+  share @3 :Int64;
+  phase @4 :UInt8;
+  durationMs @5 :Int64;
+}
+
+struct State {
+  generation @0 :UInt64;
+  hasPlan @1 :Bool;
+  plan @2 :Plan;
+  evacuated @3 :List(Text);
+  versions @4 :List(Versions);
+}
+
+struct ReplacePlan {
+  base @0 :UInt64;
+  plan @1 :Plan;
+  content @2 :Data;
+}
+
+struct SetEvacuation {
+  domain @0 :Text;
+  evacuated @1 :Bool;
+}
+
+struct StartRollout {
+  service @0 :Text;
+  version @1 :Text;
+  durationMs @2 :Int64;
+}
+
+struct StepRollout {
+  service @0 :Text;
+  version @1 :Text;
+  share @2 :Int64;
+  phase @3 :UInt8;
+}
+
+struct NoteBaseVersion {
+  service @0 :Text;
+  version @1 :Text;
+}
+
+struct AcceptedPlan {
+  number @0 :UInt64;
+  content @1 :Data;
+}
+
+struct Snapshot {
+  state @0 :State;
+  accepted @1 :List(AcceptedPlan);
+}
+
+struct TargetNotice {
+  id @0 :Text;
+  start @1 :UInt64;
+  sequence @2 :UInt64;
+  service @3 :Text;
+  where @4 :Lease.Endpoint;
+  domain @5 :Text;
+  version @6 :Text;
+  capacity @7 :Int64;
+  standing @8 :UInt8;
+  coldForMs @9 :Int64;
+  ageMs @10 :Int64;
+}
+
+struct Outcomes {
+  service @0 :Text;
+  version @1 :Text;
+  answered @2 :UInt64;
+  bad @3 :UInt64;
+  timeMs @4 :UInt64;
+}
+
+struct CustomerNumber {
+  customer @0 :Text;
+  number @1 :Int64;
+}
+
+struct EntryNotice {
+  who @0 :Lease.InstanceDescription;
+  boot @1 :UInt64;
+  sequence @2 :UInt64;
+  ready @3 :Bool;
+  ageMs @4 :Int64;
+  demand @5 :List(CustomerNumber);
+}
+
+struct Exchange {
+  who @0 :Lease.InstanceDescription;
+  operators @1 :Lease.Endpoint;
+  leads @2 :Bool;
+  generation @3 :UInt64;
+  wantsSteering @4 :Bool;
+  hasSteering @5 :Bool;
+  steering @6 :State;
+  number @7 :UInt64;
+  acknowledged @8 :UInt64;
+  targets @9 :List(TargetNotice);
+  entries @10 :List(EntryNotice);
+  outcomes @11 :List(Outcomes);
+  control @12 :List(Lease.InstanceDescription);
+}
+
+struct Poll {
+  self @0 :EntryNotice;
+  generation @1 :UInt64;
+  knownBoot @2 :UInt64;
+  known @3 :UInt64;
+  outcomes @4 :List(Outcomes);
+}
+
+struct Update {
+  poll @0 :UInt64;
+  boot @1 :UInt64;
+  newest @2 :UInt64;
+  hasSteering @3 :Bool;
+  steering @4 :State;
+  targets @5 :List(TargetNotice);
+  control @6 :List(Lease.InstanceDescription);
+  entriesInDomain @7 :UInt32;
+  entries @8 :UInt32;
+  shares @9 :List(CustomerNumber);
+}
