Keep objects on one home a region, and split a small region by what its targets keep

Ruled out: time as the reason for cold runs; on targets with under 30 objects 2 in 100 repeats are cold whatever the pause.

--- a/include/mulberryrudder/core/units.hpp
+++ b/include/mulberryrudder/core/units.hpp
@@ -29,6 +29,8 @@
 using weight = quantity<struct weight_tag, std::int64_t>;
 /// A place in an order of urgency; 0 is the most urgent.
 using urgency = quantity<struct urgency_tag, std::int64_t>;
+/// Objects that requests are about.
+using object_count = quantity<struct object_count_tag, std::int64_t>;
 /// Targets that a request may be sent to.
 using target_count = quantity<struct target_count_tag, std::int64_t>;
 
--- a/include/mulberryrudder/entry/plan_view.hpp
+++ b/include/mulberryrudder/entry/plan_view.hpp
@@ -41,6 +41,9 @@
 
     /// Returns this instance's part of a customer's rate.
     virtual per_mille share_of(customer_id const& customer) const = 0;
+
+    /// Returns what all instances together were asked for by a customer lately.
+    virtual millitokens_per_second fleet_demand(customer_id const& customer) const = 0;
 };
 
 /// Shows what customers ask of this instance.
--- a/include/mulberryrudder/entry/request.hpp
+++ b/include/mulberryrudder/entry/request.hpp
@@ -74,6 +74,7 @@
     plan_route const* planned = nullptr;
     plan_customer const* payer = nullptr; ///< Null on open routes.
     service_id service;                   ///< Set by the placement stage, once.
+    std::string why; ///< What the last stage that decided it went by, for the log.
     /// What another instance may have done with it; set by the stage that forwards.
     verdict run_elsewhere = verdict::not_run;
 };
--- a/include/mulberryrudder/messages/roster.hpp
+++ b/include/mulberryrudder/messages/roster.hpp
@@ -107,6 +107,8 @@
     std::uint32_t entries = 1;           ///< Ready ones in the fleet.
     /// The asker's part of each customer's rate, where it is not an even one.
     std::map<customer_id, per_mille> shares;
+    /// What all entries together are asked for by those customers.
+    std::map<customer_id, millitokens_per_second> demand;
 };
 
 } // namespace mulberryrudder::messages
--- a/plugins/control/roster/entry_table.cpp
+++ b/plugins/control/roster/entry_table.cpp
@@ -82,12 +82,18 @@
                                                     }));
 }
 
-std::map<customer_id, per_mille> entry_table::shares_of(instance_id entry) const
+std::map<customer_id, millitokens_per_second> entry_table::demand() const
 {
-    std::map<customer_id, millitokens_per_second> sums;
+    std::map<customer_id, millitokens_per_second> out;
     for (auto const& [id, it] : rows_)
         for (auto const& [customer, demand] : it.what.demand)
-            sums[customer] += demand;
+            out[customer] += demand;
+    return out;
+}
+
+std::map<customer_id, per_mille> entry_table::shares_of(instance_id entry) const
+{
+    auto const sums = demand();
     std::map<customer_id, per_mille> out;
     auto const own = rows_.find(entry);
     if (own == rows_.end())
--- a/plugins/control/roster/entry_table.hpp
+++ b/plugins/control/roster/entry_table.hpp
@@ -38,6 +38,9 @@
     /// are asked for. Customers of whom no entry is asked much are left out.
     std::map<customer_id, per_mille> shares_of(instance_id entry) const;
 
+    /// Returns what all entries together are asked for by each customer that asks much.
+    std::map<customer_id, millitokens_per_second> demand() const;
+
 private:
     struct row
     {
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -374,7 +374,8 @@
                                     .entries_in_domain =
                                         std::max(entries_.ready_count_in(domain), 1U),
                                     .entries = std::max(entries_.ready_count(), 1U),
-                                    .shares = entries_.shares_of(to)};
+                                    .shares = entries_.shares_of(to),
+                                    .demand = entries_.demand()};
         out.control.push_back(with.self.self);
         with.send(to, std::move(out));
     }
--- a/plugins/entry/placement/placement_stage.cpp
+++ b/plugins/entry/placement/placement_stage.cpp
@@ -1,4 +1,5 @@
 #include "object_homes.hpp"
+#include "recent_objects.hpp"
 #include "region_split.hpp"
 #include "target_loads.hpp"
 #include "warm_up_gate.hpp"
@@ -18,6 +19,7 @@
 struct placement_settings
 {
     target_count homes{2};
+    object_count objects{30};
     per_mille queue_part{250};
     per_mille overflow{40};
     milliseconds return_after{400};
@@ -27,8 +29,13 @@
 kernel::section<placement_settings> const placement_section{
     "placement",
     {
-        kernel::field("homes", &placement_settings::homes, {1, 64},
-                      "Targets of each failure domain on which an object is kept warm."),
+        kernel::field(
+            "homes", &placement_settings::homes, {1, 64},
+            "Targets of each region on which an object is kept warm; the second takes what the "
+            "first has no room for."),
+        kernel::field("objects", &placement_settings::objects, {1, 100'000},
+                      "Objects that a target keeps warm, with some room; beyond that, objects "
+                      "drive each other out."),
         kernel::field("queue_part", &placement_settings::queue_part, {0, 10'000},
                       "Thousandths of a target's slots that may wait there beyond them."),
         kernel::field("overflow", &placement_settings::overflow, {0, 1000},
@@ -68,13 +75,13 @@
     nearness where = nearness::elsewhere;
     region_id region;
     double score = 0;     ///< Of the object's homes; higher is better.
-    std::size_t rank = 0; ///< Among the candidates of its failure domain.
+    std::size_t rank = 0; ///< Among the candidates of its region.
     double busy = 0;
 };
 
-/// Chooses the target of each attempt: an object's homes of the own failure domain,
-/// then those of the own region, within what has room; a stable part of the objects
-/// of a region without enough room is served in another one.
+/// Chooses the target of each attempt: the first of an object's homes in the region
+/// that has room; a stable part of the objects of a region without enough room is
+/// served in another one.
 ///
 /// Patterns: work that is faster where its object was handled lately; targets that
 /// cannot carry all work cold; a region with too little room.
@@ -94,10 +101,15 @@
             return proceed{};
         if (what.service.value().empty())
             what.service = drawn_service(*what.planned, with);
+        if (what.planned->sticky && what.attempts.empty())
+            objects_[what.service].note(what.object, with.now);
         auto found = candidates(what, with);
         auto const* const chosen = choose(what, found, with);
         if (chosen == nullptr)
+        {
+            what.why = reason_text(found);
             return refuse_for_now(with);
+        }
         auto const& it = chosen->target->what;
         if (chosen->target->cold_until > with.now)
             gate_.take(it.id);
@@ -122,7 +134,7 @@
         auto const listed = view().targets().find(it.target.id);
         auto const capacity =
             listed == view().targets().end() ? slots(1) : listed->second.what.capacity;
-        loads_.ended(it.target.id, how, judged, capacity, with.now);
+        loads_.ended(it.target.id, how, judged, capacity, it.started, with.now);
         if (how.failed)
             return;
         auto& average = service_times_[what.route];
@@ -135,6 +147,8 @@
         if (with.now < split_due_)
             return;
         split_due_ = with.now + region_split::step_period;
+        for (auto& [service, it] : objects_)
+            it.expire(with.now);
         update_splits(with.now);
         gate_.forget_all_but(view().targets(), with.now);
     }
@@ -236,7 +250,7 @@
                            .rank = 0,
                            .busy = loads_.busy(id, with.now)});
         }
-        rank_within_domains(out);
+        rank_within_regions(out);
         return out;
     }
 
@@ -270,19 +284,20 @@
         return warms ? home_score(what.object, it.id, it.capacity) : 0;
     }
 
-    static void rank_within_domains(std::vector<candidate>& all)
+    static void rank_within_regions(std::vector<candidate>& all)
     {
         std::sort(all.begin(), all.end(),
                   [](candidate const& a, candidate const& b)
                   {
-                      if (a.target->what.domain != b.target->what.domain)
-                          return a.target->what.domain < b.target->what.domain;
+                      if (a.region != b.region)
+                          return a.region < b.region;
                       if (a.score != b.score)
                           return a.score > b.score;
-                      return a.busy < b.busy;
+                      // Without an object a near target is as good as a far one.
+                      return std::pair(a.where, a.busy) < std::pair(b.where, b.busy);
                   });
         for (std::size_t n = 1; n < all.size(); ++n)
-            if (all[n].target->what.domain == all[n - 1].target->what.domain)
+            if (all[n].region == all[n - 1].region)
                 all[n].rank = all[n - 1].rank + 1;
     }
 
@@ -291,14 +306,18 @@
         if (found.empty())
             return nullptr;
         bool const stays = stays_in_region(what, found);
+        auto const here =
+            std::count_if(found.begin(), found.end(),
+                          [](candidate const& it) { return it.where != nearness::elsewhere; });
+        auto const homes = homes_of(what.service, static_cast<std::size_t>(here));
         auto& overflow = overflow_;
         overflow.add(millitokens(config_.overflow.count()));
         if (overflow.tokens() > most_overflow)
             overflow.take(overflow.tokens() - most_overflow);
-        order_by_nearness(what, found, stays);
-        if (auto const* const it = first_with_room(what, found, stays, with))
+        order_by_nearness(what, found, stays, homes);
+        if (auto const* const it = first_with_room(what, found, stays, homes))
             return it;
-        return least_queue(what, found, stays, with);
+        return least_queue(what, found, stays, homes, with.now);
     }
 
     bool stays_in_region(request const& what, std::vector<candidate> const& found)
@@ -325,32 +344,34 @@
 
     /// Homes come before other targets, near ones before far ones. Of the other regions
     /// the one that suits the object best comes first.
-    void order_by_nearness(request const& what, std::vector<candidate>& all, bool stays) const
+    static void order_by_nearness(request const& what, std::vector<candidate>& all, bool stays,
+                                  std::size_t homes)
     {
-        auto const homes = static_cast<std::size_t>(config_.homes.count());
+        std::map<region_id, slots> rooms;
+        for (auto const& it : all)
+            rooms[it.region] += it.target->what.capacity;
         auto const place = [&](candidate const& it)
         {
             bool const preferred = (it.where != nearness::elsewhere) == stays;
-            auto const suits = it.where == nearness::elsewhere
-                                   ? -object_fraction(what.object, it.region.value())
-                                   : 0.0;
-            return std::tuple(!preferred, it.rank >= homes, static_cast<int>(it.where), suits,
-                              it.rank);
+            auto const suits =
+                it.where == nearness::elsewhere
+                    ? -home_score(what.object, target_id(it.region.value()), rooms.at(it.region))
+                    : 0.0;
+            return std::tuple(!preferred, it.rank >= homes, suits, it.rank);
         };
         std::stable_sort(all.begin(), all.end(),
                          [&](candidate const& a, candidate const& b)
                          { return place(a) < place(b); });
     }
 
-    bool is_preferred(candidate const& it, bool stays) const
+    static bool is_preferred(candidate const& it, bool stays)
     {
         return (it.where != nearness::elsewhere) == stays;
     }
 
     candidate const* first_with_room(request const& what, std::vector<candidate> const& all,
-                                     bool stays, context&)
+                                     bool stays, std::size_t homes)
     {
-        auto const homes = static_cast<std::size_t>(config_.homes.count());
         bool const warms = what.planned->sticky && !what.object.value().empty();
         for (auto const& it : all)
         {
@@ -367,9 +388,8 @@
 
     /// Returns the home with the shortest queue, if the request can end in time there.
     candidate const* least_queue(request const& what, std::vector<candidate> const& all, bool stays,
-                                 context& with)
+                                 std::size_t homes, instant now) const
     {
-        auto const homes = static_cast<std::size_t>(config_.homes.count());
         auto const most = 1.0 + static_cast<double>(config_.queue_part.count()) / 1000;
         candidate const* best = nullptr;
         double least = most;
@@ -380,7 +400,7 @@
             auto const capacity =
                 static_cast<double>(std::max<std::int64_t>(it.target->what.capacity.count(), 1));
             auto const use = (it.busy + 1) / capacity;
-            if (use >= least || !ends_in_time(what, it.busy + 1 - capacity, capacity, with.now))
+            if (use >= least || !ends_in_time(what, it.busy + 1 - capacity, capacity, now))
                 continue;
             least = use;
             best = &it;
@@ -398,15 +418,49 @@
         return expected < time_part * static_cast<double>((what.deadline - now).count());
     }
 
+    static std::string reason_text(std::vector<candidate> const& found)
+    {
+        if (found.empty())
+            return "no target may take it";
+        auto const& first = found.front();
+        return "targets=" + std::to_string(found.size()) +
+               " first=" + first.target->what.id.value() +
+               " busy=" + std::to_string(static_cast<int>(first.busy)) + "/" +
+               std::to_string(first.target->what.capacity.count());
+    }
+
     step refuse_for_now(context& with) const
     {
         std::uniform_int_distribution<std::int64_t> spread(0, config_.return_spread.count());
         return refuse(no_room, config_.return_after + milliseconds(spread(with.random)));
     }
 
+    /// Returns on how many targets of a region an object is kept: on as many as the
+    /// targets can keep of all the objects that were asked for lately.
+    std::size_t homes_of(service_id const& service, std::size_t targets) const
+    {
+        auto const most = static_cast<std::size_t>(config_.homes.count());
+        auto const seen = objects_.find(service);
+        if (seen == objects_.end() || seen->second.count() == 0)
+            return most;
+        auto const kept = targets * static_cast<std::size_t>(config_.objects.count());
+        return std::clamp<std::size_t>(kept / seen->second.count(), 1, most);
+    }
+
+    /// Returns the part of the objects asked for lately that so many targets keep warm.
+    double kept_part(service_id const& service, std::int64_t targets) const
+    {
+        auto const seen = objects_.find(service);
+        if (seen == objects_.end() || seen->second.count() == 0)
+            return 1;
+        return static_cast<double>(targets * config_.objects.count()) /
+               static_cast<double>(seen->second.count());
+    }
+
     void update_splits(instant now)
     {
         std::map<service_id, std::map<region_id, region_room>> rooms;
+        std::map<service_id, std::int64_t> here; // Targets in the own region.
         for (auto const& [id, it] : view().targets())
         {
             auto const& told = it.what;
@@ -414,11 +468,14 @@
                 (view().steering() && view().steering()->evacuated.contains(told.domain)))
                 continue;
             auto& room = rooms[told.service][region_of(told.domain)];
+            if (region_of(told.domain) == self_.self.region)
+                ++here[told.service];
             room.capacity += told.capacity;
             room.busy += loads_.busy(id, now);
         }
         for (auto const& [service, regions] : rooms)
-            splits_[service].update(self_.self.region, regions, now);
+            splits_[service].update(self_.self.region, regions, kept_part(service, here[service]),
+                                    now);
     }
 
     placement_settings const& config_;
@@ -427,6 +484,7 @@
     target_loads loads_;
     warm_up_gate gate_;
     std::map<service_id, region_split> splits_;
+    std::map<service_id, recent_objects> objects_;
     std::map<route_id, double> service_times_; ///< Microseconds, moving averages.
     token_bucket overflow_;
     instant split_due_;
--- a/plugins/entry/placement/region_split.hpp
+++ b/plugins/entry/placement/region_split.hpp
@@ -29,7 +29,9 @@
 {
 public:
     /// Takes the rooms of all regions that may serve in; call it every step_period.
-    void update(region_id const& own, std::map<region_id, region_room> const& rooms, instant now);
+    /// `kept_part` is the part of the objects that the own region's targets can keep warm.
+    void update(region_id const& own, std::map<region_id, region_room> const& rooms,
+                double kept_part, instant now);
 
     /// Returns the part of the objects that is served in the own region, 0 to 1.
     double own_part() const { return own_part_; }
--- a/plugins/entry/placement/target_loads.cpp
+++ b/plugins/entry/placement/target_loads.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-/// Time in which what was reported of other instances' requests halves: about the time
-/// that a request takes.
-constexpr milliseconds report_half_life{800};
+/// Time in which what was reported of other instances' requests halves. A target that
+/// is full replies seldom, and must not look idle meanwhile.
+constexpr milliseconds report_half_life{3000};
 /// First time for which a target is avoided after a failure; it doubles with each.
 constexpr milliseconds first_avoidance{300};
 /// Failures after which the time does not double any more.
@@ -27,11 +27,19 @@
 /// A target that sheds below this part of its slots does not shed for lack of room.
 constexpr double room_part = 0.8;
 
+/// Attempts that ran out of time, with no reply to any other since they were sent,
+/// before the target counts as lost. A slow request says less than a lost connection.
+constexpr int most_silences = 3;
+
 bool is_lost(attempt_failure cause)
 {
     return cause == attempt_failure::connect_refused || cause == attempt_failure::connect_timeout ||
-           cause == attempt_failure::closed || cause == attempt_failure::timeout ||
-           cause == attempt_failure::cancelled;
+           cause == attempt_failure::closed;
+}
+
+bool ran_out_of_time(attempt_failure cause)
+{
+    return cause == attempt_failure::timeout || cause == attempt_failure::cancelled;
 }
 
 } // namespace
@@ -42,7 +50,7 @@
 }
 
 void target_loads::ended(target_id const& id, attempt_end const& how, bool judged, slots capacity,
-                         instant now)
+                         instant started, instant now)
 {
     auto& it = rows_[id];
     bool const has_room =
@@ -60,11 +68,18 @@
         it.misdirected = now;
     else if (how.failed && is_lost(*how.failed))
         note_failure(it, now);
+    else if (how.failed && ran_out_of_time(*how.failed))
+    {
+        if (it.replied < started && ++it.silences >= most_silences)
+            note_failure(it, now);
+    }
     else if (how.failed == attempt_failure::shed)
         note_quality(it, has_room, now);
     else
     {
         it.failures = 0;
+        it.silences = 0;
+        it.replied = now;
         note_quality(it, how.failed.has_value() || how.content->status >= 500, now);
     }
 }
--- a/plugins/entry/placement/target_loads.hpp
+++ b/plugins/entry/placement/target_loads.hpp
@@ -24,7 +24,7 @@
     /// Takes an attempt's end in. `judged` is false if it says nothing of the target,
     /// such as when the caller left.
     void ended(target_id const& id, attempt_end const& how, bool judged, slots capacity,
-               instant now);
+               instant started, instant now);
 
     /// Returns the requests that run or wait there, as far as is known.
     double busy(target_id const& id, instant now) const;
@@ -45,6 +45,8 @@
         double bad = 0;   ///< Moving average of bad replies, 0 to 1.
         int replies = 0;  ///< That the average is made of.
         instant avoided_until;
+        instant replied;     ///< When a reply came last.
+        int silences = 0;    ///< Attempts without any reply since then.
         instant misdirected; ///< When another target answered at the address.
     };
 
--- a/plugins/entry/quota/quota_stage.cpp
+++ b/plugins/entry/quota/quota_stage.cpp
@@ -10,6 +10,29 @@
 namespace
 {
 
+struct quota_settings
+{
+    requests pooled{10};
+    per_mille pooled_rate{300};
+    per_mille relaxed_below{800};
+    per_mille relaxed_rate{1300};
+};
+
+kernel::section<quota_settings> const quota_section{
+    "quota",
+    {
+        kernel::field("pooled", &quota_settings::pooled, {0, 10'000},
+                      "Requests of a customer beyond its burst that all instances together may "
+                      "let through at once; below what the operators tolerate."),
+        kernel::field("pooled_rate", &quota_settings::pooled_rate, {0, 10'000},
+                      "The same in thousandths of the customer's requests a second."),
+        kernel::field("relaxed_below", &quota_settings::relaxed_below, {0, 1000},
+                      "Thousandths of a customer's rate below which its demand in the fleet "
+                      "leaves each instance more than its part."),
+        kernel::field("relaxed_rate", &quota_settings::relaxed_rate, {1000, 10'000},
+                      "Thousandths of its part that an instance lets through then."),
+    }};
+
 refusal_kind const over_quota({.name = "over_quota",
                                .counter_name = "refused.over_quota",
                                .status = 429,
@@ -35,7 +58,8 @@
 class quota_stage final : public stage, private demand_view
 {
 public:
-    explicit quota_stage(stage_parts const& parts) : services_(parts.services)
+    explicit quota_stage(stage_parts const& parts)
+        : config_(parts.config.get(quota_section)), services_(parts.services)
     {
         parts.services.provide<demand_view>(*this);
     }
@@ -52,6 +76,9 @@
         reshape(it, *what.payer, with.now);
         if (it.bucket.take(request_cost))
             return proceed{};
+        what.why = "rate=" + std::to_string(it.bucket.rate().count()) +
+                   " burst=" + std::to_string(it.bucket.burst().count()) + " share=" +
+                   std::to_string(services_.require<plan_view>().share_of(what.payer->id).count());
         return refuse(over_quota, time_until_token(it, with));
     }
 
@@ -65,11 +92,23 @@
 
     void reshape(account& it, plan_customer const& whose, instant now)
     {
-        auto const share = services_.require<plan_view>().share_of(whose.id).count();
-        auto const part = [share](std::int64_t whole) { return whole * share / 1000; };
-        auto const rate = millitokens_per_second(part(whose.rate.count()));
+        auto const& view = services_.require<plan_view>();
+        auto const share = view.share_of(whose.id).count();
+        // Within its rate a customer is not held to each instance's part of it.
+        bool const relaxed = view.fleet_demand(whose.id).count() * 1000 <
+                             whose.rate.count() * config_.relaxed_below.count();
+        auto const stretch = relaxed ? config_.relaxed_rate : whole_share;
+        auto const rate =
+            millitokens_per_second(whose.rate.count() * share / 1000 * stretch.count() / 1000);
+        // What the fleet may let through at once is shared half evenly, since a few
+        // requests that come together say little of where the next ones come.
+        auto const pool = whose.burst.count() +
+                          whose.rate.count() * config_.pooled_rate.count() / 1000 +
+                          config_.pooled.count() * request_cost.count();
+        auto const evenly = whole_share.count() / view.entries();
         // A bucket below one request would never let one through.
-        auto const burst = std::max(millitokens(part(whose.burst.count())), request_cost);
+        auto const burst =
+            std::max(millitokens(pool * ((share + evenly) / 2) / 1000), request_cost);
         bool const fresh = it.bucket.rate() == millitokens_per_second();
         it.bucket.reshape(now, rate, burst);
         if (!fresh)
@@ -108,6 +147,7 @@
         return out;
     }
 
+    quota_settings const& config_;
     kernel::service_map& services_;
     std::unordered_map<customer_id, account> accounts_;
     instant window_ends_ = instant{} + demand_window;
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -134,6 +134,12 @@
         return it != shares_.end() ? it->second : per_mille(whole_share.count() / entries_);
     }
 
+    millitokens_per_second fleet_demand(customer_id const& customer) const override
+    {
+        auto const it = demand_.find(customer);
+        return it == demand_.end() ? millitokens_per_second() : it->second;
+    }
+
     void send_report(context& with)
     {
         auto const to = choice_.best(with.self.self, with.now, with.random);
@@ -182,6 +188,7 @@
         entries_ = std::max<std::int64_t>(it.entries, 1);
         entries_in_domain_ = std::max<std::int64_t>(it.entries_in_domain, 1);
         shares_ = it.shares;
+        demand_ = it.demand;
         if (it.steering && it.steering->generation > steering_->generation)
             take_steering(it.steering, with);
     }
@@ -233,6 +240,7 @@
     std::int64_t entries_ = 1;
     std::int64_t entries_in_domain_ = 1;
     std::map<customer_id, per_mille> shares_;
+    std::map<customer_id, millitokens_per_second> demand_;
     std::map<std::pair<service_id, version_id>, messages::version_outcomes> outcomes_;
     sequence_id number_;
     std::optional<instance_id> waiting_for_;
--- a/plugins/peer/codecs/roster_codec.cpp
+++ b/plugins/peer/codecs/roster_codec.cpp
@@ -194,6 +194,7 @@
     to.setEntriesInDomain(from.entries_in_domain);
     to.setEntries(from.entries);
     encode_numbers(from.shares, to.initShares(static_cast<unsigned>(from.shares.size())));
+    encode_numbers(from.demand, to.initDemand(static_cast<unsigned>(from.demand.size())));
 }
 
 messages::roster_update decode_update(Update::Reader from)
@@ -206,12 +207,14 @@
                                 .control = {},
                                 .entries_in_domain = from.getEntriesInDomain(),
                                 .entries = from.getEntries(),
-                                .shares = {}};
+                                .shares = {},
+                                .demand = {}};
     if (from.getHasSteering())
         out.steering = std::make_shared<steering_state const>(decode(from.getSteering()));
     decode_list(from.getTargets(), out.targets);
     decode_list(from.getControl(), out.control);
     decode_numbers(from.getShares(), out.shares);
+    decode_numbers(from.getDemand(), out.demand);
     return out;
 }
 
--- a/schemas/steering.capnp
+++ b/schemas/steering.capnp
@@ -183,4 +183,5 @@
   entriesInDomain @7 :UInt32;
   entries @8 :UInt32;
   shares @9 :List(CustomerNumber);
+  demand @10 :List(CustomerNumber);
 }
