--- a/include/mulberryrudder/control/roster.hpp
+++ b/include/mulberryrudder/control/roster.hpp
@@ -56,6 +56,9 @@
     /// Returns the versions of a service's targets that serve, the oldest start first.
     virtual std::vector<version_id> versions_of(service_id const& service) const = 0;
 
+    /// Returns the slots of a service's targets of one version that serve.
+    virtual slots capacity_of(service_id const& service, version_id const& version) const = 0;
+
     /// Returns and forgets the outcomes that entries reported since the last call.
     virtual std::vector<messages::version_outcomes> take_outcomes() = 0;
 };
--- a/plugins/control/rollouts/rollouts.cpp
+++ b/plugins/control/rollouts/rollouts.cpp
@@ -19,6 +19,7 @@
     per_mille end_at{900};
     per_mille bad_beyond{150};
     requests least_bad{6};
+    per_mille least_room{700};
     milliseconds check_period{200};
 };
 
@@ -39,6 +40,10 @@
                       "Thousandths by which a bad version fails more often than the old one."),
         kernel::field("least_bad", &rollout_settings::least_bad, {1, 1000},
                       "Bad answers before a version is judged."),
+        kernel::field("least_room", &rollout_settings::least_room, {0, 1000},
+                      "Thousandths of the old version's slots that the new one must have to get "
+                      "all; the rollout waits for them, also beyond its time, since the old "
+                      "targets stop at its end."),
         kernel::field("check_period", &rollout_settings::check_period, {10, 60'000},
                       "Milliseconds between two looks at a rollout."),
     }};
@@ -152,7 +157,7 @@
             next.phase = rollout_phase::rolled_back;
             next.share = per_mille(0);
         }
-        else if (with.now >= it.end_at)
+        else if (with.now >= it.end_at && has_room(service, versions))
         {
             next.phase = rollout_phase::succeeded;
             next.share = whole_share;
@@ -172,6 +177,13 @@
         log.propose(any_message::of(std::move(next)));
     }
 
+    bool has_room(service_id const& service, service_versions const& versions) const
+    {
+        auto const& known = services_.require<roster_view>();
+        return known.capacity_of(service, versions.next).count() * 1000 >=
+               known.capacity_of(service, versions.base).count() * config_.least_room.count();
+    }
+
     kernel::service_map& services_;
     rollout_settings const& config_;
     instant check_due_;
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -131,6 +131,11 @@
         return targets_.versions_of(service);
     }
 
+    slots capacity_of(service_id const& service, version_id const& version) const override
+    {
+        return targets_.capacity_of(service, version);
+    }
+
     std::vector<messages::version_outcomes> take_outcomes() override
     {
         return std::exchange(outcomes_, {});
--- a/plugins/control/roster/target_table.cpp
+++ b/plugins/control/roster/target_table.cpp
@@ -170,6 +170,16 @@
     return out;
 }
 
+slots target_table::capacity_of(service_id const& service, version_id const& version) const
+{
+    slots out;
+    for (auto const& [id, it] : rows_)
+        if (it.what.service == service && it.what.version == version &&
+            it.what.standing == target_standing::serving)
+            out += it.what.capacity;
+    return out;
+}
+
 std::vector<version_id> target_table::versions_of(service_id const& service) const
 {
     std::vector<std::pair<start_id, version_id>> found;
--- a/plugins/control/roster/target_table.hpp
+++ b/plugins/control/roster/target_table.hpp
@@ -45,6 +45,9 @@
     /// Returns the versions of a service's serving targets, the oldest start first.
     std::vector<version_id> versions_of(service_id const& service) const;
 
+    /// Returns the slots of a service's serving targets of one version.
+    slots capacity_of(service_id const& service, version_id const& version) const;
+
 private:
     struct row
     {
--- a/plugins/entry_io/caller_http/caller_duty.cpp
+++ b/plugins/entry_io/caller_http/caller_duty.cpp
@@ -123,6 +123,8 @@
         from.async_accept(
             [this, &from, for_operators](boost::system::error_code ec, tcp::socket socket)
             {
+                if (!from.is_open())
+                    return;
                 if (ec)
                     return run_once(accept_pause,
                                     [this, &from, for_operators] { accept(from, for_operators); });
@@ -219,6 +221,10 @@
     void close_idle()
     {
         closing_ = true;
+        // A caller that cannot connect turns to another instance at once; one that is
+        // taken now could not be answered before the process ends.
+        boost::system::error_code ec;
+        acceptor_.close(ec);
         auto const all = sessions_;
         for (auto const& it : all)
             it->close_if_idle();
@@ -232,7 +238,7 @@
     }
     void ended(std::shared_ptr<session> const& it) override { sessions_.erase(it); }
     caller_settings const& config() const override { return config_; }
-    bool closing() const override { return closing_; }
+    bool closing() const override { return closing_ || stopping_; }
 
     caller_settings config_;
     fleet::instance_settings instance_;
