--- a/tests/control/replica/fake_group.cpp
+++ b/tests/control/replica/fake_group.cpp
@@ -55,6 +55,10 @@
     ++it.start;
     identity self{.boot = boot_id(it.start), .initial_voters = initial_};
     self.self.id = it.id;
+    self.may_found = founding;
+    if (by_address)
+        for (auto const seed : initial_)
+            self.contacts[seed] = {"10.0.0." + std::to_string(seed.value()), 7000};
     it.decisions = std::make_unique<core>(core::options{.config = config_,
                                                         .counters = it.counters,
                                                         .events = it.events,
--- a/tests/control/replica/fake_group.hpp
+++ b/tests/control/replica/fake_group.hpp
@@ -100,6 +100,8 @@
     std::vector<any_message> answers;
     network_options network;
     span sync_delay = milliseconds(2);
+    bool by_address = false; ///< The settings name seeds by address and no numbers.
+    bool founding = true;    ///< The system starts for the first time.
 
 private:
     struct event
--- a/tests/control/support/replica.hpp
+++ b/tests/control/support/replica.hpp
@@ -44,6 +44,12 @@
     }
 
     fake_log& log() { return core_.services().require<fake_log>(); }
+    /// Returns an interface that a linked component provides.
+    template <class Interface>
+    Interface& service()
+    {
+        return core_.services().require<Interface>();
+    }
     fleet_state_view& state() { return core_.services().require<fleet_state_view>(); }
 
     /// Sends an operator's request; returns its id.
--- /dev/null
+++ b/tests/entry/plan_stages/listed_targets_test.cpp
@@ -0,0 +1,83 @@
+#include "plugins/entry/roster/listed_targets.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace mulberryrudder::entry
+{
+
+namespace
+{
+
+using messages::target_notice;
+using messages::target_standing;
+
+target_notice notice(std::uint64_t start, std::uint64_t sequence,
+                     target_standing standing = target_standing::serving)
+{
+    return {.id = target_id("t"),
+            .start = start_id(start),
+            .sequence = sequence_id(sequence),
+            .service = service_id("desk"),
+            .where = {"127.0.0.1", 1},
+            .domain = domain_id("m-a"),
+            .version = version_id("v1"),
+            .capacity = slots(9),
+            .standing = standing};
+}
+
+class listed_targets_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(listed_targets_test);
+    CPPUNIT_TEST(the_newest_notice_holds);
+    CPPUNIT_TEST(a_late_notice_does_not_bring_back_what_is_gone);
+    CPPUNIT_TEST(a_new_start_is_listed_again);
+    CPPUNIT_TEST(coldness_ends_at_a_time_of_this_instance);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void the_newest_notice_holds()
+    {
+        take(notice(1, 5, target_standing::leaving));
+        CPPUNIT_ASSERT(!take(notice(1, 4)));
+        CPPUNIT_ASSERT(it_.all().begin()->second.what.standing == target_standing::leaving);
+    }
+
+    void a_late_notice_does_not_bring_back_what_is_gone()
+    {
+        take(notice(1, 5));
+        take(notice(1, 5, target_standing::gone));
+        CPPUNIT_ASSERT(it_.all().empty());
+        CPPUNIT_ASSERT(!take(notice(1, 5)));
+        CPPUNIT_ASSERT(!take(notice(1, 4)));
+        CPPUNIT_ASSERT(it_.all().empty());
+        CPPUNIT_ASSERT(take(notice(1, 6)));
+    }
+
+    void a_new_start_is_listed_again()
+    {
+        take(notice(1, 99));
+        take(notice(1, 99, target_standing::gone));
+        CPPUNIT_ASSERT(take(notice(2, 1)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it_.all().size());
+    }
+
+    void coldness_ends_at_a_time_of_this_instance()
+    {
+        auto cold = notice(1, 1);
+        cold.cold_for = milliseconds(1500);
+        take(cold);
+        CPPUNIT_ASSERT(it_.all().begin()->second.cold_until == now_ + milliseconds(1500));
+    }
+
+private:
+    bool take(target_notice const& what) { return !it_.take({what}, now_).empty(); }
+
+    listed_targets it_;
+    instant now_{seconds(1000)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(listed_targets_test);
+
+} // namespace
+
+} // namespace mulberryrudder::entry
--- /dev/null
+++ b/tests/entry/plan_stages/placement_test.cpp
@@ -0,0 +1,311 @@
+#include "plan_bench.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+namespace mulberryrudder::entry
+{
+
+namespace
+{
+
+using testing::plan_bench;
+
+class placement_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(placement_test);
+    CPPUNIT_TEST(an_object_stays_on_its_home);
+    CPPUNIT_TEST(a_full_home_hands_on_to_the_second);
+    CPPUNIT_TEST(what_cannot_be_served_is_refused_at_once_as_not_run);
+    CPPUNIT_TEST(a_refused_callers_return_is_spread);
+    CPPUNIT_TEST(an_evacuated_domain_gets_nothing);
+    CPPUNIT_TEST(a_leaving_target_gets_nothing);
+    CPPUNIT_TEST(homes_of_a_route_bind);
+    CPPUNIT_TEST(a_cold_target_gets_its_rate_at_most);
+    CPPUNIT_TEST(a_cold_target_of_another_domain_gets_nothing);
+    CPPUNIT_TEST(a_split_keeps_its_weights);
+    CPPUNIT_TEST(a_new_version_gets_its_share_only_while_it_is_rolled_out);
+    CPPUNIT_TEST(a_region_with_little_room_keeps_a_stable_part_of_its_objects);
+    CPPUNIT_TEST(a_misdirected_target_is_left_until_it_speaks_again);
+    CPPUNIT_TEST(an_unsafe_request_that_may_have_run_is_not_sent_again);
+    CPPUNIT_TEST(an_unsafe_request_that_was_shed_is_sent_elsewhere);
+    CPPUNIT_TEST(a_safe_request_is_sent_to_as_many_targets_as_its_route_allows);
+    CPPUNIT_TEST(repeats_stay_within_their_budget);
+    CPPUNIT_TEST(a_request_ends_at_its_routes_timeout);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void an_object_stays_on_its_home()
+    {
+        add_three();
+        auto const first = it_.ask("/read/x", "17");
+        it_.reply(first);
+        for (int n = 0; n != 20; ++n)
+        {
+            auto const id = it_.ask("/read/x", "17");
+            CPPUNIT_ASSERT_EQUAL(it_.target_of(first), it_.target_of(id));
+            it_.reply(id);
+        }
+    }
+
+    void a_full_home_hands_on_to_the_second()
+    {
+        it_.add("t1", "m-a", 2);
+        it_.add("t2", "m-a", 2);
+        std::multiset<std::string> used;
+        for (int n = 0; n != 4; ++n)
+            used.insert(it_.target_of(it_.ask("/read/x", "17")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, used.count("t1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, used.count("t2"));
+    }
+
+    /// Pattern: more work than all slots carry.
+    void what_cannot_be_served_is_refused_at_once_as_not_run()
+    {
+        it_.add("t1", "m-a", 2);
+        request_id last;
+        for (int n = 0; n != 6; ++n)
+            last = it_.ask("/read/x", "17");
+        CPPUNIT_ASSERT_EQUAL(std::string("no_room"), it_.told(last));
+        CPPUNIT_ASSERT(it_.refusal(last).run == verdict::not_run);
+        CPPUNIT_ASSERT(it_.refusal(last).retry_after.has_value());
+    }
+
+    void a_refused_callers_return_is_spread()
+    {
+        std::set<milliseconds> returns;
+        for (int n = 0; n != 50; ++n)
+            returns.insert(*it_.refusal(it_.ask("/read/x", "17")).retry_after);
+        CPPUNIT_ASSERT(returns.size() > 20);
+    }
+
+    void an_evacuated_domain_gets_nothing()
+    {
+        it_.add("t1", "m-a");
+        it_.add("t2", "m-b");
+        auto state = *it_.plan().held;
+        state.evacuated.insert(domain_id("m-a"));
+        it_.steer(state);
+        for (int n = 0; n != 30; ++n)
+        {
+            auto const id = it_.ask("/read/x", std::to_string(n));
+            CPPUNIT_ASSERT_EQUAL(std::string("t2"), it_.target_of(id));
+            it_.reply(id);
+        }
+    }
+
+    void a_leaving_target_gets_nothing()
+    {
+        it_.add("t1", "m-a").what.standing = messages::target_standing::leaving;
+        CPPUNIT_ASSERT_EQUAL(std::string("no_room"), it_.told(it_.ask("/read/x", "17")));
+    }
+
+    void homes_of_a_route_bind()
+    {
+        it_.add("t1", "e-a");
+        auto plan = testing::sample_plan();
+        plan.routes.at(0).homes = {region_id("m")};
+        it_.put(plan);
+        CPPUNIT_ASSERT_EQUAL(std::string("no_room"), it_.told(it_.ask("/read/x", "17")));
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"), it_.target_of(it_.ask("/write/x", "17")));
+    }
+
+    /// Pattern: targets that start empty under full traffic.
+    void a_cold_target_gets_its_rate_at_most()
+    {
+        it_.plan().near = 2;
+        it_.add("t1", "m-a", 100).cold_until = it_.now + seconds(10);
+        int sent = 0;
+        for (int n = 0; n != 200; ++n)
+        {
+            auto const id = it_.ask("/read/x", std::to_string(n));
+            if (!it_.target_of(id).empty())
+            {
+                ++sent;
+                it_.reply(id);
+            }
+            it_.pass(milliseconds(10));
+        }
+        // 6 a second for both instances of the domain, over two seconds, and the first.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(sent), sent >= 4 && sent <= 7);
+    }
+
+    void a_cold_target_of_another_domain_gets_nothing()
+    {
+        it_.add("t1", "m-b").cold_until = it_.now + seconds(10);
+        it_.pass(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::string("no_room"), it_.told(it_.ask("/read/x", "17")));
+    }
+
+    void a_split_keeps_its_weights()
+    {
+        auto plan = testing::sample_plan();
+        plan.services.push_back(plan.services.front());
+        plan.services.back().id = service_id("other");
+        plan.routes.at(0).services = {{service_id("desk"), weight(9)},
+                                      {service_id("other"), weight(1)}};
+        it_.put(plan);
+        it_.add("t1", "m-a", 1000);
+        it_.add("t2", "m-a", 1000).what.service = service_id("other");
+        int other = 0;
+        for (int n = 0; n != 1000; ++n)
+        {
+            auto const id = it_.ask("/read/x", std::to_string(n));
+            other += it_.target_of(id) == "t2";
+            it_.reply(id);
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(other), other > 70 && other < 130);
+    }
+
+    void a_new_version_gets_its_share_only_while_it_is_rolled_out()
+    {
+        it_.add("t1", "m-a", 1000);
+        it_.add("t2", "m-a", 1000).what.version = version_id("v2");
+        auto state = *it_.plan().held;
+        auto& versions = state.versions[service_id("desk")];
+        versions.base = version_id("v1");
+        it_.steer(state);
+        CPPUNIT_ASSERT_EQUAL(0, sent_to_t2());
+        versions.next = version_id("v2");
+        versions.phase = rollout_phase::running;
+        versions.share = per_mille(100);
+        it_.steer(state);
+        auto const part = sent_to_t2();
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(part), part > 60 && part < 140);
+        versions.phase = rollout_phase::rolled_back;
+        it_.steer(state);
+        CPPUNIT_ASSERT_EQUAL(0, sent_to_t2());
+    }
+
+    /// Pattern: one region has far fewer slots than its callers need.
+    void a_region_with_little_room_keeps_a_stable_part_of_its_objects()
+    {
+        it_.add("near", "m-a", 10);
+        for (auto const* const id : {"far1", "far2", "far3"})
+            it_.add(id, "e-a", 20);
+        it_.pass(milliseconds(1));
+        std::map<std::string, std::string> first;
+        int here = 0;
+        for (int n = 0; n != 200; ++n)
+        {
+            auto const object = std::to_string(n);
+            auto const id = it_.ask("/read/x", object);
+            first[object] = it_.target_of(id);
+            here += first[object] == "near";
+            it_.reply(id);
+        }
+        // 10 of 70 slots for one of two regions.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(here), here > 30 && here < 90);
+        int moved = 0;
+        for (auto const& [object, target] : first)
+        {
+            auto const id = it_.ask("/read/x", object);
+            moved += it_.target_of(id) != target;
+            it_.reply(id);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, moved);
+    }
+
+    void a_misdirected_target_is_left_until_it_speaks_again()
+    {
+        auto& target = it_.add("t1", "m-a");
+        auto const id = it_.ask("/read/x", "17");
+        it_.fail(id, attempt_failure::misdirected, verdict::not_run);
+        it_.pass(seconds(30));
+        CPPUNIT_ASSERT_EQUAL(std::string("no_room"), it_.told(it_.ask("/read/x", "17")));
+        target.learned = it_.now;
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"), it_.target_of(it_.ask("/read/x", "17")));
+    }
+
+    void an_unsafe_request_that_may_have_run_is_not_sent_again()
+    {
+        add_three();
+        earn_budget();
+        auto const id = it_.ask("/write/x", "17");
+        it_.fail(id, attempt_failure::closed, verdict::may_have_run);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it_.attempts_of(id));
+        CPPUNIT_ASSERT(it_.refusal(id).run == verdict::may_have_run);
+    }
+
+    void an_unsafe_request_that_was_shed_is_sent_elsewhere()
+    {
+        add_three();
+        earn_budget();
+        auto const id = it_.ask("/write/x", "17");
+        auto const first = it_.target_of(id);
+        it_.fail(id, attempt_failure::shed, verdict::not_run);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it_.attempts_of(id));
+        CPPUNIT_ASSERT(first != it_.target_of(id));
+    }
+
+    void a_safe_request_is_sent_to_as_many_targets_as_its_route_allows()
+    {
+        add_three();
+        earn_budget();
+        auto const id = it_.ask("/read/x", "17");
+        it_.fail(id, attempt_failure::closed, verdict::may_have_run);
+        it_.fail(id, attempt_failure::closed, verdict::may_have_run);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it_.attempts_of(id));
+        CPPUNIT_ASSERT_EQUAL(std::string("outcome_open"), it_.told(id));
+    }
+
+    /// Pattern: a service that fails everything must not be asked twice as often.
+    void repeats_stay_within_their_budget()
+    {
+        add_three();
+        std::size_t attempts = 0;
+        for (int n = 0; n != 500; ++n)
+        {
+            auto const id = it_.ask("/read/x", std::to_string(n));
+            while (it_.told(id).empty())
+                it_.fail(id, attempt_failure::malformed, verdict::may_have_run);
+            attempts += it_.attempts_of(id);
+            it_.pass(milliseconds(5));
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(attempts), attempts <= 500 + 50 + 4);
+    }
+
+    void a_request_ends_at_its_routes_timeout()
+    {
+        add_three();
+        auto const id = it_.ask("/read/x", "17");
+        it_.pass(milliseconds(1199));
+        CPPUNIT_ASSERT(it_.told(id).empty());
+        it_.pass(milliseconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::string("deadline_exceeded"), it_.told(id));
+    }
+
+private:
+    void add_three()
+    {
+        for (auto const* const id : {"t1", "t2", "t3"})
+            it_.add(id, "m-a");
+    }
+
+    void earn_budget()
+    {
+        for (int n = 0; n != 40; ++n)
+            it_.reply(it_.ask("/read/x", "17"));
+    }
+
+    int sent_to_t2()
+    {
+        int out = 0;
+        for (int n = 0; n != 1000; ++n)
+        {
+            auto const id = it_.ask("/read/x", std::to_string(n));
+            out += it_.target_of(id) == "t2";
+            it_.reply(id);
+        }
+        return out;
+    }
+
+    plan_bench it_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(placement_test);
+
+} // namespace
+
+} // namespace mulberryrudder::entry
--- /dev/null
+++ b/tests/entry/plan_stages/plan_bench.cpp
@@ -0,0 +1,187 @@
+#include "plan_bench.hpp"
+
+namespace mulberryrudder::entry::testing
+{
+
+namespace
+{
+
+stage_registrar<fake_plan> const entered{"fake_plan", stage_order::roster};
+
+identity sample_identity()
+{
+    identity out;
+    out.self.id = instance_id(1);
+    out.self.region = region_id("m");
+    out.self.domain = domain_id("m-a");
+    out.boot = boot_id(1);
+    out.regions = {{domain_id("m-a"), region_id("m")},
+                   {domain_id("m-b"), region_id("m")},
+                   {domain_id("e-a"), region_id("e")}};
+    return out;
+}
+
+plan_route sample_route(std::string const& name, bool repeatable, bool open)
+{
+    return {.id = route_id(name),
+            .host = "Host.Example",
+            .path_prefix = "/" + name + "/",
+            .repeatable = repeatable,
+            .open = open,
+            .sticky = true,
+            .timeout = milliseconds(1200),
+            .aim = milliseconds(600),
+            .rank = urgency(1),
+            .most_targets = target_count(2),
+            .services = {{service_id("desk"), weight(1)}},
+            .homes = {}};
+}
+
+} // namespace
+
+traffic_plan sample_plan()
+{
+    traffic_plan out{.number = plan_number(1)};
+    out.routes = {sample_route("read", true, true), sample_route("write", false, true),
+                  sample_route("keyed", true, false)};
+    out.services = {{.id = service_id("desk"),
+                     .health_path = "/healthz",
+                     .most_connections = connections(100),
+                     .warm_up = milliseconds(3000),
+                     .warm_up_rate = millitokens_per_second(6000)}};
+    out.customers = {{.id = customer_id("office"),
+                      .keys = {sha256("key")},
+                      .rank = std::nullopt,
+                      .rate = millitokens_per_second(10'000),
+                      .burst = millitokens(5000),
+                      .homes = {}}};
+    out.keyed = true;
+    return out;
+}
+
+plan_bench::plan_bench(kernel::settings with)
+    : config_(std::move(with)), core_({.config = config_,
+                                       .counters = counters,
+                                       .events = events_,
+                                       .self = sample_identity(),
+                                       .seed = 1})
+{
+    put(sample_plan());
+}
+
+void plan_bench::put(traffic_plan it)
+{
+    auto next = plan().held ? *plan().held : steering_state();
+    next.plan = std::make_shared<traffic_plan const>(std::move(it));
+    steer(std::move(next));
+}
+
+void plan_bench::steer(steering_state it)
+{
+    it.generation = generation_id(it.generation.value() + 1);
+    plan().held = std::make_shared<steering_state const>(std::move(it));
+}
+
+listed_target& plan_bench::add(std::string const& id, std::string const& domain,
+                               std::int64_t capacity)
+{
+    auto& it = plan().listed[target_id(id)];
+    it.what = {.id = target_id(id),
+               .start = start_id(1),
+               .sequence = sequence_id(1),
+               .service = service_id("desk"),
+               .where = {"127.0.0.1", 1},
+               .domain = domain_id(domain),
+               .version = version_id("v1"),
+               .capacity = slots(capacity),
+               .standing = messages::target_standing::serving,
+               .cold_for = milliseconds(0),
+               .age = milliseconds(0)};
+    it.learned = now;
+    return it;
+}
+
+request_id plan_bench::ask(std::string const& path, std::string const& object,
+                           std::string const& key)
+{
+    request_id const id(++last_);
+    call const content{.method = call_method::get, .path = path, .fields = {}, .body = {}};
+    request_arrived it{.id = id,
+                       .key = std::nullopt,
+                       .route = {},
+                       .content = std::make_shared<call const>(content),
+                       .idempotency_key = std::nullopt,
+                       .client = {},
+                       .deadline = now + seconds(4),
+                       .host = "host.example:80",
+                       .object = object_id(object),
+                       .caller_reference = {}};
+    if (!key.empty())
+        it.key = sha256(key);
+    core_.handle(now, it, effects_);
+    collect();
+    return id;
+}
+
+void plan_bench::reply(request_id id, std::uint16_t status)
+{
+    auto const content = std::make_shared<mulberryrudder::reply const>(
+        mulberryrudder::reply{.status = status, .fields = {}, .body = {}});
+    core_.handle(now, attempt_replied{.id = sent_.at(id).back().id, .content = content, .load = {}},
+                 effects_);
+    collect();
+}
+
+void plan_bench::fail(request_id id, attempt_failure cause, verdict run)
+{
+    core_.handle(now, attempt_failed{.id = sent_.at(id).back().id, .cause = cause, .run = run},
+                 effects_);
+    collect();
+}
+
+void plan_bench::pass(span time)
+{
+    now += time;
+    core_.tick(now, effects_);
+    collect();
+}
+
+std::string plan_bench::target_of(request_id id) const
+{
+    auto const it = sent_.find(id);
+    return it == sent_.end() ? "" : it->second.back().target.value();
+}
+
+std::size_t plan_bench::attempts_of(request_id id) const
+{
+    auto const it = sent_.find(id);
+    return it == sent_.end() ? 0 : it->second.size();
+}
+
+std::string plan_bench::told(request_id id) const
+{
+    auto const it = ended_.find(id);
+    if (it == ended_.end())
+        return {};
+    auto const* const no = std::get_if<refused>(&it->second);
+    return no == nullptr ? "answered" : std::string(no->why->what().name);
+}
+
+refused const& plan_bench::refusal(request_id id) const
+{
+    return std::get<refused>(ended_.at(id));
+}
+
+void plan_bench::collect()
+{
+    for (auto const& it : effects_)
+    {
+        if (auto const* const sent = std::get_if<send_attempt>(&it))
+            sent_[sent->request].push_back(*sent);
+        else if (auto const* const ended = std::get_if<answer_caller>(&it))
+            ended_.emplace(ended->id, ended->what);
+    }
+    effects_.clear();
+}
+
+} // namespace mulberryrudder::entry::testing
--- /dev/null
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -0,0 +1,163 @@
+#include <mulberryrudder/entry/core.hpp>
+#include <mulberryrudder/entry/plan_view.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace mulberryrudder::entry
+{
+
+namespace
+{
+
+using messages::roster_poll;
+using messages::roster_update;
+
+/// One decision core with the real roster stage and a clock of its own.
+class roster_stage_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(roster_stage_test);
+    CPPUNIT_TEST(a_seed_is_asked_at_the_start);
+    CPPUNIT_TEST(callers_are_taken_once_there_is_a_plan);
+    CPPUNIT_TEST(an_older_state_is_not_taken);
+    CPPUNIT_TEST(another_instance_is_asked_when_one_is_silent);
+    CPPUNIT_TEST(changes_are_asked_for_from_where_they_are_known);
+    CPPUNIT_TEST(a_restarted_instance_is_asked_for_everything);
+    CPPUNIT_TEST(a_stopping_entry_says_so_at_once);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        identity self;
+        self.self.id = instance_id(50);
+        self.boot = boot_id(1);
+        self.control = {instance_id(1), instance_id(2)};
+        core_ = std::make_unique<core>(core::options{
+            .config = config_, .counters = counters_, .events = events_, .self = self, .seed = 1});
+    }
+
+    void a_seed_is_asked_at_the_start()
+    {
+        tick();
+        CPPUNIT_ASSERT(asked_ == instance_id(1) || asked_ == instance_id(2));
+        CPPUNIT_ASSERT(!poll_.self.ready);
+    }
+
+    void callers_are_taken_once_there_is_a_plan()
+    {
+        tick();
+        answer({.newest = sequence_id(1), .steering = state(3, false)});
+        CPPUNIT_ASSERT(!accepts_);
+        tick();
+        answer({.newest = sequence_id(1), .steering = state(4, true)});
+        CPPUNIT_ASSERT(accepts_);
+        CPPUNIT_ASSERT(poll_.self.ready);
+        CPPUNIT_ASSERT(poll_.generation == generation_id(4));
+    }
+
+    void an_older_state_is_not_taken()
+    {
+        tick();
+        answer({.steering = state(4, true)});
+        answer({.steering = state(3, true)});
+        CPPUNIT_ASSERT(view().steering()->generation == generation_id(4));
+    }
+
+    void another_instance_is_asked_when_one_is_silent()
+    {
+        tick();
+        auto const first = asked_;
+        tick(milliseconds(1400));
+        CPPUNIT_ASSERT(asked_ != first);
+    }
+
+    void changes_are_asked_for_from_where_they_are_known()
+    {
+        tick();
+        auto const first = asked_;
+        answer({.boot = boot_id(9), .newest = sequence_id(17)});
+        tick();
+        CPPUNIT_ASSERT(asked_ == first);
+        CPPUNIT_ASSERT(poll_.known == sequence_id(17));
+        CPPUNIT_ASSERT(poll_.known_boot == boot_id(9));
+    }
+
+    void a_restarted_instance_is_asked_for_everything()
+    {
+        tick();
+        answer({.boot = boot_id(9), .newest = sequence_id(17)});
+        tick();
+        tick(milliseconds(1400));
+        CPPUNIT_ASSERT(poll_.known == sequence_id());
+        CPPUNIT_ASSERT(poll_.known_boot == boot_id());
+    }
+
+    void a_stopping_entry_says_so_at_once()
+    {
+        tick();
+        answer({.steering = state(4, true)});
+        CPPUNIT_ASSERT(poll_.self.ready);
+        effects out;
+        core_->handle(now_, stop_requested{}, out);
+        collect(out);
+        CPPUNIT_ASSERT(!poll_.self.ready);
+    }
+
+private:
+    static shared_steering state(std::uint64_t generation, bool with_plan)
+    {
+        steering_state out{.generation = generation_id(generation)};
+        if (with_plan)
+            out.plan = std::make_shared<traffic_plan const>(traffic_plan{.number = plan_number(1)});
+        return std::make_shared<steering_state const>(out);
+    }
+
+    plan_view& view() { return *core_->services().find<plan_view>(); }
+
+    void tick(span passed = milliseconds(50))
+    {
+        effects out;
+        core_->tick(now_ += passed, out);
+        collect(out);
+    }
+
+    void answer(roster_update it)
+    {
+        it.poll = poll_.self.sequence;
+        effects out;
+        core_->handle(
+            now_,
+            message_arrived{
+                {.from = asked_, .to = instance_id(50), .body = any_message::of(std::move(it))}},
+            out);
+        collect(out);
+    }
+
+    void collect(effects const& from)
+    {
+        for (auto const& it : from)
+        {
+            accepts_ = accepts_ || std::holds_alternative<accept_callers>(it);
+            auto const* const sent = std::get_if<send_message>(&it);
+            if (sent == nullptr)
+                continue;
+            asked_ = sent->message.to;
+            poll_ = *sent->message.body.get<roster_poll>();
+        }
+    }
+
+    kernel::settings config_ = kernel::settings::defaults();
+    kernel::counter_set counters_;
+    kernel::null_event_sink events_;
+    std::unique_ptr<core> core_;
+    instant now_{seconds(1000)};
+    instance_id asked_;
+    roster_poll poll_;
+    bool accepts_ = false;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(roster_stage_test);
+
+} // namespace
+
+} // namespace mulberryrudder::entry
