--- a/plugins/control/replica/starting.cpp
+++ b/plugins/control/replica/starting.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+/// Pause between two announcements of a start by an instance without a vote: within the
+/// time that a replaced disk has to catch up.
+constexpr seconds announce_pause{1};
 /// Disks of one instance whose newest starts are remembered.
 constexpr std::ptrdiff_t disks_kept = 4;
 /// Own starts that are remembered. A replica that another one has not seen for more
@@ -26,6 +29,8 @@
 /// restarted one may have had a vote that it lost with its disk, so it speaks up.
 bool replica::takes_part() const
 {
+    if (self_.contacts.empty())
+        return true;
     auto const& founders = self_.initial_voters;
     bool const founds =
         std::find(founders.begin(), founders.end(), self_.self.id) != founders.end();
@@ -79,8 +84,9 @@
 
 void replica::announce_start()
 {
-    // Without a vote there is no hurry, and there may be many such instances.
-    announce_due_ = now() + (has_vote() || is_blank() ? span(config_.heartbeat) : span(seconds(1)));
+    // Instances that only follow the roster are many, and never get a vote by it.
+    bool const may_vote = self_.contacts.empty() || has_vote() || is_blank();
+    announce_due_ = now() + (may_vote ? span(config_.heartbeat) : announce_pause);
     for (auto const id : known_instances())
         send_synced(id, messages::start_request{.disk = state_.disk,
                                                 .starts = state_.own_starts,
--- a/plugins/entry/retries/retries_stage.cpp
+++ b/plugins/entry/retries/retries_stage.cpp
@@ -50,6 +50,9 @@
 kernel::counter_kind const after_malformed("retries.malformed",
                                            "Retries after a reply that was not valid.");
 kernel::counter_kind const after_shed("retries.shed", "Retries after a target shed the request.");
+kernel::counter_kind const
+    after_misdirected("retries.misdirected",
+                      "Retries after another target answered at the address.");
 kernel::counter_kind const after_cancelled("retries.cancelled",
                                            "Retries after a cancelled attempt.");
 kernel::counter_kind const hedges_sent("retries.hedges", "Second attempts sent beside a slow one.");
@@ -63,9 +66,9 @@
                                     "Failed attempts not retried after the most attempts.");
 
 /// One counter for each attempt_failure, in its order.
-constexpr std::array<kernel::counter_kind const*, 7> reasons{
-    &after_refused, &after_connect_timeout, &after_closed, &after_timeout, &after_malformed,
-    &after_shed,    &after_cancelled};
+constexpr std::array<kernel::counter_kind const*, 8> reasons{
+    &after_refused, &after_connect_timeout, &after_closed,   &after_timeout, &after_malformed,
+    &after_shed,    &after_misdirected,     &after_cancelled};
 
 bool has_run_nowhere(request const& what)
 {
--- a/plugins/entry/roster/control_choice.cpp
+++ b/plugins/entry/roster/control_choice.cpp
@@ -55,15 +55,17 @@
         it->second.avoided_until = now + avoid_failed;
 }
 
-std::optional<instance_id> control_choice::best(instance_description const& self, instant now,
-                                                random_source& random) const
+std::optional<instance_id> control_choice::best(instance_description const& self,
+                                                std::optional<instance_id> answered_last,
+                                                instant now, random_source& random) const
 {
     std::optional<instance_id> out;
-    std::tuple<instant, int, std::uint64_t> least{};
+    std::tuple<instant, int, bool, std::uint64_t> least{};
     for (auto const& [id, it] : rows_)
     {
         auto const avoided = it.avoided_until > now ? it.avoided_until : instant{};
-        std::tuple const cost(avoided, distance(self, it.who), std::uint64_t{random()});
+        std::tuple const cost(avoided, distance(self, it.who), id != answered_last,
+                              std::uint64_t{random()});
         if (out && cost >= least)
             continue;
         out = id;
--- a/plugins/entry/roster/control_choice.hpp
+++ b/plugins/entry/roster/control_choice.hpp
@@ -29,8 +29,11 @@
     /// Notes that an instance did not answer.
     void failed(instance_id id, instant now);
 
-    /// Returns the best instance now; nothing if none is known.
-    std::optional<instance_id> best(instance_description const& self, instant now,
+    /// Returns the best instance now; nothing if none is known. Of instances that are
+    /// equally near the one that answered last is the best, since it knows what this
+    /// entry holds.
+    std::optional<instance_id> best(instance_description const& self,
+                                    std::optional<instance_id> answered_last, instant now,
                                     random_source& random) const;
 
 private:
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -142,7 +142,7 @@
 
     void send_report(context& with)
     {
-        auto const to = choice_.best(with.self.self, with.now, with.random);
+        auto const to = choice_.best(with.self.self, answered_by_, with.now, with.random);
         if (!to)
             return;
         with.counters.add(reports_counter);
--- a/tests/control/steering/steering_codec_test.cpp
+++ b/tests/control/steering/steering_codec_test.cpp
@@ -20,7 +20,7 @@
     capnp::MallocMessageBuilder message;
     codec->encode(any_message::of(from), message.initRoot<capnp::AnyPointer>());
     auto const read = codec->decode(message.getRoot<capnp::AnyPointer>().asReader());
-    return *read.get<T>();
+    return *read.template get<T>();
 }
 
 traffic_plan sample_plan()
--- a/tests/control/steering/steering_test.cpp
+++ b/tests/control/steering/steering_test.cpp
@@ -1,5 +1,6 @@
 #include "tests/control/support/replica.hpp"
 
+#include <mulberryrudder/control/operator_answers.hpp>
 #include <mulberryrudder/control/steering.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/entry/plan_stages/control_choice_test.cpp
+++ b/tests/entry/plan_stages/control_choice_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST_SUITE(control_choice_test);
     CPPUNIT_TEST(the_nearest_instance_is_asked);
     CPPUNIT_TEST(one_that_failed_is_asked_last_for_a_while);
+    CPPUNIT_TEST(of_equally_near_ones_the_last_is_kept);
     CPPUNIT_TEST(seeds_are_never_forgotten);
     CPPUNIT_TEST(only_new_addresses_are_learned);
     CPPUNIT_TEST_SUITE_END();
@@ -44,6 +45,14 @@
         CPPUNIT_ASSERT(best() == instance_id(3));
     }
 
+    void of_equally_near_ones_the_last_is_kept()
+    {
+        it_.learn({at(1, "e", "e-a"), at(2, "e", "e-b"), at(3, "u", "u-a")});
+        last_ = instance_id(2);
+        for (int n = 0; n != 20; ++n)
+            CPPUNIT_ASSERT(best() == instance_id(2));
+    }
+
     void seeds_are_never_forgotten()
     {
         it_.add_contact(instance_id(7));
@@ -59,9 +68,10 @@
     }
 
 private:
-    std::optional<instance_id> best() { return it_.best(at(9, "m", "m-a"), now_, random_); }
+    std::optional<instance_id> best() { return it_.best(at(9, "m", "m-a"), last_, now_, random_); }
 
     control_choice it_;
+    std::optional<instance_id> last_;
     random_source random_{1};
     instant now_{seconds(1000)};
 };
