--- a/plugins/entry/targets/target_registry.cpp
+++ b/plugins/entry/targets/target_registry.cpp
@@ -74,13 +74,14 @@
 {
     using note =
         void (target_registry::*)(target_record&, attempt const&, attempt_end const&, context&);
-    static constexpr std::array<note, 7> notes{
+    static constexpr std::array<note, 8> notes{
         &target_registry::note_refused, // connect_refused
         &target_registry::note_refused, // connect_timeout
         &target_registry::note_failure, // closed
         &target_registry::note_failure, // timeout
         &target_registry::note_failure, // malformed
         &target_registry::note_shed,    // shed
+        &target_registry::note_refused, // misdirected
         &target_registry::note_nothing, // cancelled
     };
     auto const found = records_.find(sent.target.id);
