--- a/plugins/entry/placement/placement_stage.cpp
+++ b/plugins/entry/placement/placement_stage.cpp
@@ -51,8 +51,18 @@
                             .status = 503,
                             .meaning = "No target has room to answer the request in time."});
 
+/// One part of so many of a region's targets may be doubted and left alone.
+constexpr std::size_t most_doubted_divisor = 3;
 /// Part of a target's slots up to which one that holds nothing of the object is used.
 constexpr double idle_part = 0.5;
+kernel::event_kind const avoided_event{
+    {.number = 320,
+     .name = "targets.avoided",
+     .level = kernel::severity::info,
+     .meaning = "This instance keeps requests off a target for a while: it cannot be reached "
+                "(`lost`), or it answers badly or not at all.",
+     .action = "If many instances avoid one target, look at that target."}};
+
 /// Part of the time left within which a queued request must be expected to end.
 constexpr double time_part = 0.85;
 /// Weight of the newest attempt in a route's moving average of service times.
@@ -134,7 +144,15 @@
         auto const listed = view().targets().find(it.target.id);
         auto const capacity =
             listed == view().targets().end() ? slots(1) : listed->second.what.capacity;
+        bool const sound = !is_avoided(it.target.id, with.now);
         loads_.ended(it.target.id, how, judged, capacity, it.started, with.now);
+        if (sound && is_avoided(it.target.id, with.now))
+            with.events.record(
+                avoided_event,
+                {{"target", it.target.id.value()},
+                 {"cause", std::string(how.failed ? to_string(*how.failed) : "bad replies")},
+                 {"request", what.caller_reference},
+                 {"lost", loads_.is_lost(it.target.id, with.now, with.now) ? "true" : "false"}});
         if (how.failed)
             return;
         auto& average = service_times_[what.route];
@@ -154,6 +172,11 @@
     }
 
 private:
+    bool is_avoided(target_id const& id, instant now) const
+    {
+        return loads_.is_lost(id, now, now) || loads_.is_doubted(id, now);
+    }
+
     plan_view& view() { return services_.require<plan_view>(); }
 
     service_id drawn_service(plan_route const& route, context& with) const
@@ -250,17 +273,39 @@
                            .rank = 0,
                            .busy = loads_.busy(id, with.now)});
         }
+        drop_doubted(out, with.now);
         rank_within_regions(out);
         return out;
     }
 
+    /// Keeps requests off doubted targets where most of their region's are sound. A region
+    /// whose targets all look bad keeps them: its requests must not move away at once.
+    void drop_doubted(std::vector<candidate>& all, instant now) const
+    {
+        std::map<region_id, std::pair<std::size_t, std::size_t>> counts; // Doubted, all.
+        auto const doubted = [&](candidate const& it)
+        { return loads_.is_doubted(it.target->what.id, now); };
+        for (auto const& it : all)
+        {
+            auto& [bad, sum] = counts[it.region];
+            bad += doubted(it);
+            ++sum;
+        }
+        std::erase_if(all,
+                      [&](candidate const& it)
+                      {
+                          auto const& [bad, sum] = counts.at(it.region);
+                          return bad * most_doubted_divisor <= sum && doubted(it);
+                      });
+    }
+
     bool is_usable(listed_target const& it, request const& what, plan_service const* service,
                    context& with)
     {
         auto const& told = it.what;
         if (told.standing != messages::target_standing::serving ||
             view().steering()->evacuated.contains(told.domain) ||
-            loads_.is_avoided(told.id, it.learned, with.now))
+            loads_.is_lost(told.id, it.learned, with.now))
             return false;
         auto const same = [&](attempt const& each) { return each.target.id == told.id; };
         if (std::any_of(what.attempts.begin(), what.attempts.end(), same))
--- a/plugins/entry/placement/target_loads.cpp
+++ b/plugins/entry/placement/target_loads.cpp
@@ -22,8 +22,8 @@
 constexpr double most_bad = 0.3;
 /// Replies before the average says anything.
 constexpr int least_replies = 8;
-/// How long a target with many bad replies is avoided.
-constexpr seconds bad_avoidance{4};
+/// How long a target with many bad replies, or none, is doubted.
+constexpr seconds doubt{4};
 /// A target that sheds below this part of its slots does not shed for lack of room.
 constexpr double room_part = 0.8;
 
@@ -31,12 +31,15 @@
 /// before the target counts as lost. A slow request says less than a lost connection.
 constexpr int most_silences = 3;
 
-bool is_lost(attempt_failure cause)
+bool is_connection_lost(attempt_failure cause)
 {
     return cause == attempt_failure::connect_refused || cause == attempt_failure::connect_timeout ||
            cause == attempt_failure::closed;
 }
 
+/// A target's own 504 says that the request's time was too short, such as for cold work.
+constexpr std::uint16_t out_of_time = 504;
+
 bool ran_out_of_time(attempt_failure cause)
 {
     return cause == attempt_failure::timeout || cause == attempt_failure::cancelled;
@@ -64,30 +67,39 @@
     }
     if (!judged)
         return;
+    bool const answers = it.replied >= started; // Other requests, while this one ran.
     if (how.failed == attempt_failure::misdirected)
         it.misdirected = now;
-    else if (how.failed && is_lost(*how.failed))
+    else if (how.failed && is_connection_lost(*how.failed) && !answers)
         note_failure(it, now);
     else if (how.failed && ran_out_of_time(*how.failed))
-    {
-        if (it.replied < started && ++it.silences >= most_silences)
-            note_failure(it, now);
-    }
+        note_silence(it, answers, now);
     else if (how.failed == attempt_failure::shed)
         note_quality(it, has_room, now);
+    else if (how.failed)
+        note_quality(it, true, now);
     else
     {
         it.failures = 0;
         it.silences = 0;
         it.replied = now;
-        note_quality(it, how.failed.has_value() || how.content->status >= 500, now);
+        if (how.content->status != out_of_time)
+            note_quality(it, how.content->status >= 500, now);
     }
 }
 
+void target_loads::note_silence(row& it, bool answers, instant now)
+{
+    if (answers || ++it.silences < most_silences)
+        return;
+    it.silences = 0;
+    it.doubted_until = std::max(it.doubted_until, now + doubt);
+}
+
 void target_loads::note_failure(row& it, instant now)
 {
     auto const doublings = std::min(it.failures++, most_doublings);
-    it.avoided_until = std::max(it.avoided_until, now + first_avoidance * (1 << doublings));
+    it.lost_until = std::max(it.lost_until, now + first_avoidance * (1 << doublings));
 }
 
 void target_loads::note_quality(row& it, bool bad, instant now)
@@ -96,7 +108,7 @@
     ++it.replies;
     if (it.replies < least_replies || it.bad <= most_bad)
         return;
-    it.avoided_until = std::max(it.avoided_until, now + bad_avoidance);
+    it.doubted_until = std::max(it.doubted_until, now + doubt);
     it.replies = 0;
     it.bad = 0;
 }
@@ -112,13 +124,19 @@
     return static_cast<double>(it.own) + static_cast<double>(it.others) * std::exp2(-half_lives);
 }
 
-bool target_loads::is_avoided(target_id const& id, instant learned, instant now) const
+bool target_loads::is_lost(target_id const& id, instant learned, instant now) const
 {
     auto const it = rows_.find(id);
     if (it == rows_.end())
         return false;
-    return now < it->second.avoided_until ||
+    return now < it->second.lost_until ||
            (it->second.misdirected != instant{} && learned <= it->second.misdirected);
 }
 
+bool target_loads::is_doubted(target_id const& id, instant now) const
+{
+    auto const it = rows_.find(id);
+    return it != rows_.end() && now < it->second.doubted_until;
+}
+
 } // namespace mulberryrudder::entry
--- a/plugins/entry/placement/target_loads.hpp
+++ b/plugins/entry/placement/target_loads.hpp
@@ -29,9 +29,13 @@
     /// Returns the requests that run or wait there, as far as is known.
     double busy(target_id const& id, instant now) const;
 
-    /// Returns whether requests are to be kept off the target now. What was heard of
-    /// it later than its last failure clears a doubt about where it is.
-    bool is_avoided(target_id const& id, instant learned, instant now) const;
+    /// Returns whether the target cannot be reached now, as far as is known. What was
+    /// heard of it later than its last failure clears a doubt about where it is.
+    bool is_lost(target_id const& id, instant learned, instant now) const;
+
+    /// Returns whether the target answers badly or not at all, so that others are to be
+    /// preferred while there are enough of them.
+    bool is_doubted(target_id const& id, instant now) const;
 
     void forget(target_id const& id) { rows_.erase(id); }
 
@@ -44,13 +48,15 @@
         int failures = 0; ///< In a row without a reply.
         double bad = 0;   ///< Moving average of bad replies, 0 to 1.
         int replies = 0;  ///< That the average is made of.
-        instant avoided_until;
+        instant lost_until;
+        instant doubted_until;
         instant replied;     ///< When a reply came last.
         int silences = 0;    ///< Attempts without any reply since then.
         instant misdirected; ///< When another target answered at the address.
     };
 
     static void note_failure(row& it, instant now);
+    static void note_silence(row& it, bool answers, instant now);
     static void note_quality(row& it, bool bad, instant now);
 
     std::map<target_id, row> rows_;
--- a/tests/entry/plan_stages/placement_test.cpp
+++ b/tests/entry/plan_stages/placement_test.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(a_split_keeps_its_weights);
     CPPUNIT_TEST(a_new_version_gets_its_share_only_while_it_is_rolled_out);
     CPPUNIT_TEST(a_region_with_little_room_keeps_a_stable_part_of_its_objects);
+    CPPUNIT_TEST(a_small_region_keeps_targets_that_all_look_bad);
+    CPPUNIT_TEST(one_bad_target_of_many_is_left_alone);
     CPPUNIT_TEST(a_misdirected_target_is_left_until_it_speaks_again);
     CPPUNIT_TEST(an_unsafe_request_that_may_have_run_is_not_sent_again);
     CPPUNIT_TEST(an_unsafe_request_that_was_shed_is_sent_elsewhere);
@@ -207,6 +209,38 @@
         CPPUNIT_ASSERT_EQUAL(0, moved);
     }
 
+    /// Pattern: the few targets of a region fail for a while; its traffic must not move
+    /// to other regions from one moment to the next.
+    void a_small_region_keeps_targets_that_all_look_bad()
+    {
+        it_.add("near", "m-a", 50);
+        it_.add("far", "e-a", 50);
+        it_.pass(milliseconds(1));
+        std::string here;
+        for (int n = 0; here.empty(); ++n)
+            if (it_.target_of(ask_and_reply(std::to_string(n))) == "near")
+                here = std::to_string(n);
+        for (int n = 0; n != 30; ++n)
+        {
+            auto const id = it_.ask("/write/x", here);
+            CPPUNIT_ASSERT_EQUAL(std::string("near"), it_.target_of(id));
+            it_.reply(id, 500);
+        }
+    }
+
+    void one_bad_target_of_many_is_left_alone()
+    {
+        for (auto const* const id : {"t1", "t2", "t3", "t4"})
+            it_.add(id, "m-a", 50);
+        auto const bad = it_.target_of(ask_and_reply("17"));
+        for (int n = 0; n != 30; ++n)
+        {
+            auto const id = it_.ask("/write/x", "17");
+            it_.reply(id, it_.target_of(id) == bad ? 500 : 200);
+        }
+        CPPUNIT_ASSERT(bad != it_.target_of(it_.ask("/write/x", "17")));
+    }
+
     void a_misdirected_target_is_left_until_it_speaks_again()
     {
         auto& target = it_.add("t1", "m-a");
@@ -283,6 +317,13 @@
             it_.add(id, "m-a");
     }
 
+    request_id ask_and_reply(std::string const& object)
+    {
+        auto const id = it_.ask("/read/x", object);
+        it_.reply(id);
+        return id;
+    }
+
     void earn_budget()
     {
         for (int n = 0; n != 40; ++n)
