Give a silent voter's place to another control instance

Instances without a vote announce their starts once a second, so that the leader knows their disks.

Before: the last acknowledged plan could not be read back.

--- a/include/mulberryrudder/control/replicated_log.hpp
+++ b/include/mulberryrudder/control/replicated_log.hpp
@@ -38,6 +38,22 @@
     virtual log_index applied_index() const = 0;
 };
 
+/// Shows who has a vote in the control group, and changes it.
+///
+/// Thread safety: the decision core's thread.
+class voter_group
+{
+public:
+    virtual ~voter_group() = default;
+
+    /// Returns the newest membership that this replica knows.
+    virtual group_membership const& membership() const = 0;
+
+    /// Begins to put an instance in the place of a voter. Returns false, and changes
+    /// nothing, if this replica may not act or another change is under way.
+    virtual bool begin_replacement(replacement const& wanted, instant now) = 0;
+};
+
 } // namespace mulberryrudder::control
 
 #endif
--- a/include/mulberryrudder/control/roster.hpp
+++ b/include/mulberryrudder/control/roster.hpp
@@ -59,6 +59,9 @@
     /// Returns the slots of a service's targets of one version that serve.
     virtual slots capacity_of(service_id const& service, version_id const& version) const = 0;
 
+    /// Returns the other control instances that were heard since a time.
+    virtual std::vector<instance_description> control_since(instant since) const = 0;
+
     /// Returns and forgets the outcomes that entries reported since the last call.
     virtual std::vector<messages::version_outcomes> take_outcomes() = 0;
 };
--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -102,16 +102,29 @@
         members().find(it.leaving) == nullptr && members().find(it.joining) != nullptr;
     if (refusal != replace_refusal::none || done)
         return answer_replaced(id, refusal);
-    replacement const wanted{.leaving = it.leaving, .joining = it.joining, .peer = it.peer};
+    note_replacement({.leaving = it.leaving, .joining = it.joining, .peer = it.peer});
+    if (members_.newest_index() <= committed_)
+        return answer_replaced(id, refusal);
+    replacing_[id] = members_.newest_index();
+}
+
+void replica::note_replacement(replacement const& wanted)
+{
     auto next = members();
     std::erase_if(next.pending, [&](replacement const& each)
-                  { return each.leaving == it.leaving && each.joining != it.leaving; });
+                  { return each.leaving == wanted.leaving && each.joining != wanted.leaving; });
     next.pending.push_back(wanted);
     if (next != members())
         append_membership(std::move(next));
-    if (members_.newest_index() <= committed_)
-        return answer_replaced(id, refusal);
-    replacing_[id] = members_.newest_index();
+}
+
+bool replica::begin_replacement(replacement const& wanted, instant now)
+{
+    bool const busy = members_.newest_index() > committed_ || !members().pending.empty();
+    if (with_ == nullptr || !is_leader() || !may_act(now) || busy)
+        return false;
+    note_replacement(wanted);
+    return true;
 }
 
 replace_refusal replica::refusal_of(replace_member const& it) const
--- a/plugins/control/replica/replica.cpp
+++ b/plugins/control/replica/replica.cpp
@@ -21,6 +21,7 @@
     : config_(parts.config.get(replica_section)), self_(parts.self), lease_(config_)
 {
     parts.services.provide<replicated_log>(*this);
+    parts.services.provide<voter_group>(*this);
 }
 
 void replica::recovered(disk_recovered const& it, context& with)
@@ -116,7 +117,7 @@
     with_ = &with;
     if (is_failed())
         return;
-    if (takes_part() && must_announce() && now() >= announce_due_)
+    if (must_announce() && now() >= announce_due_)
         announce_start();
     if (is_leader())
         lead_tick();
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -38,7 +38,7 @@
 /// are named by the contents of their disks.
 ///
 /// Thread safety: the decision core's thread.
-class replica final : public component, public replicated_log
+class replica final : public component, public replicated_log, public voter_group
 {
 public:
     explicit replica(component_parts const& parts);
@@ -56,6 +56,8 @@
     std::optional<instance_id> leader() const override { return leader_; }
     std::optional<log_index> propose(any_message command) override;
     log_index applied_index() const override { return applied_; }
+    group_membership const& membership() const override { return members(); }
+    bool begin_replacement(replacement const& wanted, instant now) override;
 
 private:
     // replica.cpp: what the other parts share.
@@ -88,7 +90,7 @@
 
     // starting.cpp: first starts, restarts and disks that are replaced.
     bool is_blank() const;
-    bool takes_part() const;
+    bool is_founder() const;
     voter founding_voter(instance_id id, disk_id disk) const;
     bool is_registered() const;
     bool must_announce() const;
@@ -142,6 +144,7 @@
     void take_list(operator_request_id id, list_members const& it, context& with);
     void take_replace(operator_request_id id, replace_member const& it, context& with);
     replace_refusal refusal_of(replace_member const& it) const;
+    void note_replacement(replacement const& wanted);
     void answer_replaced(operator_request_id id, replace_refusal refusal);
     void answer_committed();
     void answer_all_unconfirmed();
--- a/plugins/control/replica/starting.cpp
+++ b/plugins/control/replica/starting.cpp
@@ -25,16 +25,12 @@
     return members().group == group_id() && log_.last().index == log_index();
 }
 
-/// An instance that no settings name as a founder waits until it is asked to join. A
-/// restarted one may have had a vote that it lost with its disk, so it speaks up.
-bool replica::takes_part() const
+/// Settings that number the control instances name founders only.
+bool replica::is_founder() const
 {
-    if (self_.contacts.empty())
-        return true;
     auto const& founders = self_.initial_voters;
-    bool const founds =
-        std::find(founders.begin(), founders.end(), self_.self.id) != founders.end();
-    return founds || !self_.may_found || !is_blank();
+    return self_.contacts.empty() ||
+           std::find(founders.begin(), founders.end(), self_.self.id) != founders.end();
 }
 
 voter replica::founding_voter(instance_id id, disk_id disk) const
@@ -84,9 +80,9 @@
 
 void replica::announce_start()
 {
-    // Instances that only follow the roster are many, and never get a vote by it.
-    bool const may_vote = self_.contacts.empty() || has_vote() || is_blank();
-    announce_due_ = now() + (may_vote ? span(config_.heartbeat) : announce_pause);
+    // An instance without a vote waits until a voter's place is free.
+    bool const hurries = self_.contacts.empty() || has_vote() || (is_blank() && is_founder());
+    announce_due_ = now() + (hurries ? span(config_.heartbeat) : announce_pause);
     for (auto const id : known_instances())
         send_synced(id, messages::start_request{.disk = state_.disk,
                                                 .starts = state_.own_starts,
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -136,6 +136,11 @@
         return targets_.capacity_of(service, version);
     }
 
+    std::vector<instance_description> control_since(instant since) const override
+    {
+        return controls_.known_since(since);
+    }
+
     std::vector<messages::version_outcomes> take_outcomes() override
     {
         return std::exchange(outcomes_, {});
--- a/tests/control/replica/seeds_test.cpp
+++ b/tests/control/replica/seeds_test.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(blank_disks_found_nothing_after_the_first_start);
     CPPUNIT_TEST(a_wiped_seed_gets_its_vote_back_by_joining);
     CPPUNIT_TEST(all_seeds_come_back_with_their_disks);
+    CPPUNIT_TEST(an_instance_takes_the_place_of_a_lost_seed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -146,6 +147,30 @@
         CPPUNIT_ASSERT(it.has_value(it.acting(), 5));
     }
 
+    void an_instance_takes_the_place_of_a_lost_seed()
+    {
+        seeded_group it;
+        start_all(it);
+        it.propose(5);
+        it.run_for(seconds(1));
+        it.founding = false;
+        auto const other = it.add_instance();
+        it.start(other);
+        it.run_for(seconds(2));
+        std::uint32_t const lost = it.acting() == 1 ? 2 : 1;
+        it.kill(lost);
+        it.ask(it.acting(), any_message::of(replace_member{.leaving = instance_id(lost),
+                                                           .joining = instance_id(other),
+                                                           .peer = {"10.0.0.9", 7000}}));
+        for (int n = 0; n != 100 && !it.votes(other); ++n)
+            it.run_for(milliseconds(100));
+        CPPUNIT_ASSERT(it.votes(other));
+        CPPUNIT_ASSERT(it.has_value(other, 5));
+        // The group now bears the loss of another seed.
+        it.kill(it.acting());
+        CPPUNIT_ASSERT(it.wait_for_leader());
+    }
+
 private:
     static void start_all(seeded_group& it)
     {
--- a/tests/control/steering/rollouts_test.cpp
+++ b/tests/control/steering/rollouts_test.cpp
@@ -34,6 +34,7 @@
     {
         return version == v2 ? fresh : old;
     }
+    std::vector<instance_description> control_since(instant) const override { return {}; }
     std::vector<messages::version_outcomes> take_outcomes() override
     {
         return std::exchange(outcomes, {});
