--- a/scripts/catalogue.sh
+++ b/scripts/catalogue.sh
@@ -3,7 +3,8 @@
 # Usage: scripts/catalogue.sh BIN events|settings > docs/EVENTS.md or docs/SETTINGS.md
 set -euo pipefail
 bin=$1
-programs=(mulberryrudder-entry mulberryrudder-control)
+programs=(mulberryrudder-entry mulberryrudder-control
+          mulberryrudder-platform-entry mulberryrudder-platform-control)
 of_all() { for it in "${programs[@]}"; do "$bin/$it" "$1"; done | sort -u; }
 case $2 in
   events)
--- a/tests/control/steering/steering_test.cpp
+++ b/tests/control/steering/steering_test.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 
-using testing::fake_log;
 using testing::replica;
 
 plan_submission plan(std::uint64_t base, std::uint64_t number, std::string const& source)
