Take other entries to send alike until a target has reported

Cause: before the first replies each entry counted only its own requests, and a small region's home was given 23 for 6 slots at the start.

--- a/plugins/entry/placement/placement_stage.cpp
+++ b/plugins/entry/placement/placement_stage.cpp
@@ -167,6 +167,7 @@
         split_due_ = with.now + region_split::step_period;
         for (auto& [service, it] : objects_)
             it.expire(with.now);
+        loads_.set_senders(senders());
         update_splits(with.now);
         gate_.forget_all_but(view().targets(), with.now);
     }
@@ -480,6 +481,18 @@
         return refuse(no_room, config_.return_after + milliseconds(spread(with.random)));
     }
 
+    /// Returns how many entry instances the own region has, if they are spread evenly.
+    double senders()
+    {
+        auto const near =
+            std::count_if(self_.regions.begin(), self_.regions.end(),
+                          [this](auto const& it) { return it.second == self_.self.region; });
+        if (near == 0)
+            return 1;
+        return std::max(1.0, static_cast<double>(view().entries() * near) /
+                                 static_cast<double>(self_.regions.size()));
+    }
+
     /// Returns on how many targets of a region an object is kept: on as many as the
     /// targets can keep of all the objects that were asked for lately.
     std::size_t homes_of(service_id const& service, std::size_t targets) const
--- a/plugins/entry/placement/target_loads.cpp
+++ b/plugins/entry/placement/target_loads.cpp
@@ -12,6 +12,8 @@
 /// Time in which what was reported of other instances' requests halves. A target that
 /// is full replies seldom, and must not look idle meanwhile.
 constexpr milliseconds report_half_life{3000};
+/// How long a report says enough of the load that other instances make.
+constexpr milliseconds fresh_for{1500};
 /// First time for which a target is avoided after a failure; it doubles with each.
 constexpr milliseconds first_avoidance{300};
 /// Failures after which the time does not double any more.
@@ -119,9 +121,12 @@
     if (at == rows_.end())
         return 0;
     auto const& it = at->second;
+    auto const own = static_cast<double>(it.own);
     auto const half_lives = static_cast<double>((now - it.reported).count()) /
                             static_cast<double>(span(report_half_life).count());
-    return static_cast<double>(it.own) + static_cast<double>(it.others) * std::exp2(-half_lives);
+    auto const told = static_cast<double>(it.others) * std::exp2(-half_lives);
+    bool const fresh = it.reported + fresh_for > now;
+    return own + (fresh ? told : std::max(told, own * (senders_ - 1)));
 }
 
 bool target_loads::is_lost(target_id const& id, instant learned, instant now) const
--- a/plugins/entry/placement/target_loads.hpp
+++ b/plugins/entry/placement/target_loads.hpp
@@ -26,7 +26,11 @@
     void ended(target_id const& id, attempt_end const& how, bool judged, slots capacity,
                instant started, instant now);
 
-    /// Returns the requests that run or wait there, as far as is known.
+    /// Tells how many entry instances send to the same targets, this one included.
+    void set_senders(double count) { senders_ = count; }
+
+    /// Returns the requests that run or wait there, as far as is known. Without a fresh
+    /// report other instances are taken to send as much as this one.
     double busy(target_id const& id, instant now) const;
 
     /// Returns whether the target cannot be reached now, as far as is known. What was
@@ -60,6 +64,7 @@
     static void note_quality(row& it, bool bad, instant now);
 
     std::map<target_id, row> rows_;
+    double senders_ = 1;
 };
 
 } // namespace mulberryrudder::entry
--- a/tests/entry/plan_stages/target_loads_test.cpp
+++ b/tests/entry/plan_stages/target_loads_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(target_loads_test);
     CPPUNIT_TEST(requests_of_other_instances_are_known_by_report);
     CPPUNIT_TEST(a_report_fades_slowly);
+    CPPUNIT_TEST(without_a_report_others_are_taken_to_send_alike);
     CPPUNIT_TEST(a_lost_connection_keeps_requests_off_for_longer_each_time);
     CPPUNIT_TEST(slow_requests_among_good_ones_do_not_make_a_target_lost);
     CPPUNIT_TEST(a_target_that_answers_nothing_is_doubted);
@@ -40,6 +41,16 @@
         CPPUNIT_ASSERT(it_.busy(id_, now_) < 0.1);
     }
 
+    /// Pattern: traffic begins at all instances at once, before any target has replied.
+    void without_a_report_others_are_taken_to_send_alike()
+    {
+        it_.set_senders(4);
+        it_.started(id_);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(4.0, it_.busy(id_, now_), 0.01);
+        run({}, load_report{slots(2), slots(9)});
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, it_.busy(id_, now_), 0.01);
+    }
+
     void a_lost_connection_keeps_requests_off_for_longer_each_time()
     {
         run(attempt_failure::closed);
