--- a/include/mulberryrudder/kernel/counters.hpp
+++ b/include/mulberryrudder/kernel/counters.hpp
@@ -2,6 +2,7 @@
 #define MULBERRYRUDDER_KERNEL_COUNTERS_HPP
 
 #include <mulberryrudder/kernel/catalogue.hpp>
+#include <mulberryrudder/kernel/histograms.hpp>
 
 #include <atomic>
 #include <cstddef>
@@ -58,17 +59,23 @@
         return values_[kind.position()].load(std::memory_order_relaxed);
     }
 
+    /// Adds one time to a histogram.
+    void observe(histogram_kind const& kind, span took) { histograms_.observe(kind, took); }
+    histogram_set const& histograms() const noexcept { return histograms_; }
+
     /// Returns name and value of each counter, sorted by name.
     std::vector<std::pair<std::string_view, std::uint64_t>> snapshot() const;
 
 private:
     std::unique_ptr<std::atomic<std::uint64_t>[]> values_;
+    histogram_set histograms_;
 };
 
 /// Content type of counters_text().
 inline constexpr std::string_view counters_text_type = "text/plain; version=0.0.4";
 
-/// Returns the counters in the text form that common collectors read. Any thread.
+/// Returns counters and histograms in the text form that common collectors read. Any
+/// thread.
 std::string counters_text(counter_set const& counters);
 
 } // namespace mulberryrudder::kernel
--- a/kernel/counters.cpp
+++ b/kernel/counters.cpp
@@ -34,7 +34,7 @@
         std::replace(metric.begin(), metric.end(), '.', '_');
         out += metric + " " + std::to_string(value) + "\n";
     }
-    return out;
+    return out + counters.histograms().text();
 }
 
 } // namespace mulberryrudder::kernel
--- a/plugins/entry/request_log/request_log_stage.cpp
+++ b/plugins/entry/request_log/request_log_stage.cpp
@@ -36,6 +36,13 @@
 kernel::counter_kind const unlogged_counter("request_log.left_out",
                                             "Requests whose decisions were not logged.");
 
+kernel::histogram_kind const answer_times("requests.answered",
+                                          "Time from a request's arrival to its answer.");
+kernel::histogram_kind const refusal_times("requests.refused",
+                                           "Time from a request's arrival to its refusal.");
+kernel::histogram_kind const attempt_times("attempts.replied",
+                                           "Time from a sending to the target's reply.");
+
 std::string milliseconds_text(span from)
 {
     return std::to_string(std::chrono::duration_cast<milliseconds>(from).count());
@@ -56,6 +63,8 @@
     void attempt_ended(request const& what, attempt const& it, attempt_end const& how,
                        context& with) override
     {
+        if (!how.failed)
+            with.counters.observe(attempt_times, with.now - it.started);
         if (!how.failed || !has_room(with))
             return;
         with.events.record(attempt_event, {{"request", what.caller_reference},
@@ -69,6 +78,8 @@
 
     void finished(request const& what, outcome const& how, context& with) override
     {
+        bool const answers = std::holds_alternative<answered>(how);
+        with.counters.observe(answers ? answer_times : refusal_times, with.now - what.arrived);
         if (!has_room(with))
             return;
         auto const* const no = std::get_if<refused>(&how);
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -5,7 +5,7 @@
   g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
   libboost1.81-dev libboost-log1.81-dev libboost-json1.81-dev libboost-thread1.81-dev
   libboost-system1.81-dev libboost-url1.81-dev libboost-filesystem1.81-dev
-  libcapnp-dev capnproto libpopt-dev libcppunit-dev librapidcheck-dev libssl-dev
+  libcapnp-dev capnproto prometheus-cpp-dev libpopt-dev libcppunit-dev librapidcheck-dev libssl-dev
   libbenchmark-dev jq strace
 )
 missing=()
