--- a/plugins/control/steering/steering_orders.cpp
+++ b/plugins/control/steering/steering_orders.cpp
@@ -34,12 +34,12 @@
     "steering.sent_elsewhere", "Requests of operators that another instance has to decide."};
 
 kernel::event_kind const order_event{
-    {.number = 740,
+    {.number = 750,
      .name = "steering.order_answered",
      .level = kernel::severity::info,
      .meaning = "An order of an operator was decided; the field `result` tells how.",
      .action = "If it was refused, mend the order at the places that its answer names."}};
-kernel::event_kind const changed_event{{.number = 741,
+kernel::event_kind const changed_event{{.number = 751,
                                         .name = "steering.changed",
                                         .level = kernel::severity::info,
                                         .meaning = "A new steering state holds at this instance.",
