--- /dev/null
+++ b/plugins/entry/placement/candidates.cpp
@@ -0,0 +1,90 @@
+#include "candidates.hpp"
+
+#include "object_homes.hpp"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace mulberryrudder::entry
+{
+
+namespace
+{
+
+/// Part of a target's slots up to which one that holds nothing of the object is used.
+constexpr double idle_part = 0.5;
+
+} // namespace
+
+double capacity_of(candidate const& it)
+{
+    return static_cast<double>(std::max<std::int64_t>(it.target->what.capacity.count(), 1));
+}
+
+void rank_within_regions(std::vector<candidate>& all)
+{
+    std::sort(all.begin(), all.end(),
+              [](candidate const& a, candidate const& b)
+              {
+                  if (a.region != b.region)
+                      return a.region < b.region;
+                  if (a.score != b.score)
+                      return a.score > b.score;
+                  return std::pair(a.where, a.busy) < std::pair(b.where, b.busy);
+              });
+    for (std::size_t n = 1; n < all.size(); ++n)
+        if (all[n].region == all[n - 1].region)
+            all[n].rank = all[n - 1].rank + 1;
+}
+
+bool is_preferred(candidate const& it, choice_order const& how)
+{
+    return (it.where != nearness::elsewhere) == how.stays;
+}
+
+void order_by_nearness(std::vector<candidate>& all, choice_order const& how)
+{
+    std::map<region_id, slots> rooms;
+    for (auto const& it : all)
+        rooms[it.region] += it.target->what.capacity;
+    auto const suits = [&](candidate const& it)
+    { return home_score(how.object, target_id(it.region.value()), rooms.at(it.region)); };
+    auto const place = [&](candidate const& it)
+    {
+        return std::tuple(!is_preferred(it, how), it.rank >= how.homes,
+                          it.where == nearness::elsewhere ? -suits(it) : 0.0, it.rank);
+    };
+    std::stable_sort(all.begin(), all.end(),
+                     [&](candidate const& a, candidate const& b) { return place(a) < place(b); });
+}
+
+candidate const* first_with_room(std::vector<candidate> const& all, choice_order const& how)
+{
+    auto const has_room = [&](candidate const& it)
+    {
+        bool const holds_nothing = how.warms && it.rank >= how.homes;
+        return it.busy + 1 <= capacity_of(it) * (holds_nothing ? idle_part : 1.0);
+    };
+    auto const it = std::find_if(all.begin(), all.end(), has_room);
+    return it == all.end() ? nullptr : &*it;
+}
+
+candidate const* shortest_queue(std::vector<candidate> const& all, choice_order const& how,
+                                per_mille queue_part,
+                                std::function<bool(candidate const&)> const& in_time)
+{
+    candidate const* best = nullptr;
+    double least = 1.0 + static_cast<double>(queue_part.count()) / 1000;
+    for (auto const& it : all)
+    {
+        auto const use = (it.busy + 1) / capacity_of(it);
+        if (!is_preferred(it, how) || it.rank >= how.homes || use >= least || !in_time(it))
+            continue;
+        least = use;
+        best = &it;
+    }
+    return best;
+}
+
+} // namespace mulberryrudder::entry
--- a/plugins/entry/placement/placement_stage.cpp
+++ b/plugins/entry/placement/placement_stage.cpp
@@ -1,3 +1,4 @@
+#include "candidates.hpp"
 #include "object_homes.hpp"
 #include "recent_objects.hpp"
 #include "region_split.hpp"
@@ -53,8 +54,6 @@
 
 /// One part of so many of a region's targets may be doubted and left alone.
 constexpr std::size_t most_doubted_divisor = 3;
-/// Part of a target's slots up to which one that holds nothing of the object is used.
-constexpr double idle_part = 0.5;
 kernel::event_kind const avoided_event{
     {.number = 320,
      .name = "targets.avoided",
@@ -70,25 +69,6 @@
 /// Overflow to other regions that quiet times save up.
 constexpr millitokens most_overflow{3000};
 
-/// Which targets are asked first.
-enum class nearness
-{
-    own_domain,
-    own_region,
-    elsewhere
-};
-
-/// A target that may take a request.
-struct candidate
-{
-    listed_target const* target = nullptr;
-    nearness where = nearness::elsewhere;
-    region_id region;
-    double score = 0;     ///< Of the object's homes; higher is better.
-    std::size_t rank = 0; ///< Among the candidates of its region.
-    double busy = 0;
-};
-
 /// Chooses the target of each attempt: the first of an object's homes in the region
 /// that has room; a stable part of the objects of a region without enough room is
 /// served in another one.
@@ -330,23 +310,6 @@
         return warms ? home_score(what.object, it.id, it.capacity) : 0;
     }
 
-    static void rank_within_regions(std::vector<candidate>& all)
-    {
-        std::sort(all.begin(), all.end(),
-                  [](candidate const& a, candidate const& b)
-                  {
-                      if (a.region != b.region)
-                          return a.region < b.region;
-                      if (a.score != b.score)
-                          return a.score > b.score;
-                      // Without an object a near target is as good as a far one.
-                      return std::pair(a.where, a.busy) < std::pair(b.where, b.busy);
-                  });
-        for (std::size_t n = 1; n < all.size(); ++n)
-            if (all[n].region == all[n - 1].region)
-                all[n].rank = all[n - 1].rank + 1;
-    }
-
     candidate const* choose(request const& what, std::vector<candidate>& found, context& with)
     {
         if (found.empty())
@@ -355,15 +318,19 @@
         auto const here =
             std::count_if(found.begin(), found.end(),
                           [](candidate const& it) { return it.where != nearness::elsewhere; });
-        auto const homes = homes_of(what.service, static_cast<std::size_t>(here));
-        auto& overflow = overflow_;
-        overflow.add(millitokens(config_.overflow.count()));
-        if (overflow.tokens() > most_overflow)
-            overflow.take(overflow.tokens() - most_overflow);
-        order_by_nearness(what, found, stays, homes);
-        if (auto const* const it = first_with_room(what, found, stays, homes))
-            return it;
-        return least_queue(what, found, stays, homes, with.now);
+        choice_order const how{.object = what.object,
+                               .warms = what.planned->sticky && !what.object.value().empty(),
+                               .stays = stays,
+                               .homes = homes_of(what.service, static_cast<std::size_t>(here))};
+        overflow_.add(millitokens(config_.overflow.count()));
+        if (overflow_.tokens() > most_overflow)
+            overflow_.take(overflow_.tokens() - most_overflow);
+        order_by_nearness(found, how);
+        if (auto const* const it = first_with_room(found, how))
+            if (is_preferred(*it, how) || overflow_.take(request_cost))
+                return it;
+        auto const in_time = [&](candidate const& it) { return ends_in_time(what, it, with.now); };
+        return shortest_queue(found, how, config_.queue_part, in_time);
     }
 
     bool stays_in_region(request const& what, std::vector<candidate> const& found)
@@ -388,79 +355,14 @@
         return object_fraction(object_id(std::to_string(what.id.value())), "region");
     }
 
-    /// Homes come before other targets, near ones before far ones. Of the other regions
-    /// the one that suits the object best comes first.
-    static void order_by_nearness(request const& what, std::vector<candidate>& all, bool stays,
-                                  std::size_t homes)
-    {
-        std::map<region_id, slots> rooms;
-        for (auto const& it : all)
-            rooms[it.region] += it.target->what.capacity;
-        auto const place = [&](candidate const& it)
-        {
-            bool const preferred = (it.where != nearness::elsewhere) == stays;
-            auto const suits =
-                it.where == nearness::elsewhere
-                    ? -home_score(what.object, target_id(it.region.value()), rooms.at(it.region))
-                    : 0.0;
-            return std::tuple(!preferred, it.rank >= homes, suits, it.rank);
-        };
-        std::stable_sort(all.begin(), all.end(),
-                         [&](candidate const& a, candidate const& b)
-                         { return place(a) < place(b); });
-    }
-
-    static bool is_preferred(candidate const& it, bool stays)
-    {
-        return (it.where != nearness::elsewhere) == stays;
-    }
-
-    candidate const* first_with_room(request const& what, std::vector<candidate> const& all,
-                                     bool stays, std::size_t homes)
-    {
-        bool const warms = what.planned->sticky && !what.object.value().empty();
-        for (auto const& it : all)
-        {
-            auto const capacity = static_cast<double>(it.target->what.capacity.count());
-            auto const limit = warms && it.rank >= homes ? capacity * idle_part : capacity;
-            if (it.busy + 1 > limit)
-                continue;
-            if (is_preferred(it, stays) || overflow_.take(request_cost))
-                return &it;
-            return nullptr;
-        }
-        return nullptr;
-    }
-
-    /// Returns the home with the shortest queue, if the request can end in time there.
-    candidate const* least_queue(request const& what, std::vector<candidate> const& all, bool stays,
-                                 std::size_t homes, instant now) const
-    {
-        auto const most = 1.0 + static_cast<double>(config_.queue_part.count()) / 1000;
-        candidate const* best = nullptr;
-        double least = most;
-        for (auto const& it : all)
-        {
-            if (!is_preferred(it, stays) || it.rank >= homes)
-                continue;
-            auto const capacity =
-                static_cast<double>(std::max<std::int64_t>(it.target->what.capacity.count(), 1));
-            auto const use = (it.busy + 1) / capacity;
-            if (use >= least || !ends_in_time(what, it.busy + 1 - capacity, capacity, now))
-                continue;
-            least = use;
-            best = &it;
-        }
-        return best;
-    }
-
-    bool ends_in_time(request const& what, double waiting, double capacity, instant now) const
+    bool ends_in_time(request const& what, candidate const& it, instant now) const
     {
         auto const known = service_times_.find(what.route);
         auto const each = known == service_times_.end()
                               ? static_cast<double>(span(what.planned->aim).count())
                               : known->second;
-        auto const expected = each * (1 + std::max(waiting, 0.0) / capacity);
+        auto const capacity = capacity_of(it);
+        auto const expected = each * (1 + std::max(it.busy + 1 - capacity, 0.0) / capacity);
         return expected < time_part * static_cast<double>((what.deadline - now).count());
     }
 
--- a/plugins/entry_io/caller_http/request_codec.cpp
+++ b/plugins/entry_io/caller_http/request_codec.cpp
@@ -1,5 +1,7 @@
 #include "request_codec.hpp"
 
+#include "plugins/entry_io/http_fields/http_fields.hpp"
+
 #include <mulberryrudder/core/header_names.hpp>
 #include <mulberryrudder/entry/questions.hpp>
 
@@ -25,60 +27,21 @@
 /// Bytes of an idempotency key at most.
 constexpr std::size_t most_idempotency_key = 255;
 
-struct method_row
-{
-    http::verb verb;
-    call_method method;
-};
-
-constexpr std::array methods{
-    method_row{http::verb::get, call_method::get},
-    method_row{http::verb::head, call_method::head},
-    method_row{http::verb::put, call_method::put},
-    method_row{http::verb::delete_, call_method::remove},
-    method_row{http::verb::post, call_method::post},
-    method_row{http::verb::patch, call_method::patch},
-};
-
-std::optional<call_method> method_of(http::verb verb)
-{
-    auto const same = [verb](method_row const& row) { return row.verb == verb; };
-    auto const it = std::find_if(methods.begin(), methods.end(), same);
-    return it == methods.end() ? std::nullopt : std::optional(it->method);
-}
-
 /// Fields that concern one connection only, carry the key, or are set by the system.
 bool is_forwarded(http::fields::value_type const& it)
 {
-    constexpr std::array held_back{
-        http::field::authorization,    http::field::connection,
-        http::field::keep_alive,       http::field::host,
-        http::field::content_length,   http::field::te,
-        http::field::trailer,          http::field::transfer_encoding,
-        http::field::upgrade,          http::field::expect,
-        http::field::proxy_connection, http::field::proxy_authorization,
-    };
-    if (std::find(held_back.begin(), held_back.end(), it.name()) != held_back.end())
+    constexpr std::array held_back{http::field::authorization, http::field::host,
+                                   http::field::expect, http::field::proxy_authorization};
+    if (http_fields::concerns_connection(it.name()) ||
+        std::find(held_back.begin(), held_back.end(), it.name()) != held_back.end())
         return false;
     return !boost::beast::iequals(it.name_string().substr(0, 9), "Mulberry-");
 }
 
-/// Returns a field's value; false if the field is given more than once.
-bool single_field(http_request const& from, std::string_view name, std::optional<std::string>& out)
-{
-    auto const [first, last] = from.equal_range(name);
-    if (first == last)
-        return true;
-    if (std::next(first) != last)
-        return false;
-    out = std::string(first->value());
-    return true;
-}
-
 bool read_key(http_request const& from, std::optional<digest>& out)
 {
     std::optional<std::string> text;
-    if (!single_field(from, "Authorization", text))
+    if (!http_fields::read_single(from, "Authorization", text))
         return false;
     if (!text)
         return true;
@@ -91,15 +54,13 @@
 bool read_deadline(http_request const& from, decoding const& with, instant& out)
 {
     std::optional<std::string> text;
-    if (!single_field(from, header_names::deadline, text))
+    if (!http_fields::read_single(from, header_names::deadline, text))
         return false;
     auto limit = with.config.default_deadline;
     if (text)
     {
         std::int64_t n = 0;
-        auto const* const last = text->data() + text->size();
-        auto const read = std::from_chars(text->data(), last, n);
-        if (read.ec != std::errc{} || read.ptr != last || n < 1)
+        if (!http_fields::read_number(*text, n) || n < 1)
             return false;
         limit = std::min(milliseconds(n), with.config.most_deadline);
     }
@@ -165,7 +126,7 @@
 
 decoded decode_forwarded(http_request&& from, std::string_view target, decoding const& with)
 {
-    auto const method = method_of(from.method());
+    auto const method = http_fields::method_of(from.method());
     if (!method)
         return bad_request{.status = 405, .expected = "GET, HEAD, PUT, DELETE, POST or PATCH"};
     auto const slash = std::min(target.find_first_of("/?", 1), target.size());
@@ -173,7 +134,7 @@
     out.route = route_id(std::string(target.substr(1, slash - 1)));
     if (!read_key(from, out.key))
         return bad_request{.expected = "one \"Authorization: Bearer KEY\" at most"};
-    if (!single_field(from, header_names::idempotency_key, out.idempotency_key) ||
+    if (!http_fields::read_single(from, header_names::idempotency_key, out.idempotency_key) ||
         (out.idempotency_key && out.idempotency_key->size() > most_idempotency_key))
         return bad_request{.expected = "one \"Idempotency-Key\" of at most 255 bytes"};
     if (!read_deadline(from, with, out.deadline))
--- a/plugins/entry_io/target_http/exchange_codec.cpp
+++ b/plugins/entry_io/target_http/exchange_codec.cpp
@@ -1,13 +1,13 @@
 #include "exchange_codec.hpp"
 
+#include "plugins/entry_io/http_fields/http_fields.hpp"
+
 #include <mulberryrudder/core/header_names.hpp>
 
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/verb.hpp>
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 namespace mulberryrudder::target_http
 {
@@ -19,37 +19,20 @@
 
 constexpr unsigned http_version = 11;
 
-http::verb verb_of(call_method method)
-{
-    constexpr std::array verbs{http::verb::get,     http::verb::head, http::verb::put,
-                               http::verb::delete_, http::verb::post, http::verb::patch};
-    return verbs[static_cast<std::size_t>(method)];
-}
-
 bool is_passed_on(http::fields::value_type const& it)
 {
-    constexpr std::array held_back{http::field::connection,       http::field::keep_alive,
-                                   http::field::proxy_connection, http::field::te,
-                                   http::field::trailer,          http::field::upgrade,
-                                   http::field::content_length,   http::field::transfer_encoding};
-    if (std::find(held_back.begin(), held_back.end(), it.name()) != held_back.end())
+    if (http_fields::concerns_connection(it.name()))
         return false;
     return !boost::beast::iequals(it.name_string().substr(0, 9), "Mulberry-");
 }
 
-bool read_number(std::string_view text, std::int64_t& out)
-{
-    auto const* const last = text.data() + text.size();
-    auto const read = std::from_chars(text.data(), last, out);
-    return read.ec == std::errc{} && read.ptr == last && out >= 0;
-}
-
 } // namespace
 
 http_request encode(entry::send_attempt const& what, instant now)
 {
     auto const& from = *what.content;
-    http_request out(verb_of(from.method), "/" + what.route.value() + from.path, http_version);
+    http_request out(http_fields::verb_of(from.method), "/" + what.route.value() + from.path,
+                     http_version);
     for (auto const& it : from.fields)
         out.insert(it.name, it.value);
     auto const left = std::chrono::ceil<milliseconds>(what.deadline - now);
@@ -93,7 +76,8 @@
         return std::nullopt;
     std::int64_t busy = 0;
     std::int64_t total = 0;
-    if (!read_number(text.substr(0, slash), busy) || !read_number(text.substr(slash + 1), total))
+    if (!http_fields::read_number(text.substr(0, slash), busy) ||
+        !http_fields::read_number(text.substr(slash + 1), total))
         return std::nullopt;
     return entry::load_report{.busy = slots(busy), .total = slots(total)};
 }
