Drop what nothing reads, and count a request's near candidates once

Read over: plan_view::revision() had no reader; the placement stage asked three times which candidates stand in the own region and twice whether targets keep the object warm. Behaviour stays.

--- a/include/mulberryrudder/entry/plan_view.hpp
+++ b/include/mulberryrudder/entry/plan_view.hpp
@@ -32,9 +32,6 @@
     /// Returns the targets that are not gone.
     virtual std::map<target_id, listed_target> const& targets() const = 0;
 
-    /// Returns a number that changes with targets() and steering().
-    virtual std::uint64_t revision() const = 0;
-
     /// Returns how many entry instances are ready, here included; at least 1.
     virtual std::int64_t entries() const = 0;
     virtual std::int64_t entries_in_domain() const = 0;
--- a/plugins/entry/placement/placement_stage.cpp
+++ b/plugins/entry/placement/placement_stage.cpp
@@ -54,6 +54,7 @@
 
 /// One part of so many of a region's targets may be doubted and left alone.
 constexpr std::size_t most_doubted_divisor = 3;
+
 kernel::event_kind const avoided_event{
     {.number = 320,
      .name = "targets.avoided",
@@ -321,22 +322,27 @@
 
     double score_of(request const& what, messages::target_notice const& it)
     {
-        bool const warms = what.planned->sticky && !what.object.value().empty();
-        return warms ? home_score(what.object, it.id, it.capacity) : 0;
+        return warms(what) ? home_score(what.object, it.id, it.capacity) : 0;
+    }
+
+    /// Returns whether targets are faster on the request if they handled its object lately.
+    static bool warms(request const& what)
+    {
+        return what.planned->sticky && !what.object.value().empty();
     }
 
     candidate const* choose(request const& what, std::vector<candidate>& found, context& with)
     {
         if (found.empty())
             return nullptr;
-        bool const stays = stays_in_region(what, found);
-        auto const here =
+        auto const here = static_cast<std::size_t>(
             std::count_if(found.begin(), found.end(),
-                          [](candidate const& it) { return it.where != nearness::elsewhere; });
+                          [](candidate const& it) { return it.where != nearness::elsewhere; }));
+        bool const stays = stays_in_region(what, found, here);
         choice_order const how{.object = what.object,
-                               .warms = what.planned->sticky && !what.object.value().empty(),
+                               .warms = warms(what),
                                .stays = stays,
-                               .homes = homes_of(what.service, static_cast<std::size_t>(here))};
+                               .homes = homes_of(what.service, here)};
         overflow_.add(millitokens(config_.overflow.count()));
         if (overflow_.tokens() > most_overflow)
             overflow_.take(overflow_.tokens() - most_overflow);
@@ -348,16 +354,10 @@
         return shortest_queue(found, how, config_.queue_part, in_time);
     }
 
-    bool stays_in_region(request const& what, std::vector<candidate> const& found)
+    bool stays_in_region(request const& what, std::vector<candidate> const& found, std::size_t here)
     {
-        bool const here =
-            std::any_of(found.begin(), found.end(),
-                        [](candidate const& it) { return it.where != nearness::elsewhere; });
-        bool const there =
-            std::any_of(found.begin(), found.end(),
-                        [](candidate const& it) { return it.where == nearness::elsewhere; });
-        if (!here || !there)
-            return here;
+        if (here == 0 || here == found.size())
+            return here != 0;
         auto const split = splits_.find(what.service);
         auto const part = split == splits_.end() ? 1.0 : split->second.own_part();
         return fraction_for(what) < part;
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -1,7 +1,6 @@
 #include "control_choice.hpp"
 #include "listed_targets.hpp"
 
-#include <mulberryrudder/entry/drain_view.hpp>
 #include <mulberryrudder/entry/plan_view.hpp>
 #include <mulberryrudder/entry/stage.hpp>
 
@@ -145,7 +144,6 @@
 
     shared_steering const& steering() const override { return shown_; }
     std::map<target_id, listed_target> const& targets() const override { return listed_.all(); }
-    std::uint64_t revision() const override { return revision_; }
     std::int64_t entries() const override { return entries_; }
     std::int64_t entries_in_domain() const override { return entries_in_domain_; }
 
@@ -228,7 +226,6 @@
     void take_steering(shared_steering const& it, context& with)
     {
         steering_ = it;
-        ++revision_;
         auto const plan = it->plan ? it->plan->number.value() : 0;
         with.events.record(steering_event, {{"generation", std::to_string(it->generation.value())},
                                             {"plan", std::to_string(plan)},
@@ -247,7 +244,6 @@
     void note(messages::target_notice const& it, context& with)
     {
         static constexpr std::array names{"serving", "leaving", "gone"};
-        ++revision_;
         with.events.record(target_event,
                            {{"target", it.id.value()},
                             {"service", it.service.value()},
@@ -268,7 +264,6 @@
     listed_targets listed_;
     shared_steering steering_ = std::make_shared<steering_state const>();
     shared_steering shown_; ///< The newest with a plan.
-    std::uint64_t revision_ = 0;
     std::int64_t entries_ = 1;
     std::int64_t entries_in_domain_ = 1;
     std::map<customer_id, per_mille> shares_;
--- a/tests/entry/plan_stages/plan_bench.hpp
+++ b/tests/entry/plan_stages/plan_bench.hpp
@@ -21,7 +21,6 @@
 
     shared_steering const& steering() const override { return held; }
     std::map<target_id, listed_target> const& targets() const override { return listed; }
-    std::uint64_t revision() const override { return 1; }
     std::int64_t entries() const override { return all; }
     std::int64_t entries_in_domain() const override { return near; }
     per_mille share_of(customer_id const&) const override { return share; }
