Enforce the plan's limits on what callers send

Cause: a plan's limits on header and body bytes, on the time for a header and on idle connections were read and spread, but the settings' own held.

The roster stage tells the caller duty of them with each plan that changes them. The settings stay the outer bound: a plan narrows, and never widens. A header and a whole request now have a time limit each.

Ruled out: limits within the decisions, which never see bytes or sockets.

Tests: five of caller_duty_test fail before (bytes, times), one of roster_stage_test counts that limits are told when they change.

--- a/include/mulberryrudder/core/traffic_plan.hpp
+++ b/include/mulberryrudder/core/traffic_plan.hpp
@@ -70,13 +70,13 @@
     friend bool operator==(plan_customer const&, plan_customer const&) = default;
 };
 
-/// Limits on what callers send.
+/// Limits on what callers send; 0 where none is stated.
 struct caller_limits
 {
     byte_count most_header;
     byte_count most_body;
-    milliseconds header_limit{0};
-    milliseconds idle_limit{0};
+    milliseconds header_limit{0}; ///< For a header, from its first byte to its last.
+    milliseconds idle_limit{0};   ///< For a connection between two requests.
 
     friend bool operator==(caller_limits const&, caller_limits const&) = default;
 };
--- a/include/mulberryrudder/entry/effects.hpp
+++ b/include/mulberryrudder/entry/effects.hpp
@@ -3,6 +3,7 @@
 
 #include <mulberryrudder/core/any_message.hpp>
 #include <mulberryrudder/core/fleet_config.hpp>
+#include <mulberryrudder/core/traffic_plan.hpp>
 #include <mulberryrudder/entry/request.hpp>
 
 #include <variant>
@@ -90,15 +91,22 @@
 {
 };
 
+/// The newest plan states other limits on what callers send.
+struct limit_callers
+{
+    caller_limits limits;
+};
+
 /// Caller connections may be closed after their current answer.
 struct close_idle_callers
 {
 };
 
 /// All that the entry's decision core can ask for.
-using effect = std::variant<answer_caller, answer_lookup, answer_question, send_attempt,
-                            cancel_attempt, probe_target, forget_target, send_message,
-                            learn_instance, stop_completed, close_idle_callers, accept_callers>;
+using effect =
+    std::variant<answer_caller, answer_lookup, answer_question, send_attempt, cancel_attempt,
+                 probe_target, forget_target, send_message, learn_instance, stop_completed,
+                 close_idle_callers, accept_callers, limit_callers>;
 using effects = std::vector<effect>;
 
 } // namespace mulberryrudder::entry
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -233,6 +233,8 @@
         if (!it->plan)
             return;
         bool const first = shown_ == nullptr;
+        if (first || shown_->plan->limits != it->plan->limits)
+            with.out.push_back(limit_callers{it->plan->limits});
         shown_ = it;
         if (!first)
             return;
--- a/plugins/entry_io/caller_http/caller_duty.cpp
+++ b/plugins/entry_io/caller_http/caller_duty.cpp
@@ -89,6 +89,8 @@
                 pass_on(found->id, encode(*found));
             else if (auto const* const told = std::get_if<entry::answer_question>(&it))
                 pass_on(told->id, encode(*told));
+            else if (auto const* const changed = std::get_if<entry::limit_callers>(&it))
+                limits_ = narrowed(config_, changed->limits);
             else if (std::holds_alternative<entry::accept_callers>(it))
             {
                 ready_ = true;
@@ -238,9 +240,11 @@
     }
     void ended(std::shared_ptr<session> const& it) override { sessions_.erase(it); }
     caller_settings const& config() const override { return config_; }
+    caller_limits const& limits() const override { return limits_; }
     bool closing() const override { return closing_ || stopping_; }
 
     caller_settings config_;
+    caller_limits limits_ = narrowed(config_, {});
     fleet::instance_settings instance_;
     kernel::ring<entry::input>& to_decision_;
     kernel::ring<entry::effect>& answers_;
--- a/plugins/entry_io/caller_http/caller_settings.cpp
+++ b/plugins/entry_io/caller_http/caller_settings.cpp
@@ -1,5 +1,7 @@
 #include "caller_settings.hpp"
 
+#include <algorithm>
+
 namespace mulberryrudder::caller_http
 {
 
@@ -19,21 +21,35 @@
     return std::nullopt;
 }
 
+template <class T>
+T narrower(T const& configured, T const& stated)
+{
+    return stated == T(0) ? configured : std::min(configured, stated);
+}
+
 } // namespace
 
+caller_limits narrowed(caller_settings const& config, caller_limits const& stated)
+{
+    return {.most_header = narrower(config.most_header, stated.most_header),
+            .most_body = narrower(config.most_body, stated.most_body),
+            .header_limit = narrower(config.read_limit, stated.header_limit),
+            .idle_limit = narrower(config.idle_limit, stated.idle_limit)};
+}
+
 kernel::section<caller_settings> const caller_section{
     "callers",
     {
         field("most_header", &caller_settings::most_header, header_bytes,
-              "Bytes of a request's header at most."),
+              "Bytes of a request's header at most; a plan may state fewer."),
         field("most_body", &caller_settings::most_body, body_bytes,
-              "Bytes of a request's body at most."),
+              "Bytes of a request's body at most; a plan may state fewer."),
         field("start_limit", &caller_settings::start_limit, long_times,
               "Milliseconds after the start from which connections are taken without a lease."),
         field("read_limit", &caller_settings::read_limit, short_times,
               "Milliseconds a caller may take to send one whole request."),
         field("idle_limit", &caller_settings::idle_limit, long_times,
-              "Milliseconds a connection may stay without a request."),
+              "Milliseconds a connection may stay without a request; a plan may state fewer."),
         field("connection_lifetime", &caller_settings::connection_lifetime, long_times,
               "Milliseconds after which a connection is closed behind its current answer."),
         field("default_deadline", &caller_settings::default_deadline, short_times,
--- a/plugins/entry_io/caller_http/caller_settings.hpp
+++ b/plugins/entry_io/caller_http/caller_settings.hpp
@@ -2,6 +2,7 @@
 #define MULBERRYRUDDER_PLUGINS_ENTRY_IO_CALLER_HTTP_CALLER_SETTINGS_HPP
 
 #include <mulberryrudder/core/endpoint.hpp>
+#include <mulberryrudder/core/traffic_plan.hpp>
 #include <mulberryrudder/core/units.hpp>
 #include <mulberryrudder/kernel/settings.hpp>
 
@@ -27,6 +28,10 @@
 
 extern kernel::section<caller_settings> const caller_section;
 
+/// Returns the limits that hold: those of the settings, narrowed by what the plan
+/// states. A header may take as long as a whole request if the plan says nothing.
+caller_limits narrowed(caller_settings const& config, caller_limits const& stated);
+
 } // namespace mulberryrudder::caller_http
 
 #endif
--- a/plugins/entry_io/caller_http/session.cpp
+++ b/plugins/entry_io/caller_http/session.cpp
@@ -55,26 +55,39 @@
 {
     idle_ = true;
     parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(owner_.config().most_header.count()));
-    parser_->body_limit(static_cast<std::uint64_t>(owner_.config().most_body.count()));
+    parser_->header_limit(static_cast<std::uint32_t>(owner_.limits().most_header.count()));
+    parser_->body_limit(static_cast<std::uint64_t>(owner_.limits().most_body.count()));
     if (buf_.size() != 0)
-        return header_read({});
+        return read_header();
     // Until the first byte the connection is idle, which may take longer than a request.
-    stream_.expires_after(owner_.config().idle_limit);
+    stream_.expires_after(owner_.limits().idle_limit);
     stream_.async_read_some(buf_.prepare(4096),
                             [self = shared_from_this()](auto ec, std::size_t n)
                             {
                                 self->buf_.commit(n);
                                 if (ec)
                                     return self->end();
-                                self->header_read({});
+                                self->read_header();
                             });
 }
 
-void session::header_read(boost::system::error_code)
+void session::read_header()
 {
     idle_ = false;
-    stream_.expires_after(owner_.config().read_limit);
+    read_until_ = monotonic_now() + owner_.config().read_limit;
+    stream_.expires_after(owner_.limits().header_limit);
+    http::async_read_header(stream_, buf_, *parser_,
+                            [self = shared_from_this()](auto ec, std::size_t)
+                            {
+                                if (ec || self->parser_->is_done())
+                                    return self->request_read(ec);
+                                self->read_body();
+                            });
+}
+
+void session::read_body()
+{
+    stream_.expires_after(read_until_ - monotonic_now());
     http::async_read(stream_, buf_, *parser_,
                      [self = shared_from_this()](auto ec, std::size_t) { self->request_read(ec); });
 }
--- a/plugins/entry_io/caller_http/session.hpp
+++ b/plugins/entry_io/caller_http/session.hpp
@@ -31,6 +31,8 @@
     virtual void caller_gone(request_id id) = 0;
     virtual void ended(std::shared_ptr<session> const& it) = 0;
     virtual caller_settings const& config() const = 0;
+    /// The limits that hold for the next request.
+    virtual caller_limits const& limits() const = 0;
     /// Whether connections are to be closed behind their current answer.
     virtual bool closing() const = 0;
 };
@@ -64,7 +66,8 @@
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void read();
-    void header_read(boost::system::error_code ec);
+    void read_header();
+    void read_body();
     void request_read(boost::system::error_code ec);
     void refuse_unreadable(boost::system::error_code ec);
     void written(boost::system::error_code ec, bool keep_open);
@@ -75,6 +78,7 @@
     session_owner& owner_;
     client_address client_;
     instant close_after_; ///< When the connection has lived long enough.
+    instant read_until_;  ///< When the current request must have come whole.
     boost::beast::flat_buffer buf_;
     std::optional<parser> parser_;
     std::optional<http_response> response_;
--- a/plugins/entry_io/decision/decision_duty.cpp
+++ b/plugins/entry_io/decision/decision_duty.cpp
@@ -69,6 +69,7 @@
     void pass_on(entry::answer_lookup&, entry::effect& it) { to_callers_.post(std::move(it)); }
     void pass_on(entry::answer_question&, entry::effect& it) { to_callers_.post(std::move(it)); }
     void pass_on(entry::accept_callers&, entry::effect& it) { to_callers_.post(std::move(it)); }
+    void pass_on(entry::limit_callers&, entry::effect& it) { to_callers_.post(std::move(it)); }
     void pass_on(entry::close_idle_callers&, entry::effect& it) { to_callers_.post(std::move(it)); }
     void pass_on(entry::send_attempt&, entry::effect& it) { to_targets_.post(std::move(it)); }
     void pass_on(entry::cancel_attempt&, entry::effect& it) { to_targets_.post(std::move(it)); }
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST_SUITE(roster_stage_test);
     CPPUNIT_TEST(a_seed_is_asked_at_the_start);
     CPPUNIT_TEST(callers_are_taken_once_there_is_a_plan);
+    CPPUNIT_TEST(callers_are_limited_as_the_newest_plan_states);
     CPPUNIT_TEST(an_older_state_is_not_taken);
     CPPUNIT_TEST(another_instance_is_asked_when_one_is_silent);
     CPPUNIT_TEST(another_instance_is_asked_when_one_hears_too_few);
@@ -56,6 +57,19 @@
         CPPUNIT_ASSERT(poll_.generation == generation_id(4));
     }
 
+    void callers_are_limited_as_the_newest_plan_states()
+    {
+        tick();
+        answer({.steering = state(4, true)});
+        CPPUNIT_ASSERT_EQUAL(1, limited_);
+        answer({.steering = state(5, true)});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the same limits again", 1, limited_);
+        tick();
+        answer({.steering = state(6, true, {.most_header = byte_count(700)})});
+        CPPUNIT_ASSERT_EQUAL(2, limited_);
+        CPPUNIT_ASSERT(limits_.most_header == byte_count(700));
+    }
+
     void an_older_state_is_not_taken()
     {
         tick();
@@ -116,11 +130,13 @@
     }
 
 private:
-    static shared_steering state(std::uint64_t generation, bool with_plan)
+    static shared_steering state(std::uint64_t generation, bool with_plan,
+                                 caller_limits const& limits = {})
     {
         steering_state out{.generation = generation_id(generation)};
         if (with_plan)
-            out.plan = std::make_shared<traffic_plan const>(traffic_plan{.number = plan_number(1)});
+            out.plan = std::make_shared<traffic_plan const>(
+                traffic_plan{.number = plan_number(1), .limits = limits});
         return std::make_shared<steering_state const>(out);
     }
 
@@ -150,6 +166,11 @@
         for (auto const& it : from)
         {
             accepts_ = accepts_ || std::holds_alternative<accept_callers>(it);
+            if (auto const* const changed = std::get_if<limit_callers>(&it))
+            {
+                ++limited_;
+                limits_ = changed->limits;
+            }
             auto const* const sent = std::get_if<send_message>(&it);
             if (sent == nullptr)
                 continue;
@@ -166,6 +187,8 @@
     instance_id asked_;
     roster_poll poll_;
     bool accepts_ = false;
+    int limited_ = 0; ///< How often callers got other limits.
+    caller_limits limits_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(roster_stage_test);
--- a/tests/entry_io/caller_http/caller_duty_test.cpp
+++ b/tests/entry_io/caller_http/caller_duty_test.cpp
@@ -41,13 +41,15 @@
 class running_duty
 {
 public:
-    running_duty()
+    /// `stated`: the limits of the plan that comes before the first caller.
+    explicit running_duty(caller_limits const& stated = {})
     {
         config_.set(fleet::instance_section,
                     {.id = instance_id(1), .caller = {"127.0.0.1", test_port}});
         config_.set(caller_section, {.most_header = byte_count(2048),
                                      .most_body = byte_count(4096),
                                      .read_limit = milliseconds(100)});
+        to_duty_.try_push(entry::limit_callers{stated});
         to_duty_.try_push(entry::accept_callers{});
         duty_ = kernel::duty_registry::instance().entries().front().make(parts_);
         duty_->connect();
@@ -169,6 +171,11 @@
     CPPUNIT_TEST(a_header_over_the_limit_is_refused);
     CPPUNIT_TEST(a_body_over_the_limit_is_refused);
     CPPUNIT_TEST(a_slow_sender_is_cut_at_the_limit);
+    CPPUNIT_TEST(a_plan_narrows_the_header);
+    CPPUNIT_TEST(a_plan_narrows_the_body);
+    CPPUNIT_TEST(a_plan_narrows_the_time_for_a_header);
+    CPPUNIT_TEST(a_plan_narrows_the_time_without_a_request);
+    CPPUNIT_TEST(a_plan_never_widens_the_settings);
     CPPUNIT_TEST(random_bytes_end_with_a_closed_connection);
     CPPUNIT_TEST(almost_valid_requests_end_with_a_closed_connection);
     CPPUNIT_TEST_SUITE_END();
@@ -197,6 +204,50 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), duty_->exchange("GET /r/ HTTP/1.1\r\nHost:"));
     }
 
+    void a_plan_narrows_the_header()
+    {
+        restart({.most_header = byte_count(1000)});
+        auto const text = "GET /r/ HTTP/1.1\r\nX: " + std::string(1500, 'x') + "\r\n\r\n";
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 431 Request Header Fields Too Large"),
+                             status_line(duty_->exchange(text)));
+    }
+
+    void a_plan_narrows_the_body()
+    {
+        restart({.most_body = byte_count(100)});
+        auto const text =
+            "POST /r/ HTTP/1.1\r\nContent-Length: 200\r\n\r\n" + std::string(200, 'x');
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 413 Payload Too Large"),
+                             status_line(duty_->exchange(text)));
+    }
+
+    void a_plan_narrows_the_time_for_a_header()
+    {
+        restart({.header_limit = milliseconds(20)});
+        auto const begun = monotonic_now();
+        CPPUNIT_ASSERT_EQUAL(std::string(), duty_->exchange("GET /r/ HTTP/1.1\r\nHost:"));
+        CPPUNIT_ASSERT(monotonic_now() - begun < milliseconds(90));
+    }
+
+    void a_plan_narrows_the_time_without_a_request()
+    {
+        restart({.idle_limit = milliseconds(50)});
+        CPPUNIT_ASSERT_EQUAL(std::string(), duty_->exchange(""));
+    }
+
+    void a_plan_never_widens_the_settings()
+    {
+        caller_settings const config{.most_header = byte_count(2048),
+                                     .most_body = byte_count(4096),
+                                     .read_limit = milliseconds(100),
+                                     .idle_limit = milliseconds(1000)};
+        auto const out = narrowed(config, {.most_header = byte_count(9999),
+                                           .most_body = byte_count(9999),
+                                           .header_limit = milliseconds(9999),
+                                           .idle_limit = milliseconds(9999)});
+        CPPUNIT_ASSERT(out == narrowed(config, {}));
+    }
+
     void random_bytes_end_with_a_closed_connection()
     {
         std::mt19937_64 random(20261204);
@@ -214,6 +265,12 @@
     }
 
 private:
+    void restart(caller_limits const& stated)
+    {
+        duty_.reset();
+        duty_ = std::make_unique<running_duty>(stated);
+    }
+
     void still_answers()
     {
         CPPUNIT_ASSERT_EQUAL(
