Tell other control instances only what is new of entries

Each repeated the entries of the last 1.4 s and all known control instances.

An entry's report is now told on once, and the known instances are named once a second.

Ruled out: a longer period, since a majority must hold a leaving target within 900 ms and a cut-off instance must be seen within 800 ms.

Test: each_report_is_told_on_once did not link before.

--- a/include/mulberryrudder/messages/roster.hpp
+++ b/include/mulberryrudder/messages/roster.hpp
@@ -78,9 +78,10 @@
     sequence_id number;          ///< Of this message, for the acknowledgement.
     sequence_id acknowledged;    ///< Newest number of the receiver that was taken in.
     std::vector<target_notice> targets;
-    std::vector<entry_notice> entries;
-    std::vector<version_outcomes> outcomes;    ///< For the leader.
-    std::vector<instance_description> control; ///< Other control instances that are known.
+    std::vector<entry_notice> entries;      ///< Those that reported since the last message.
+    std::vector<version_outcomes> outcomes; ///< For the leader.
+    /// Other control instances that are known; not in every message.
+    std::vector<instance_description> control;
 };
 
 /// An entry instance reports and asks for news; the answer may be held back until
--- a/plugins/control/roster/entry_table.cpp
+++ b/plugins/control/roster/entry_table.cpp
@@ -1,7 +1,7 @@
 #include "entry_table.hpp"
 
 #include <algorithm>
-#include <set>
+#include <utility>
 
 namespace mulberryrudder::control
 {
@@ -17,7 +17,7 @@
 
 void entry_table::take_own(messages::entry_notice const& it, instant now)
 {
-    rows_[it.who.id] = {.what = it, .heard = now, .own = true};
+    rows_[it.who.id] = {.what = it, .heard = now, .fresh = true};
 }
 
 void entry_table::take_told(messages::entry_notice const& it, instant now)
@@ -25,7 +25,7 @@
     auto const heard = now - it.age;
     auto const known = rows_.find(it.who.id);
     if (known == rows_.end() || known->second.heard < heard)
-        rows_[it.who.id] = {.what = it, .heard = heard, .own = false};
+        rows_[it.who.id] = {.what = it, .heard = heard, .fresh = false};
 }
 
 void entry_table::expire(instant since)
@@ -33,12 +33,12 @@
     std::erase_if(rows_, [since](auto const& it) { return it.second.heard < since; });
 }
 
-std::vector<messages::entry_notice> entry_table::own_since(instant since, instant now) const
+std::vector<messages::entry_notice> entry_table::take_fresh(instant now)
 {
     std::vector<messages::entry_notice> out;
-    for (auto const& [id, it] : rows_)
+    for (auto& [id, it] : rows_)
     {
-        if (!it.own || it.heard < since)
+        if (!std::exchange(it.fresh, false))
             continue;
         out.push_back(it.what);
         out.back().age = std::chrono::duration_cast<milliseconds>(now - it.heard);
--- a/plugins/control/roster/entry_table.hpp
+++ b/plugins/control/roster/entry_table.hpp
@@ -24,8 +24,9 @@
     /// Forgets entries that were heard last before `since`.
     void expire(instant since);
 
-    /// Returns those that spoke to this instance itself since a time.
-    std::vector<messages::entry_notice> own_since(instant since, instant now) const;
+    /// Returns those that spoke to this instance itself since the last call, for telling
+    /// them to other control instances.
+    std::vector<messages::entry_notice> take_fresh(instant now);
 
     /// Returns where callers of a failure domain go: to its own ready entries, else to
     /// those of the region, else to all.
@@ -46,7 +47,7 @@
     {
         messages::entry_notice what;
         instant heard;
-        bool own = false; ///< Heard from the entry itself.
+        bool fresh = false; ///< Heard from the entry itself, and not told to others yet.
     };
 
     std::map<instance_id, row> rows_;
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -56,6 +56,9 @@
 /// Another control instance that is silent for longer counts as out of reach: four
 /// exchange periods.
 constexpr milliseconds contact{800};
+/// Time between two messages that name the control instances that are known. They
+/// seldom change, and the list is as long as all the rest.
+constexpr milliseconds introduction_period{1000};
 /// A pause between two ticks that is longer shows that the process stood still.
 constexpr milliseconds longest_pause{1000};
 /// Outcomes that wait for the leader are dropped beyond this.
@@ -277,8 +280,12 @@
                                          .control = {}};
         if (auto* const log = services_.find<replicated_log>())
             common.leads = log->may_act(with.now);
-        common.entries = entries_.own_since(with.now - config_.poll_hold * 2, with.now);
-        common.control = controls_.known_since(with.now - remember_control);
+        common.entries = entries_.take_fresh(with.now);
+        if (with.now >= introduction_due_)
+        {
+            introduction_due_ = with.now + introduction_period;
+            common.control = controls_.known_since(with.now - remember_control);
+        }
         for (auto& [id, it] : controls_.rows())
         {
             auto out = common;
@@ -414,6 +421,7 @@
     std::vector<messages::version_outcomes> outcomes_;
     sequence_id number_;
     instant exchange_due_;
+    instant introduction_due_;
     instant last_tick_;
 };
 
--- a/tests/control/roster/entry_table_test.cpp
+++ b/tests/control/roster/entry_table_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(an_entry_that_is_not_ready_is_not_named);
     CPPUNIT_TEST(a_silent_entry_is_forgotten);
     CPPUNIT_TEST(what_others_heard_earlier_changes_nothing);
+    CPPUNIT_TEST(each_report_is_told_on_once);
     CPPUNIT_TEST(rates_are_divided_by_what_is_asked);
     CPPUNIT_TEST_SUITE_END();
 
@@ -74,6 +75,18 @@
         expect("m", "m-a", {2});
     }
 
+    /// Pattern: exchanges are more frequent than entries' reports.
+    void each_report_is_told_on_once()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, it_.take_fresh(now_).size());
+        CPPUNIT_ASSERT(it_.take_fresh(now_).empty());
+        it_.take_own(entry(2, "m", "m-b"), now_);
+        it_.take_told(entry(3, "e", "e-a"), now_ + seconds(1));
+        auto const told = it_.take_fresh(now_ + milliseconds(70));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.size());
+        CPPUNIT_ASSERT(told.front().age == milliseconds(70));
+    }
+
     void rates_are_divided_by_what_is_asked()
     {
         it_.take_own(entry(1, "m", "m-a", 8000), now_);
