Come back sooner after a loss of power: ask another control instance after 250 ms

Entries asked control instances that did not listen yet, and waited 1.3 s for an answer; the new leader stood at 35.16, after an election timeout of 1 to 2 s.

Ruled out: telling the decisions of refused connections: a machine that is still off refuses nothing.

Test: an_entry_without_a_plan_asks_others_soon fails before.

--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -16,6 +16,7 @@
 struct roster_settings
 {
     milliseconds answer_limit{1300};
+    milliseconds first_answer_limit{250};
     milliseconds least_pause{40};
     milliseconds apart_pause{150};
 };
@@ -27,6 +28,9 @@
             "answer_limit", &roster_settings::answer_limit, {50, 60'000},
             "Milliseconds without an answer after which another control instance is asked; "
             "above the time for which control holds a report back."),
+        kernel::field("first_answer_limit", &roster_settings::first_answer_limit, {10, 60'000},
+                      "The same while no plan is known here: control instances that start at the "
+                      "same time may not listen yet, and one that knows a plan answers at once."),
         kernel::field(
             "least_pause", &roster_settings::least_pause, {1, 10'000},
             "Milliseconds between two reports at least, so that a series of changes comes "
@@ -186,7 +190,7 @@
         outcomes_.clear();
         with.send(*to, std::move(out));
         waiting_for_ = to;
-        answer_due_ = with.now + config_.answer_limit;
+        answer_due_ = with.now + (shown_ ? config_.answer_limit : config_.first_answer_limit);
         report_due_ = with.now + config_.least_pause;
     }
 
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(callers_are_limited_as_the_newest_plan_states);
     CPPUNIT_TEST(an_older_state_is_not_taken);
     CPPUNIT_TEST(another_instance_is_asked_when_one_is_silent);
+    CPPUNIT_TEST(an_entry_without_a_plan_asks_others_soon);
     CPPUNIT_TEST(another_instance_is_asked_when_one_hears_too_few);
     CPPUNIT_TEST(changes_are_asked_for_from_where_they_are_known);
     CPPUNIT_TEST(a_restarted_instance_is_asked_for_everything);
@@ -86,6 +87,20 @@
         CPPUNIT_ASSERT(asked_ != first);
     }
 
+    /// Pattern: all machines lose power at once, and the control instances start last.
+    void an_entry_without_a_plan_asks_others_soon()
+    {
+        tick();
+        auto const first = asked_;
+        tick(milliseconds(300));
+        CPPUNIT_ASSERT(asked_ != first);
+        answer({.steering = state(4, true)});
+        tick();
+        auto const second = asked_;
+        tick(milliseconds(300));
+        CPPUNIT_ASSERT_MESSAGE("a report may be held back", asked_ == second);
+    }
+
     /// Pattern: the control instance beside this entry is cut off from the others (found
     /// by a hunt on basamak-yaris, mix with seed 993616753194).
     void another_instance_is_asked_when_one_hears_too_few()
