Tell of hang-ups, planned stops, and explain a request from the logs

Cause: a hang-up signal was ignored without a line, a planned stop had no line at its beginning, and a failed request's lines had to be put together by hand.

On a hang-up the settings file is read and checked; settings.read_again tells whether it changed or would be refused.

Ruled out: putting settings in force without a restart: duties hold them by reference, and what changes in operation (seeds, plans) comes through the roster.

Tests: hang_up (unchanged, changed and refused files, planned stop), ctl_tests; both fail before.

--- a/kernel/program.cpp
+++ b/kernel/program.cpp
@@ -20,6 +20,20 @@
 namespace
 {
 
+event_kind const reread_event{
+    {.number = 14,
+     .name = "settings.read_again",
+     .level = severity::info,
+     .meaning = "A hang-up signal told that the settings file changed. What is new in it holds "
+                "from the next start on; `result` tells whether it is.",
+     .action = "If `result` is refused, mend the file: the process could not start with it."}};
+event_kind const stop_requested_event{
+    {.number = 15,
+     .name = "process.stop_requested",
+     .level = severity::info,
+     .meaning = "A signal asked for a planned stop: the work is finished first.",
+     .action = "None."}};
+
 /// Shows the duty's name in tools that list threads; Linux keeps 15 characters.
 void name_thread(duty_name const& name)
 {
@@ -31,20 +45,24 @@
 class process
 {
 public:
-    explicit process(settings config) : config_(std::move(config)) {}
+    /// `text` is what the settings file held.
+    process(settings config, std::string file, std::string text)
+        : config_(std::move(config)), file_(std::move(file)), text_(std::move(text))
+    {
+    }
 
     int run()
     {
         // Blocked signals are inherited, so only signal_set's own thread sees them.
         std::signal(SIGPIPE, SIG_IGN);
-        // Settings are read at the start only; a hang-up must not end the process.
-        std::signal(SIGHUP, SIG_IGN);
         boost::asio::signal_set signals(loop_, SIGTERM, SIGINT);
+        boost::asio::signal_set hang_ups(loop_, SIGHUP);
         duties_ = duty_registry::instance().make_all(parts_);
         for (auto const& it : duties_)
             it->connect();
         start_threads();
         wait_for_signal(signals);
+        wait_for_hang_up(hang_ups);
         loop_.run();
         stop_threads();
         return exit_code_;
@@ -81,12 +99,50 @@
                 if (stop_requested_)
                     return end(exit_ok);
                 stop_requested_ = true;
+                events_.record(stop_requested_event, {});
                 for (auto const& it : duties_)
                     it->prepare_stop();
                 wait_for_signal(signals);
             });
     }
 
+    void wait_for_hang_up(boost::asio::signal_set& signals)
+    {
+        signals.async_wait(
+            [this, &signals](boost::system::error_code ec, int)
+            {
+                if (ec)
+                    return;
+                read_again();
+                wait_for_hang_up(signals);
+            });
+    }
+
+    /// Settings are in force for a whole run, so that all duties hold the same; a changed
+    /// file is only checked, so that its errors show before the next start.
+    void read_again()
+    {
+        auto told = boost::leaf::try_handle_all(
+            [this]() -> result<std::vector<event_field>>
+            {
+                BOOST_LEAF_AUTO(text, read_file(file_));
+                BOOST_LEAF_CHECK(parse_settings(text, file_));
+                return std::vector<event_field>{
+                    {"result", text == text_ ? "unchanged" : "changed"}};
+            },
+            [](failures const& failed)
+            {
+                return std::vector<event_field>{{"result", "refused"},
+                                                {"place", failed.front().place},
+                                                {"expected", failed.front().expected}};
+            },
+            [] {
+                return std::vector<event_field>{{"result", "refused"}};
+            });
+        told.push_back({"file", file_});
+        events_.record(reread_event, std::move(told));
+    }
+
     void end(int code)
     {
         boost::asio::post(loop_,
@@ -108,6 +164,8 @@
     }
 
     settings config_;
+    std::string file_; ///< The settings file.
+    std::string text_; ///< What it held at the start.
     counter_set counters_;
     wiring links_;
     boost::asio::io_context loop_{1};
@@ -115,6 +173,7 @@
                       .counters = counters_,
                       .links = links_,
                       .end_process = [this](int code) { end(code); }};
+    ring_event_sink events_{duty_name("process"), parts_};
     std::vector<std::unique_ptr<duty>> duties_;
     std::vector<std::thread> threads_;
     bool stop_requested_ = false;
@@ -127,17 +186,12 @@
         std::cerr << it.place << ": expected " << it.expected << "\n";
 }
 
-result<settings> load_settings(std::string const& file)
-{
-    BOOST_LEAF_AUTO(text, read_file(file));
-    return parse_settings(text, file);
-}
-
-int run_checked(program_options const& what, settings config)
+int run_checked(program_options const& what, settings config, std::string const& file,
+                std::string const& text)
 {
     try
     {
-        return process(std::move(config)).run();
+        return process(std::move(config), file, text).run();
     }
     catch (std::exception const& e)
     {
@@ -156,8 +210,11 @@
     return boost::leaf::try_handle_all(
         [&]() -> result<int>
         {
-            BOOST_LEAF_AUTO(config, load_settings(asked.settings_file));
-            return asked.check_only ? exit_ok : run_checked(what, std::move(config));
+            BOOST_LEAF_AUTO(text, read_file(asked.settings_file));
+            BOOST_LEAF_AUTO(config, parse_settings(text, asked.settings_file));
+            return asked.check_only
+                       ? exit_ok
+                       : run_checked(what, std::move(config), asked.settings_file, text);
         },
         [](failures const& failed)
         {
--- a/programs/ctl/command_line.cpp
+++ b/programs/ctl/command_line.cpp
@@ -21,6 +21,7 @@
     char* control = nullptr;
     char* entry = nullptr;
     char* file = nullptr;
+    char* logs = nullptr;
     long number = 0;
     long timeout = 20;
     long every = 2;
@@ -74,6 +75,7 @@
 {
     auto const entry = take_over(raw.entry);
     out.file = take_over(raw.file);
+    out.logs = take_over(raw.logs);
     out.json = raw.json != 0;
     if (!read_addresses(control_addresses(raw, take_over(raw.control)), out.control))
         return refuse(std::move(out), "--control takes IP numbers with ports, such as "
@@ -106,6 +108,8 @@
              "Address of an entry instance, for explain and counters", "ADDRESS"},
             {"file", 'f', POPT_ARG_STRING, &out.file, 0,
              "Read a key from FILE instead of standard input", "FILE"},
+            {"logs", 'l', POPT_ARG_STRING, &out.logs, 0,
+             "Explain a request from instances' JSON logs in FILE; - reads standard input", "FILE"},
             {"number", 'n', POPT_ARG_LONG, &out.number, 0,
              "Number of the note that `keys add` and `keys withdraw` write (default: the next one)",
              "N"},
--- a/programs/ctl/command_line.hpp
+++ b/programs/ctl/command_line.hpp
@@ -19,6 +19,7 @@
     std::vector<endpoint> control;
     std::optional<endpoint> entry;
     std::string file;                    ///< `-` or empty for standard input.
+    std::string logs;                    ///< Logs to explain from; `-` for standard input.
     std::optional<std::uint64_t> number; ///< For a note that mulberryctl writes itself.
     seconds timeout{20};
     seconds every{2};
--- a/programs/ctl/state_commands.cpp
+++ b/programs/ctl/state_commands.cpp
@@ -1,11 +1,13 @@
 #include "commands.hpp"
 #include "exit_codes.hpp"
+#include "log_explanation.hpp"
 #include "output.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <fstream>
 #include <iostream>
 #include <sstream>
 #include <thread>
@@ -117,10 +119,41 @@
     return exit_ok;
 }
 
+int explain_from(std::istream& in, std::string const& request)
+{
+    log_explanation out(request);
+    for (std::string line; std::getline(in, line);)
+        out.take(line);
+    auto const lines = out.lines();
+    if (lines.empty())
+    {
+        std::cerr << "mulberryctl: no line tells of request " << request << "\n";
+        return exit_failed;
+    }
+    std::vector<table_row> rows;
+    for (auto const& it : lines)
+        rows.push_back(
+            {it.time, it.instance, it.belief ? "believed" : "decided", it.name, it.text});
+    print_table({"TIME", "INSTANCE", "KIND", "EVENT", "FIELDS"}, rows);
+    return exit_ok;
+}
+
+int explain_from_logs(invocation const& with)
+{
+    if (with.logs == "-")
+        return explain_from(std::cin, with.arguments[0]);
+    std::ifstream in(with.logs);
+    if (!in)
+        return refuse_use("--logs takes a readable file, not " + with.logs);
+    return explain_from(in, with.arguments[0]);
+}
+
 int explain_request(invocation const& with)
 {
+    if (!with.logs.empty())
+        return explain_from_logs(with);
     if (!with.entry)
-        return refuse_use("explain REQUEST-ID needs --entry ADDRESS");
+        return refuse_use("explain REQUEST-ID needs --entry ADDRESS or --logs FILE");
     auto const reply = ask(*with.entry, {.path = "/v1/explain/" + with.arguments[0]},
                            monotonic_now() + with.timeout);
     if (!reply)
