Take targets to keep 14 objects

The smallest of the four services keeps about 16 objects a target; one that is asked about more drops each before it comes again, which costs more than work in another region.

--- a/plugins/entry/placement/placement_stage.cpp
+++ b/plugins/entry/placement/placement_stage.cpp
@@ -21,7 +21,7 @@
 struct placement_settings
 {
     target_count homes{2};
-    object_count objects{20};
+    object_count objects{14};
     per_mille queue_part{600};
     per_mille overflow{40};
     milliseconds return_after{400};
--- a/tests/entry/plan_stages/placement_test.cpp
+++ b/tests/entry/plan_stages/placement_test.cpp
@@ -244,7 +244,7 @@
             it_.add("here" + std::to_string(n), "m-a", 10);
             it_.add("there" + std::to_string(n), "e-a", 10);
         }
-        // 3 targets keep 60 of 400 objects of each region.
+        // 3 targets keep 42 of 400 objects of each region.
         for (int round = 0; round != 80; ++round)
         {
             for (int n = 0; n != 400; ++n)
@@ -258,7 +258,7 @@
             stayed += it_.target_of(id).starts_with("here");
             it_.reply(id);
         }
-        // 0.15 of the objects are served in each region, of the others half are gathered here.
+        // A tenth of the objects is served in each region, of the others half is gathered here.
         CPPUNIT_ASSERT_MESSAGE(std::to_string(stayed), stayed > 190 && stayed < 270);
     }
 
