Keep objects off targets that are no home of theirs, but for idle ones

A home that is full handed its objects to any target that was half idle. There they take three times as long and drive out what that target holds, so that it is slow on its own objects too, fills up, and hands on in turn.

A target that is no home of an object now takes it only while it is idle, as far as is known. What the homes have no room for waits there or is refused.

Test: a_target_that_is_no_home_takes_an_object_only_while_idle fails before (two each).

--- a/plugins/entry/placement/candidates.cpp
+++ b/plugins/entry/placement/candidates.cpp
@@ -12,8 +12,9 @@
 namespace
 {
 
-/// Part of a target's slots up to which one that holds nothing of the object is used.
-constexpr double idle_part = 0.5;
+/// Requests that a target which holds nothing of the object runs at most, this one
+/// included: it takes several times as long there, and drives out objects that it holds.
+constexpr double most_elsewhere = 1;
 
 std::map<region_id, slots> rooms_of(std::vector<candidate> const& all)
 {
@@ -90,7 +91,7 @@
     auto const has_room = [&](candidate const& it)
     {
         bool const holds_nothing = how.warms && it.rank >= how.homes;
-        return it.busy + 1 <= capacity_of(it) * (holds_nothing ? idle_part : 1.0);
+        return it.busy + 1 <= (holds_nothing ? most_elsewhere : capacity_of(it));
     };
     auto const it = std::find_if(all.begin(), all.end(), has_room);
     return it == all.end() ? nullptr : &*it;
--- a/plugins/entry/placement/candidates.hpp
+++ b/plugins/entry/placement/candidates.hpp
@@ -66,7 +66,7 @@
 void order_by_nearness(std::vector<candidate>& all, choice_order const& how);
 
 /// Returns the first candidate with a free slot, or null. A target that holds nothing of
-/// the object is taken only while it is half idle.
+/// the object is taken only while it is idle.
 candidate const* first_with_room(std::vector<candidate> const& all, choice_order const& how);
 
 /// Returns the preferred home with the shortest queue, at most `queue_part` of its slots
--- a/tests/entry/plan_stages/placement_test.cpp
+++ b/tests/entry/plan_stages/placement_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <set>
 
 namespace mulberryrudder::entry
@@ -17,6 +18,7 @@
     CPPUNIT_TEST_SUITE(placement_test);
     CPPUNIT_TEST(an_object_stays_on_its_home);
     CPPUNIT_TEST(a_full_home_hands_on_to_the_second);
+    CPPUNIT_TEST(a_target_that_is_no_home_takes_an_object_only_while_idle);
     CPPUNIT_TEST(what_cannot_be_served_is_refused_at_once_as_not_run);
     CPPUNIT_TEST(a_refused_callers_return_is_spread);
     CPPUNIT_TEST(an_evacuated_domain_gets_nothing);
@@ -66,6 +68,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, used.count("t2"));
     }
 
+    /// Pattern: more work than the homes carry while other targets have room. Work on an
+    /// object that they do not hold takes them several times as long, and they drop others
+    /// for it, until nothing is fast anywhere (found on scale-1 of basamak-yaris).
+    void a_target_that_is_no_home_takes_an_object_only_while_idle()
+    {
+        for (int n = 0; n != 3; ++n)
+            it_.add("t" + std::to_string(n), "m-a", 4);
+        // More objects than three targets keep twice, so that each has one home.
+        for (int n = 0; n != 60; ++n)
+            it_.reply(it_.ask("/read/x", "other" + std::to_string(n)));
+        std::map<std::string, int> used;
+        for (int n = 0; n != 12; ++n)
+            ++used[it_.target_of(it_.ask("/read/x", "17"))];
+        std::multiset<int> counts;
+        for (auto const& [target, count] : used)
+            if (!target.empty())
+                counts.insert(count);
+        // Four slots and a queue of two at the home, one request at each of the others.
+        CPPUNIT_ASSERT(counts == (std::multiset<int>{1, 1, 6}));
+    }
+
     /// Pattern: more work than all slots carry.
     void what_cannot_be_served_is_refused_at_once_as_not_run()
     {
