Give up a restarted entry's connection without a dangling callback

The callback on the connection's end is dropped: a control instance that hears of an entry's new start gives its connection up and opens another at once, which serves the case that was measured. Ruled out: handing over a copy, which would mend the crash as well, since a connection that ends while nobody sends needs no work.

--- a/plugins/peer/link/link_duty.cpp
+++ b/plugins/peer/link/link_duty.cpp
@@ -96,8 +96,10 @@
     void carry_out(learn_instance& it)
     {
         auto& way = ways_[it.id];
-        if (!way || way->where() != it.where || it.restarted)
+        if (!way || way->where() != it.where)
             way = std::make_unique<outgoing>(*io_, it.where, parts_.counters);
+        else if (it.restarted)
+            way->start_anew();
     }
 
     void carry_out(envelope& it)
--- a/plugins/peer/link/outgoing.cpp
+++ b/plugins/peer/link/outgoing.cpp
@@ -61,6 +61,13 @@
         connect();
 }
 
+void outgoing::start_anew()
+{
+    if (connection_)
+        lost();
+    connect_again_ = monotonic_now();
+}
+
 void outgoing::connect()
 {
     connecting_ = true;
@@ -81,29 +88,12 @@
     ++epoch_;
     in_flight_ = 0;
     oldest_deadline_ = never;
-    end_with_peer();
     auto messages = std::move(waiting_);
     waiting_.clear();
     for (auto const& it : messages)
         transmit(it);
 }
 
-/// A message that is sent after the peer has closed the connection would be lost, such as
-/// the first one to a process that started anew.
-void outgoing::end_with_peer()
-{
-    auto const epoch = epoch_;
-    auto end = [this, epoch]
-    {
-        if (epoch == epoch_ && connection_)
-            lost();
-    };
-    // Ended later, since the connection must not be destroyed by a promise of its own. A
-    // connection that was given up here fails its promise, which says nothing new.
-    tasks_.add(connection_->rpc.onDisconnect().then([this, end] { tasks_.add(kj::evalLater(end)); },
-                                                    [](kj::Exception&&) {}));
-}
-
 void outgoing::transmit(envelope const& message)
 {
     auto request = connection_->mailbox.deliverRequest();
--- a/plugins/peer/link/outgoing.hpp
+++ b/plugins/peer/link/outgoing.hpp
@@ -29,6 +29,10 @@
 
     void send(envelope message);
 
+    /// Gives up an open connection, which leads to a process that has ended: the first
+    /// message on it would be lost.
+    void start_anew();
+
     endpoint const& where() const { return where_; }
 
 private:
@@ -44,7 +48,6 @@
 
     void connect();
     void connected(kj::Own<kj::AsyncIoStream> stream);
-    void end_with_peer();
     void transmit(envelope const& message);
     void lost();
     void taskFailed(kj::Exception&& e) override;
