Let a request wait at its home before it goes elsewhere

Cause: a home without a free slot handed a request to an idle target or to another region at once, where the work takes three times as long, and only queued what nobody could take. A slot of a home comes free within a fraction of the work's time.

Test: a_request_waits_at_its_home_before_it_goes_elsewhere fails before (three targets used).

--- a/plugins/entry/placement/placement_stage.cpp
+++ b/plugins/entry/placement/placement_stage.cpp
@@ -103,12 +103,12 @@
         {
             found = candidates_of(what, versions, true, with);
             keep_trial_targets(found, versions->share);
-            chosen = choose(what, found, with);
+            chosen = choose(what, found, with.now);
         }
         if (chosen == nullptr)
         {
             found = candidates_of(what, versions, false, with);
-            chosen = choose(what, found, with);
+            chosen = choose(what, found, with.now);
         }
         if (chosen == nullptr)
         {
@@ -333,7 +333,7 @@
         return what.planned->sticky && !what.object.value().empty();
     }
 
-    candidate const* choose(request const& what, std::vector<candidate>& found, context& with)
+    candidate const* choose(request const& what, std::vector<candidate>& found, instant now)
     {
         if (found.empty())
             return nullptr;
@@ -349,11 +349,18 @@
         if (overflow_.tokens() > most_overflow)
             overflow_.take(overflow_.tokens() - most_overflow);
         order_by_nearness(found, how);
-        if (auto const* const it = first_with_room(found, how))
-            if (is_preferred(*it, how) || overflow_.take(request_cost))
-                return it;
-        auto const in_time = [&](candidate const& it) { return ends_in_time(what, it, with.now); };
-        return shortest_queue(found, how, config_.queue_part, in_time);
+        auto const* const free = first_with_room(found, how);
+        bool const is_home = free != nullptr && (!how.warms || free->rank < how.homes);
+        if (is_home && is_preferred(*free, how))
+            return free;
+        // A slot of a home that holds the object comes free sooner than the work is done
+        // where it is not held.
+        auto const in_time = [&](candidate const& it) { return ends_in_time(what, it, now); };
+        if (auto const* const home = shortest_queue(found, how, config_.queue_part, in_time))
+            return home;
+        if (free == nullptr || is_preferred(*free, how) || overflow_.take(request_cost))
+            return free;
+        return nullptr;
     }
 
     bool stays_in_region(request const& what, std::vector<candidate> const& found, std::size_t here)
--- a/tests/entry/plan_stages/placement_test.cpp
+++ b/tests/entry/plan_stages/placement_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(an_object_stays_on_its_home);
     CPPUNIT_TEST(a_full_home_hands_on_to_the_second);
     CPPUNIT_TEST(a_target_that_is_no_home_takes_an_object_only_while_idle);
+    CPPUNIT_TEST(a_request_waits_at_its_home_before_it_goes_elsewhere);
     CPPUNIT_TEST(what_cannot_be_served_is_refused_at_once_as_not_run);
     CPPUNIT_TEST(a_refused_callers_return_is_spread);
     CPPUNIT_TEST(an_evacuated_domain_gets_nothing);
@@ -89,6 +90,20 @@
         CPPUNIT_ASSERT(counts == (std::multiset<int>{1, 1, 6}));
     }
 
+    /// Pattern: a short burst on one object. Waiting for a slot of its home takes less time
+    /// than work where the object is not held.
+    void a_request_waits_at_its_home_before_it_goes_elsewhere()
+    {
+        for (int n = 0; n != 3; ++n)
+            it_.add("t" + std::to_string(n), "m-a", 4);
+        for (int n = 0; n != 60; ++n)
+            it_.reply(it_.ask("/read/x", "other" + std::to_string(n)));
+        std::set<std::string> used;
+        for (int n = 0; n != 6; ++n)
+            used.insert(it_.target_of(it_.ask("/read/x", "17")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, used.size());
+    }
+
     /// Pattern: more work than all slots carry.
     void what_cannot_be_served_is_refused_at_once_as_not_run()
     {
