--- a/programs/ctl/state_commands.cpp
+++ b/programs/ctl/state_commands.cpp
@@ -131,6 +131,7 @@
         return exit_failed;
     }
     std::vector<table_row> rows;
+    rows.reserve(lines.size());
     for (auto const& it : lines)
         rows.push_back(
             {it.time, it.instance, it.belief ? "believed" : "decided", it.name, it.text});
