--- a/tests/process/hang_up.sh
+++ b/tests/process/hang_up.sh
@@ -15,6 +15,7 @@
 settings() {
   printf '{"instance": {"id": 1, "region": "r", "domain": "d", "caller": "127.0.0.1:%s",
     "peer": "127.0.0.1:%s", "control": [{"id": 2, "peer": "127.0.0.1:%s"}]},
+    "drain": {"answer_lifetime": 100, "connection_lifetime": 100, "margin": 100},
     "log": {"format": "json"}, "callers": {"idle_limit": %s}}\n' \
     "$port" "$((port + 1))" "$((port + 2))" "$1" > "$work/entry.json"
 }
