Drop a setting of rollouts that nothing read

rollouts/early_share was declared and documented, while a rollout's first share is a constant of the steering component that orders it. Changing the setting changed nothing.

--- a/plugins/control/rollouts/rollouts.cpp
+++ b/plugins/control/rollouts/rollouts.cpp
@@ -13,7 +13,6 @@
 
 struct rollout_settings
 {
-    per_mille early_share{50};
     per_mille late_share{120};
     per_mille late_from{750};
     per_mille end_at{900};
@@ -30,8 +29,6 @@
 kernel::section<rollout_settings> const rollout_section{
     "rollouts",
     {
-        kernel::field("early_share", &rollout_settings::early_share, shares,
-                      "Thousandths of a service's requests that a new version gets first."),
         kernel::field("late_share", &rollout_settings::late_share, shares,
                       "Thousandths that it gets once it has proved itself."),
         kernel::field("late_from", &rollout_settings::late_from, shares,
