--- a/include/mulberryrudder/control_io/operator_codec.hpp
+++ b/include/mulberryrudder/control_io/operator_codec.hpp
@@ -117,6 +117,9 @@
 /// Encodes an answer by the codec of its type.
 json_answer encode_answer(any_message const& from);
 
+/// Answers with the instance's counters, in the form that common collectors read.
+decoded show_counters(request_text const& from);
+
 /// Answers 422 with the failures.
 json_answer refuse(failures const& failed);
 
--- a/include/mulberryrudder/entry/stage.hpp
+++ b/include/mulberryrudder/entry/stage.hpp
@@ -45,6 +45,9 @@
 /// leaves the decision to the next stage, and in the end the request is refused.
 using recovery = std::variant<proceed, again, wait, stop>;
 
+/// A target replies with it if the request's time was too short, such as for cold work.
+inline constexpr std::uint16_t out_of_time_status = 504;
+
 /// How an attempt ended.
 struct attempt_end
 {
--- a/include/mulberryrudder/kernel/catalogue.hpp
+++ b/include/mulberryrudder/kernel/catalogue.hpp
@@ -1,7 +1,9 @@
 #ifndef MULBERRYRUDDER_KERNEL_CATALOGUE_HPP
 #define MULBERRYRUDDER_KERNEL_CATALOGUE_HPP
 
+#include <cstddef>
 #include <deque>
+#include <string_view>
 
 namespace mulberryrudder::kernel
 {
@@ -33,6 +35,32 @@
     std::deque<Kind const*> kinds_;
 };
 
+/// Base of a class of kinds that consist of a name and a meaning. `Kind` is the class that
+/// derives from it.
+template <class Kind>
+class named_kind
+{
+public:
+    /// `name` is lower case with dots, `meaning` a sentence for operators; both must be
+    /// literals.
+    named_kind(std::string_view name, std::string_view meaning)
+        : name_(name), meaning_(meaning),
+          position_(catalogue<Kind>::instance().add(static_cast<Kind const&>(*this)))
+    {
+    }
+    named_kind(named_kind const&) = delete;
+    named_kind& operator=(named_kind const&) = delete;
+
+    std::string_view name() const noexcept { return name_; }
+    std::string_view meaning() const noexcept { return meaning_; }
+    std::size_t position() const noexcept { return position_; }
+
+private:
+    std::string_view name_;
+    std::string_view meaning_;
+    std::size_t position_;
+};
+
 } // namespace mulberryrudder::kernel
 
 #endif
--- a/include/mulberryrudder/kernel/counters.hpp
+++ b/include/mulberryrudder/kernel/counters.hpp
@@ -17,23 +17,10 @@
 {
 
 /// Defines a counter. Define it as a static object in the plug-in that counts.
-class counter_kind
+class counter_kind : public named_kind<counter_kind>
 {
 public:
-    /// `name` is lower case with dots, `meaning` a sentence for operators; both
-    /// must be literals.
-    counter_kind(std::string_view name, std::string_view meaning);
-    counter_kind(counter_kind const&) = delete;
-    counter_kind& operator=(counter_kind const&) = delete;
-
-    std::string_view name() const noexcept { return name_; }
-    std::string_view meaning() const noexcept { return meaning_; }
-    std::size_t position() const noexcept { return position_; }
-
-private:
-    std::string_view name_;
-    std::string_view meaning_;
-    std::size_t position_;
+    using named_kind::named_kind;
 };
 
 /// Holds one instance's value of every defined counter.
--- a/include/mulberryrudder/kernel/histograms.hpp
+++ b/include/mulberryrudder/kernel/histograms.hpp
@@ -12,25 +12,15 @@
 namespace mulberryrudder::kernel
 {
 
+/// Returns the name under which collectors know a counter or a histogram.
+std::string metric_name(std::string_view name);
+
 /// Defines a histogram of times. Define it as a static object in the plug-in that
 /// observes it.
-class histogram_kind
+class histogram_kind : public named_kind<histogram_kind>
 {
 public:
-    /// `name` is lower case with dots, `meaning` a sentence for operators; both must be
-    /// literals.
-    histogram_kind(std::string_view name, std::string_view meaning);
-    histogram_kind(histogram_kind const&) = delete;
-    histogram_kind& operator=(histogram_kind const&) = delete;
-
-    std::string_view name() const noexcept { return name_; }
-    std::string_view meaning() const noexcept { return meaning_; }
-    std::size_t position() const noexcept { return position_; }
-
-private:
-    std::string_view name_;
-    std::string_view meaning_;
-    std::size_t position_;
+    using named_kind::named_kind;
 };
 
 /// Holds one instance's histograms (prometheus-cpp).
--- a/include/mulberryrudder/messages/roster.hpp
+++ b/include/mulberryrudder/messages/roster.hpp
@@ -5,9 +5,12 @@
 #include <mulberryrudder/core/time.hpp>
 #include <mulberryrudder/core/traffic_plan.hpp>
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace mulberryrudder::messages
@@ -21,6 +24,13 @@
     gone     ///< It ended, or nothing was heard of it for too long.
 };
 
+/// Returns the standing's name as it stands in logs.
+constexpr std::string_view to_string(target_standing it)
+{
+    constexpr std::array<std::string_view, 3> names{"serving", "leaving", "gone"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
 /// What is known of a target. Of two notices of a target the one with the greater
 /// start, then the greater sequence holds.
 struct target_notice
--- a/kernel/counters.cpp
+++ b/kernel/counters.cpp
@@ -5,11 +5,6 @@
 namespace mulberryrudder::kernel
 {
 
-counter_kind::counter_kind(std::string_view name, std::string_view meaning)
-    : name_(name), meaning_(meaning), position_(catalogue<counter_kind>::instance().add(*this))
-{
-}
-
 counter_set::counter_set()
     : values_(std::make_unique<std::atomic<std::uint64_t>[]>(
           catalogue<counter_kind>::instance().kinds().size()))
@@ -29,11 +24,7 @@
 {
     std::string out;
     for (auto const& [name, value] : counters.snapshot())
-    {
-        std::string metric = "mulberryrudder_" + std::string(name);
-        std::replace(metric.begin(), metric.end(), '.', '_');
-        out += metric + " " + std::to_string(value) + "\n";
-    }
+        out += metric_name(name) + " " + std::to_string(value) + "\n";
     return out + counters.histograms().text();
 }
 
--- a/kernel/histograms.cpp
+++ b/kernel/histograms.cpp
@@ -20,9 +20,11 @@
 
 } // namespace
 
-histogram_kind::histogram_kind(std::string_view name, std::string_view meaning)
-    : name_(name), meaning_(meaning), position_(catalogue<histogram_kind>::instance().add(*this))
+std::string metric_name(std::string_view name)
 {
+    auto out = "mulberryrudder_" + std::string(name);
+    std::replace(out.begin(), out.end(), '.', '_');
+    return out;
 }
 
 struct histogram_set::state
@@ -35,10 +37,8 @@
 {
     for (auto const* const it : catalogue<histogram_kind>::instance().kinds())
     {
-        std::string metric = "mulberryrudder_" + std::string(it->name()) + "_seconds";
-        std::replace(metric.begin(), metric.end(), '.', '_');
         auto& family = prometheus::BuildHistogram()
-                           .Name(metric)
+                           .Name(metric_name(it->name()) + "_seconds")
                            .Help(std::string(it->meaning()))
                            .Register(state_->registry);
         state_->all.push_back(&family.Add({}, bounds));
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -238,16 +238,14 @@
 
     static void note_target(messages::target_notice const& it, context& with)
     {
-        static constexpr std::array names{"serving", "leaving", "gone"};
-        with.events.record(target_event,
-                           {{"target", it.id.value()},
-                            {"service", it.service.value()},
-                            {"version", it.version.value()},
-                            {"address", to_string(it.where)},
-                            {"start", std::to_string(it.start.value())},
-                            {"sequence", std::to_string(it.sequence.value())},
-                            {"cold_ms", std::to_string(it.cold_for.count())},
-                            {"standing", names.at(static_cast<std::size_t>(it.standing))}});
+        with.events.record(target_event, {{"target", it.id.value()},
+                                          {"service", it.service.value()},
+                                          {"version", it.version.value()},
+                                          {"address", to_string(it.where)},
+                                          {"start", std::to_string(it.start.value())},
+                                          {"sequence", std::to_string(it.sequence.value())},
+                                          {"cold_ms", std::to_string(it.cold_for.count())},
+                                          {"standing", std::string(to_string(it.standing))}});
     }
 
     void await_majority(operator_request_id asker, target_id const& target, context& with)
@@ -341,9 +339,7 @@
             steering().learn(it.steering);
         answer_leaves(with);
         // Who is behind asks with the next message; a leader's change is fetched at once.
-        if (it.generation > steering().steering()->generation)
-            exchange_due_ = with.now;
-        if (it.wants_steering)
+        if (it.wants_steering || it.generation > steering().steering()->generation)
             exchange_due_ = with.now;
     }
 
--- a/plugins/control_io/operator_http/codec_table.cpp
+++ b/plugins/control_io/operator_http/codec_table.cpp
@@ -122,6 +122,12 @@
     return encode_not_served({});
 }
 
+decoded show_counters(request_text const& from)
+{
+    return text_answer{.content_type = std::string(kernel::counters_text_type),
+                       .body = kernel::counters_text(from.counters)};
+}
+
 boost::json::array to_json(failures const& failed)
 {
     boost::json::array out;
--- a/plugins/control_io/operator_http/state_requests.cpp
+++ b/plugins/control_io/operator_http/state_requests.cpp
@@ -25,13 +25,6 @@
     return any_message::of(config_query{});
 }
 
-/// Writes the counters in the text form of Prometheus.
-decoded show_counters(request_text const& from)
-{
-    return text_answer{.content_type = std::string(kernel::counters_text_type),
-                       .body = kernel::counters_text(from.counters)};
-}
-
 json_answer encode_status(status_report const& it)
 {
     json_answer out;
--- a/plugins/entry/placement/candidates.cpp
+++ b/plugins/entry/placement/candidates.cpp
@@ -16,14 +16,6 @@
 /// included: it takes several times as long there, and drives out objects that it holds.
 constexpr double most_elsewhere = 1;
 
-std::map<region_id, slots> rooms_of(std::vector<candidate> const& all)
-{
-    std::map<region_id, slots> out;
-    for (auto const& it : all)
-        out[it.region] += it.target->what.capacity;
-    return out;
-}
-
 } // namespace
 
 double capacity_of(candidate const& it)
@@ -63,24 +55,30 @@
     return (it.where != nearness::elsewhere) == how.stays;
 }
 
-region_id gathering_region(std::vector<candidate> const& all, object_id const& object)
+void score_regions(std::vector<candidate>& all, object_id const& object)
+{
+    std::map<region_id, slots> rooms;
+    for (auto const& it : all)
+        rooms[it.region] += it.target->what.capacity;
+    std::map<region_id, double> scores;
+    for (auto const& [region, room] : rooms)
+        scores.emplace(region, home_score(object, target_id(region.value()), room));
+    for (auto& it : all)
+        it.gathers = scores.at(it.region);
+}
+
+region_id const& gathering_region(std::vector<candidate> const& all)
 {
-    auto const rooms = rooms_of(all);
-    auto const suits = [&](auto const& it)
-    { return home_score(object, target_id(it.first.value()), it.second); };
-    auto const less = [&](auto const& a, auto const& b) { return suits(a) < suits(b); };
-    return std::max_element(rooms.begin(), rooms.end(), less)->first;
+    auto const less = [](candidate const& a, candidate const& b) { return a.gathers < b.gathers; };
+    return std::max_element(all.begin(), all.end(), less)->region;
 }
 
 void order_by_nearness(std::vector<candidate>& all, choice_order const& how)
 {
-    auto const rooms = rooms_of(all);
-    auto const suits = [&](candidate const& it)
-    { return home_score(how.object, target_id(it.region.value()), rooms.at(it.region)); };
     auto const place = [&](candidate const& it)
     {
         return std::tuple(!is_preferred(it, how), it.rank >= how.homes,
-                          it.where == nearness::elsewhere ? -suits(it) : 0.0, it.rank);
+                          it.where == nearness::elsewhere ? -it.gathers : 0.0, it.rank);
     };
     std::stable_sort(all.begin(), all.end(),
                      [&](candidate const& a, candidate const& b) { return place(a) < place(b); });
--- a/plugins/entry/placement/candidates.hpp
+++ b/plugins/entry/placement/candidates.hpp
@@ -24,6 +24,7 @@
     nearness where = nearness::elsewhere;
     region_id region;
     double score = 0;     ///< As a home of the request's object; higher is better.
+    double gathers = 0;   ///< Score of its region for the object; higher is better.
     std::size_t rank = 0; ///< Among the candidates of its region.
     double busy = 0;      ///< Requests that run or wait there.
 };
@@ -31,7 +32,6 @@
 /// What the order of one request's candidates depends on.
 struct choice_order
 {
-    object_id const& object;
     bool warms = false;    ///< Targets are faster on the object if they handled it lately.
     bool stays = true;     ///< The object is served in the own region.
     std::size_t homes = 1; ///< Targets of a region on which the object is kept.
@@ -56,13 +56,16 @@
 /// Returns whether a candidate stands where the object is to be served.
 bool is_preferred(candidate const& it, choice_order const& how);
 
-/// Returns the region that suits an object best, by the slots of its candidates. All
-/// instances with the same view name the same one. Precondition: there is a candidate.
-region_id gathering_region(std::vector<candidate> const& all, object_id const& object);
+/// Scores the candidates' regions for an object, by the slots of the candidates in each.
+void score_regions(std::vector<candidate>& all, object_id const& object);
+
+/// Returns the region that suits the object best. All instances with the same view name the
+/// same one. Preconditions: there is a candidate, and score_regions() was called.
+region_id const& gathering_region(std::vector<candidate> const& all);
 
 /// Puts candidates where the object is to be served first, homes before others. Of other
 /// regions the one that suits the object best comes first.
-/// Precondition: rank_within_regions() was called.
+/// Preconditions: rank_within_regions() and score_regions() were called.
 void order_by_nearness(std::vector<candidate>& all, choice_order const& how);
 
 /// Returns the first candidate with a free slot, or null. A target that holds nothing of
--- a/plugins/entry/placement/placement_stage.cpp
+++ b/plugins/entry/placement/placement_stage.cpp
@@ -340,11 +340,10 @@
         auto const here = static_cast<std::size_t>(
             std::count_if(found.begin(), found.end(),
                           [](candidate const& it) { return it.where != nearness::elsewhere; }));
+        score_regions(found, what.object);
         bool const stays = stays_in_region(what, found, here);
-        choice_order const how{.object = what.object,
-                               .warms = warms(what),
-                               .stays = stays,
-                               .homes = homes_of(what.service, here)};
+        choice_order const how{
+            .warms = warms(what), .stays = stays, .homes = homes_of(what.service, here)};
         overflow_.add(millitokens(config_.overflow.count()));
         if (overflow_.tokens() > most_overflow)
             overflow_.take(overflow_.tokens() - most_overflow);
@@ -372,7 +371,7 @@
         if (fraction_for(what) < part)
             return true;
         // What no region serves for itself alone is gathered in one, which may be this one.
-        return warms(what) && gathering_region(found, what.object) == self_.self.region;
+        return warms(what) && gathering_region(found) == self_.self.region;
     }
 
     double fraction_for(request const& what)
--- a/plugins/entry/placement/target_loads.cpp
+++ b/plugins/entry/placement/target_loads.cpp
@@ -39,9 +39,6 @@
            cause == attempt_failure::closed;
 }
 
-/// A target's own 504 says that the request's time was too short, such as for cold work.
-constexpr std::uint16_t out_of_time = 504;
-
 bool ran_out_of_time(attempt_failure cause)
 {
     return cause == attempt_failure::timeout || cause == attempt_failure::cancelled;
@@ -85,7 +82,7 @@
         it.failures = 0;
         it.silences = 0;
         it.replied = now;
-        if (how.content->status != out_of_time)
+        if (how.content->status != out_of_time_status)
             note_quality(it, how.content->status >= 500, now);
     }
 }
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -140,12 +140,10 @@
     }
 
 private:
-    /// A target's 504 tells that it had too little time.
     static bool is_late(attempt_end const& how, bool time_is_up)
     {
-        constexpr std::uint16_t out_of_time = 504;
         if (!how.failed)
-            return how.content->status == out_of_time;
+            return how.content->status == out_of_time_status;
         return how.failed == attempt_failure::timeout ||
                (how.failed == attempt_failure::cancelled && time_is_up);
     }
@@ -264,17 +262,15 @@
 
     void note(messages::target_notice const& it, context& with)
     {
-        static constexpr std::array names{"serving", "leaving", "gone"};
-        with.events.record(target_event,
-                           {{"target", it.id.value()},
-                            {"service", it.service.value()},
-                            {"version", it.version.value()},
-                            {"address", to_string(it.where)},
-                            {"start", std::to_string(it.start.value())},
-                            {"sequence", std::to_string(it.sequence.value())},
-                            {"age_ms", std::to_string(it.age.count())},
-                            {"cold_ms", std::to_string(it.cold_for.count())},
-                            {"standing", names.at(static_cast<std::size_t>(it.standing))}});
+        with.events.record(target_event, {{"target", it.id.value()},
+                                          {"service", it.service.value()},
+                                          {"version", it.version.value()},
+                                          {"address", to_string(it.where)},
+                                          {"start", std::to_string(it.start.value())},
+                                          {"sequence", std::to_string(it.sequence.value())},
+                                          {"age_ms", std::to_string(it.age.count())},
+                                          {"cold_ms", std::to_string(it.cold_for.count())},
+                                          {"standing", std::string(to_string(it.standing))}});
         if (it.standing == messages::target_standing::gone)
             with.out.push_back(forget_target{it.id});
     }
--- a/plugins/entry_io/caller_http/answer_codec.cpp
+++ b/plugins/entry_io/caller_http/answer_codec.cpp
@@ -31,6 +31,15 @@
     return with_body(status, "application/problem+json", boost::json::serialize(what));
 }
 
+http_response encode_reply(reply const& what)
+{
+    http_response out(static_cast<http::status>(what.status), http_version);
+    for (auto const& field : what.fields)
+        out.insert(field.name, field.value);
+    out.body() = what.body;
+    return out;
+}
+
 http_response encode(entry::answer_lookup const& what)
 {
     if (what.instances.empty())
--- a/plugins/entry_io/caller_http/answer_codec.hpp
+++ b/plugins/entry_io/caller_http/answer_codec.hpp
@@ -20,6 +20,9 @@
 /// Returns a problem document (RFC 9457).
 http_response problem(unsigned status, boost::json::object const& what);
 
+/// Encodes a target's reply, as it is passed on to a caller.
+http_response encode_reply(reply const& what);
+
 /// Encodes what became of a request. A refusal is a problem document (RFC 9457)
 /// with `reason` and `verdict`.
 http_response encode(request_id id, entry::outcome const& what);
--- a/plugins/entry_io/caller_http/outcome_codec.cpp
+++ b/plugins/entry_io/caller_http/outcome_codec.cpp
@@ -13,15 +13,9 @@
 
 namespace http = boost::beast::http;
 
-constexpr unsigned http_version = 11;
-
 http_response encode_what(request_id, entry::answered const& it)
 {
-    http_response out(static_cast<http::status>(it.content->status), http_version);
-    for (auto const& field : it.content->fields)
-        out.insert(field.name, field.value);
-    out.body() = it.content->body;
-    return out;
+    return encode_reply(*it.content);
 }
 
 http_response encode_what(request_id id, entry::refused const& it)
--- a/plugins/entry_io/caller_http/request_codec.cpp
+++ b/plugins/entry_io/caller_http/request_codec.cpp
@@ -116,12 +116,11 @@
 
 shared_call forwarded_call(http_request&& from, call_method method, std::string path)
 {
-    call out{.method = method, .path = std::move(path)};
-    for (auto const& it : from)
-        if (is_forwarded(it))
-            out.fields.push_back({std::string(it.name_string()), std::string(it.value())});
-    out.body = std::move(from.body());
-    return std::make_shared<call const>(std::move(out));
+    return std::make_shared<call const>(
+        call{.method = method,
+             .path = std::move(path),
+             .fields = http_fields::fields_passed_on(from, is_forwarded),
+             .body = std::move(from.body())});
 }
 
 decoded decode_forwarded(http_request&& from, std::string_view target, decoding const& with)
--- a/plugins/entry_io/http_fields/http_fields.hpp
+++ b/plugins/entry_io/http_fields/http_fields.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace mulberryrudder::http_fields
 {
@@ -27,6 +28,18 @@
 /// 7.6.1); the length is set anew for each message.
 bool concerns_connection(boost::beast::http::field name);
 
+/// Returns the fields for which `is_passed_on` holds, in their order.
+template <class Predicate>
+std::vector<header_field> fields_passed_on(boost::beast::http::fields const& from,
+                                           Predicate const& is_passed_on)
+{
+    std::vector<header_field> out;
+    for (auto const& it : from)
+        if (is_passed_on(it))
+            out.push_back({std::string(it.name_string()), std::string(it.value())});
+    return out;
+}
+
 /// Reads a field that may be given once; false if it is given more than once.
 bool read_single(boost::beast::http::fields const& from, std::string_view name,
                  std::optional<std::string>& out);
--- a/plugins/entry_io/target_http/exchange_codec.cpp
+++ b/plugins/entry_io/target_http/exchange_codec.cpp
@@ -84,12 +84,10 @@
 
 shared_reply decode(http_reply&& from)
 {
-    reply out{.status = static_cast<std::uint16_t>(from.result_int())};
-    for (auto const& it : from)
-        if (is_passed_on(it))
-            out.fields.push_back({std::string(it.name_string()), std::string(it.value())});
-    out.body = std::move(from.body());
-    return std::make_shared<reply const>(std::move(out));
+    return std::make_shared<reply const>(
+        reply{.status = static_cast<std::uint16_t>(from.result_int()),
+              .fields = http_fields::fields_passed_on(from, is_passed_on),
+              .body = std::move(from.body())});
 }
 
 } // namespace mulberryrudder::target_http
--- a/plugins/peer/codecs/list_codec.hpp
+++ b/plugins/peer/codecs/list_codec.hpp
@@ -9,15 +9,15 @@
 {
 
 /// Helpers for lists in Cap'n Proto structs. Thread safety: any thread.
-template <class T>
-unsigned size_of(std::vector<T> const& from)
+template <class Container>
+unsigned size_of(Container const& from)
 {
     return static_cast<unsigned>(from.size());
 }
 
 /// Writes ids, of text or number, into a list of the same size.
-template <class Id, class List>
-void encode_ids(std::vector<Id> const& from, List to)
+template <class Ids, class List>
+void encode_ids(Ids const& from, List to)
 {
     unsigned n = 0;
     for (auto const& it : from)
@@ -30,11 +30,12 @@
         out.emplace_back(it);
 }
 
-template <class Id>
-void decode_ids(capnp::List<capnp::Text>::Reader from, std::vector<Id>& out)
+/// Reads ids into a vector or a set.
+template <class Ids>
+void decode_ids(capnp::List<capnp::Text>::Reader from, Ids& out)
 {
     for (auto const it : from)
-        out.emplace_back(decode_text(it));
+        out.insert(out.end(), typename Ids::value_type(decode_text(it)));
 }
 
 /// Writes digests into a list of the same size.
--- a/plugins/peer/codecs/roster_codec.cpp
+++ b/plugins/peer/codecs/roster_codec.cpp
@@ -102,7 +102,7 @@
     to.setSequence(from.sequence.value());
     to.setReady(from.ready);
     to.setAgeMs(from.age.count());
-    encode_numbers(from.demand, to.initDemand(static_cast<unsigned>(from.demand.size())));
+    encode_numbers(from.demand, to.initDemand(size_of(from.demand)));
 }
 
 messages::entry_notice decode(EntryNotice::Reader from)
@@ -194,8 +194,8 @@
     encode_list(from.control, to.initControl(size_of(from.control)));
     to.setEntriesInDomain(from.entries_in_domain);
     to.setEntries(from.entries);
-    encode_numbers(from.shares, to.initShares(static_cast<unsigned>(from.shares.size())));
-    encode_numbers(from.demand, to.initDemand(static_cast<unsigned>(from.demand.size())));
+    encode_numbers(from.shares, to.initShares(size_of(from.shares)));
+    encode_numbers(from.demand, to.initDemand(size_of(from.demand)));
 }
 
 messages::roster_update decode_update(Update::Reader from)
--- a/plugins/peer/codecs/steering_parts_codec.cpp
+++ b/plugins/peer/codecs/steering_parts_codec.cpp
@@ -10,26 +10,6 @@
 
 using namespace schema::steering;
 
-namespace
-{
-
-void encode_regions(std::set<region_id> const& from, capnp::List<capnp::Text>::Builder to)
-{
-    unsigned n = 0;
-    for (auto const& it : from)
-        to.set(n++, it.value());
-}
-
-std::set<region_id> decode_regions(capnp::List<capnp::Text>::Reader from)
-{
-    std::set<region_id> out;
-    for (auto const it : from)
-        out.emplace(decode_text(it));
-    return out;
-}
-
-} // namespace
-
 void encode(service_share const& from, ServiceShare::Builder to)
 {
     to.setService(from.service.value());
@@ -54,7 +34,7 @@
     to.setRank(from.rank.count());
     to.setMostTargets(from.most_targets.count());
     encode_list(from.services, to.initServices(size_of(from.services)));
-    encode_regions(from.homes, to.initHomes(static_cast<unsigned>(from.homes.size())));
+    encode_ids(from.homes, to.initHomes(size_of(from.homes)));
 }
 
 plan_route decode(Route::Reader from)
@@ -70,8 +50,9 @@
                    .rank = urgency(from.getRank()),
                    .most_targets = target_count(from.getMostTargets()),
                    .services = {},
-                   .homes = decode_regions(from.getHomes())};
+                   .homes = {}};
     decode_list(from.getServices(), out.services);
+    decode_ids(from.getHomes(), out.homes);
     return out;
 }
 
@@ -101,7 +82,7 @@
     to.setRank(from.rank.value_or(urgency()).count());
     to.setRate(from.rate.count());
     to.setBurst(from.burst.count());
-    encode_regions(from.homes, to.initHomes(static_cast<unsigned>(from.homes.size())));
+    encode_ids(from.homes, to.initHomes(size_of(from.homes)));
 }
 
 plan_customer decode(Customer::Reader from)
@@ -111,7 +92,8 @@
                       .rank = std::nullopt,
                       .rate = millitokens_per_second(from.getRate()),
                       .burst = millitokens(from.getBurst()),
-                      .homes = decode_regions(from.getHomes())};
+                      .homes = {}};
+    decode_ids(from.getHomes(), out.homes);
     if (from.getRanked())
         out.rank = urgency(from.getRank());
     return out;
@@ -166,12 +148,9 @@
     to.setHasPlan(from.plan != nullptr);
     if (from.plan)
         encode_plan(*from.plan, whole, to.initPlan());
-    auto evacuated = to.initEvacuated(static_cast<unsigned>(from.evacuated.size()));
+    encode_ids(from.evacuated, to.initEvacuated(size_of(from.evacuated)));
+    auto versions = to.initVersions(size_of(from.versions));
     unsigned n = 0;
-    for (auto const& it : from.evacuated)
-        evacuated.set(n++, it.value());
-    auto versions = to.initVersions(static_cast<unsigned>(from.versions.size()));
-    n = 0;
     for (auto const& [service, it] : from.versions)
     {
         auto out = versions[n++];
@@ -192,8 +171,7 @@
                        .versions = {}};
     if (from.getHasPlan())
         out.plan = std::make_shared<traffic_plan const>(decode(from.getPlan()));
-    for (auto const it : from.getEvacuated())
-        out.evacuated.emplace(decode_text(it));
+    decode_ids(from.getEvacuated(), out.evacuated);
     for (auto const it : from.getVersions())
         out.versions.emplace(service_id(decode_text(it.getService())),
                              service_versions{.base = version_id(decode_text(it.getBase())),
