Keep a large customer's first seconds beyond its rate within what is tolerated

A customer that asks for little and then, at once, for many times its rate has at every instance a full burst, the pooled part (0.3 of a second's rate), and 1.3 times its rate until the instances hear of the demand, about two seconds later: 0.9 of a second's rate, where a tenth of six seconds is tolerated.

The pooled part is 0.2 and the relaxed rate 1.15 now, about 0.5 altogether.

Test: a_large_customer_that_begins_to_ask_too_much_stays_within_what_is_ tolerated fails before (1606 of 1604) and passes, also with three seconds.

--- a/plugins/entry/quota/quota_stage.cpp
+++ b/plugins/entry/quota/quota_stage.cpp
@@ -13,9 +13,9 @@
 struct quota_settings
 {
     requests pooled{10};
-    per_mille pooled_rate{300};
+    per_mille pooled_rate{200};
     per_mille relaxed_below{800};
-    per_mille relaxed_rate{1300};
+    per_mille relaxed_rate{1150};
 };
 
 kernel::section<quota_settings> const quota_section{
--- a/tests/entry/plan_stages/quota_test.cpp
+++ b/tests/entry/plan_stages/quota_test.cpp
@@ -2,6 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <memory>
+#include <numeric>
+#include <vector>
+
 #include <memory>
 
 namespace mulberryrudder::entry
@@ -31,6 +35,7 @@
     CPPUNIT_TEST(a_customer_beyond_its_rate_is_held_to_it);
     CPPUNIT_TEST(a_refusal_tells_when_to_return);
     CPPUNIT_TEST(all_instances_together_stay_within_what_is_tolerated);
+    CPPUNIT_TEST(a_large_customer_that_begins_to_ask_too_much_stays_within_what_is_tolerated);
     CPPUNIT_TEST(a_customer_without_a_limit_is_never_refused);
     CPPUNIT_TEST(open_routes_cost_nothing);
     CPPUNIT_TEST_SUITE_END();
@@ -92,6 +97,47 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(through), through <= tolerated);
     }
 
+    /// Pattern: a customer with a high rate asks for a third of it and then, at once, for
+    /// eight times as much; instances hear of it two seconds later (found by a hunt on
+    /// basamak-yaris, bad-version with seed 400678622337: 1670 in five seconds, 1611 are
+    /// tolerated).
+    void a_large_customer_that_begins_to_ask_too_much_stays_within_what_is_tolerated()
+    {
+        constexpr int instances = 11;
+        constexpr std::int64_t rate = 240;
+        std::vector<std::unique_ptr<plan_bench>> all;
+        for (int n = 0; n != instances; ++n)
+        {
+            auto const& it = all.emplace_back(std::make_unique<plan_bench>());
+            auto plan = testing::sample_plan();
+            plan.customers.front().rate = millitokens_per_second(rate * 1000);
+            plan.customers.front().burst = millitokens(rate * 1000);
+            it->put(plan);
+            it->plan().all = instances;
+            it->plan().share = per_mille(1000 / instances);
+            it->plan().demand = millitokens_per_second(80'000);
+        }
+        std::vector<int> through; // In each tenth of a second.
+        for (int tenth = 0; tenth != 150; ++tenth)
+        {
+            bool const hot = tenth >= 50;
+            through.push_back(0);
+            for (auto const& it : all)
+            {
+                if (tenth == 70)
+                    it->plan().demand = millitokens_per_second(640'000);
+                through.back() += let_through(*it, hot ? 6 : 1, milliseconds(100));
+            }
+        }
+        auto const tolerated = static_cast<int>((rate * 5 + rate) * 11 / 10 + 20);
+        for (std::size_t n = 0; n + 50 <= through.size(); ++n)
+        {
+            auto const from = through.begin() + static_cast<std::ptrdiff_t>(n);
+            auto const sum = std::accumulate(from, from + 50, 0);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(sum), sum <= tolerated);
+        }
+    }
+
     void a_customer_without_a_limit_is_never_refused()
     {
         plan_bench it;
