Log departures of callers, late answers of control, and holders of a leave

New: caller.left, caller.unwatched, control.answered_late, the fields holders and of of roster.leave_answered, the age of leaves, and counters for departures that met a full ring and for sendings after a departure.

--- a/entry/core.cpp
+++ b/entry/core.cpp
@@ -37,6 +37,9 @@
 kernel::counter_kind const requests_answered("requests.answered",
                                              "Requests answered with a target's whole reply.");
 kernel::counter_kind const attempts_sent("attempts.sent", "Sendings of a request to a target.");
+kernel::counter_kind const
+    attempts_for_nobody("attempts.sent_for_nobody",
+                        "Sendings of a request whose caller had left by then.");
 kernel::counter_kind const attempts_failed("attempts.failed",
                                            "Attempts that ended without a whole reply.");
 
@@ -148,7 +151,8 @@
     if (found == live_.end())
         return;
     // A request that cannot be repeated runs on, so that a resend can get its reply.
-    auto const& what = found->second.what;
+    auto& what = found->second.what;
+    what.caller_left = true;
     if (!what.repeatable && run_of(what) != verdict::not_run)
         return;
     finish(it.id, refused{.why = &caller_left});
@@ -293,6 +297,8 @@
     it.what.attempts.push_back({.id = number, .target = target, .started = context_.now});
     attempts_.emplace(number, it.what.id);
     context_.counters.add(attempts_sent);
+    if (it.what.caller_left)
+        context_.counters.add(attempts_for_nobody);
     scratch_.push_back(send_attempt{.id = number,
                                     .request = it.what.id,
                                     .target = target.id,
--- a/include/mulberryrudder/entry/request.hpp
+++ b/include/mulberryrudder/entry/request.hpp
@@ -77,6 +77,7 @@
     std::string why; ///< What the last stage that decided it went by, for the log.
     /// What another instance may have done with it; set by the stage that forwards.
     verdict run_elsewhere = verdict::not_run;
+    bool caller_left = false; ///< It runs on, but nobody waits for its answer.
 };
 
 /// A request was answered with a target's whole reply.
--- a/plugins/control/roster/control_table.cpp
+++ b/plugins/control/roster/control_table.cpp
@@ -38,11 +38,16 @@
 }
 
 bool control_table::held_by_majority(sequence_id number) const
+{
+    return holders(number) * 2 > size();
+}
+
+std::size_t control_table::holders(sequence_id number) const
 {
     auto const held =
         std::count_if(rows_.begin(), rows_.end(),
                       [&](auto const& it) { return it.second.acknowledged >= number; });
-    return static_cast<std::size_t>(held + 1) * 2 > rows_.size() + 1;
+    return static_cast<std::size_t>(held) + 1;
 }
 
 bool control_table::hears_majority(instant since) const
--- a/plugins/control/roster/control_table.hpp
+++ b/plugins/control/roster/control_table.hpp
@@ -45,6 +45,13 @@
     /// in what was sent under a number.
     bool held_by_majority(sequence_id number) const;
 
+    /// Returns how many of the known instances, this one included, took in what was sent
+    /// under a number.
+    std::size_t holders(sequence_id number) const;
+
+    /// Returns how many instances are known, this one included.
+    std::size_t size() const { return rows_.size() + 1; }
+
     /// Returns whether more than half of the known instances, this one included, were
     /// heard since a time.
     bool hears_majority(instant since) const;
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -83,7 +83,7 @@
      .name = "roster.leave_answered",
      .level = kernel::severity::info,
      .meaning = "A target that leaves was answered; `held` tells whether a majority of the "
-                "control instances knows of it.",
+                "control instances knows of it, `holders` how many of them do.",
      .action = "If `held` is false often, look at the connections between control instances."}};
 kernel::event_kind const stood_still_event{
     {.number = 722,
@@ -263,8 +263,12 @@
                           bool const held = controls_.held_by_majority(it.number);
                           if (!held && with.now < it.deadline)
                               return false;
-                          with.events.record(leave_event, {{"target", it.target.value()},
-                                                           {"held", held ? "true" : "false"}});
+                          with.events.record(
+                              leave_event,
+                              {{"target", it.target.value()},
+                               {"held", held ? "true" : "false"},
+                               {"holders", std::to_string(controls_.holders(it.number))},
+                               {"of", std::to_string(controls_.size())}});
                           with.answer(it.asker, announcement_taken{held});
                           return true;
                       });
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -68,6 +68,16 @@
      .meaning = "A control instance hears too few of the others; another one is asked.",
      .action = "Look at the connections between the control instances."}};
 
+kernel::event_kind const late_answer_event{
+    {.number = 305,
+     .name = "control.answered_late",
+     .level = kernel::severity::warning,
+     .meaning = "A control instance answered a report after it was given up; `targets` tells how "
+                "many notices the answer holds.",
+     .action = "If it goes on, look at the load of the link to that instance."}};
+
+kernel::histogram_kind const news_age("targets.news_age",
+                                      "Age of the news that a target leaves, as control told it.");
 kernel::counter_kind const reports_counter("roster.reports", "Reports sent to control.");
 
 /// Silences after which the limit for an answer does not double any more.
@@ -209,7 +219,11 @@
     void take_update(instance_id from, messages::roster_update const& it, context& with)
     {
         if (from != waiting_for_ || it.poll != number_)
-            return;
+            return with.events.record(late_answer_event,
+                                      {{"control", std::to_string(from.value())},
+                                       {"poll", std::to_string(it.poll.value())},
+                                       {"behind", std::to_string(number_.value() - it.poll.value())},
+                                       {"targets", std::to_string(it.targets.size())}});
         waiting_for_.reset();
         unanswered_ = 0;
         if (answered_by_ != from)
@@ -271,6 +285,8 @@
                                           {"age_ms", std::to_string(it.age.count())},
                                           {"cold_ms", std::to_string(it.cold_for.count())},
                                           {"standing", std::string(to_string(it.standing))}});
+        if (it.standing != messages::target_standing::serving)
+            with.counters.observe(news_age, it.age);
         if (it.standing == messages::target_standing::gone)
             with.out.push_back(forget_target{it.id});
     }
--- a/plugins/entry_io/caller_http/caller_duty.cpp
+++ b/plugins/entry_io/caller_http/caller_duty.cpp
@@ -36,6 +36,21 @@
                                               "Connections taken from callers and targets.");
 kernel::counter_kind const connections_refused("callers.connections_refused",
                                                "Connections refused because too many were open.");
+kernel::counter_kind const departures_lost("callers.departures_lost",
+                                           "Callers that left, which the decisions were not told.");
+kernel::event_kind const left_event{
+    {.number = 16,
+     .name = "caller.left",
+     .level = kernel::severity::info,
+     .meaning = "A caller closed its connection before the answer to its request `id`.",
+     .action = "If many leave, compare their waiting times with the callers' deadlines."}};
+kernel::event_kind const unwatched_event{
+    {.number = 17,
+     .name = "caller.unwatched",
+     .level = kernel::severity::info,
+     .meaning = "A caller sent more before the answer to its request `id`; if it leaves, this "
+                "is not seen until then.",
+     .action = "None."}};
 kernel::counter_kind const lookups("lookups.answered", "Look-ups that were answered.");
 
 /// Speaks HTTP with callers and targets: bytes in, inputs out, and back.
@@ -235,8 +250,14 @@
     void caller_gone(request_id id) override
     {
         unanswered_.erase(id);
+        events().record(left_event, {{"id", std::to_string(id.value())}});
         // If the ring is full the request runs into its deadline, which is no harm.
-        to_decision_.try_push(entry::caller_gone{id});
+        if (!to_decision_.try_push(entry::caller_gone{id}))
+            parts().counters.add(departures_lost);
+    }
+    void unwatched(request_id id) override
+    {
+        events().record(unwatched_event, {{"id", std::to_string(id.value())}});
     }
     void ended(std::shared_ptr<session> const& it) override { sessions_.erase(it); }
     caller_settings const& config() const override { return config_; }
--- a/plugins/entry_io/caller_http/session.cpp
+++ b/plugins/entry_io/caller_http/session.cpp
@@ -123,7 +123,7 @@
 void session::watch_for_close()
 {
     if (buf_.size() != 0)
-        return;
+        return owner_.unwatched(*unanswered_);
     stream_.socket().async_wait(boost::asio::ip::tcp::socket::wait_read,
                                 [self = shared_from_this(), id = *unanswered_](auto ec)
                                 {
@@ -131,7 +131,7 @@
                                         return;
                                     boost::system::error_code failed;
                                     if (self->stream_.socket().available(failed) != 0 && !failed)
-                                        return;
+                                        return self->owner_.unwatched(id);
                                     self->unanswered_.reset();
                                     self->owner_.caller_gone(id);
                                     self->end();
--- a/plugins/entry_io/caller_http/session.hpp
+++ b/plugins/entry_io/caller_http/session.hpp
@@ -29,6 +29,8 @@
     virtual void arrived(std::shared_ptr<session> const& from, http_request&& what) = 0;
     /// The caller closed its connection while request `id` was unanswered.
     virtual void caller_gone(request_id id) = 0;
+    /// From now on the end of the connection would not be seen while `id` is unanswered.
+    virtual void unwatched(request_id id) = 0;
     virtual void ended(std::shared_ptr<session> const& it) = 0;
     virtual caller_settings const& config() const = 0;
     /// The limits that hold for the next request.
