Read ahead while a request is unanswered, so that a caller's end is seen

Cause: a connection was only watched while no byte stood behind the request that waited. A caller that sends further requests ahead was never watched, and its buffered requests ran one after the other when it had long closed. In the same way the requests of callers that left while this instance was behind were passed on as soon as they were read.

Now the session reads what comes behind a waiting request into its buffer, up to 64 KiB, and takes the end behind it as the caller's departure; a request is passed on only if its connection is still open then. New tests failed before: a_caller_that_sent_ahead_and_leaves_is_told, a_caller_that_sends_more_while_it_waits_and_leaves_is_told.

Beyond 64 KiB a departure is still not seen: caller.unwatched.

--- a/plugins/entry_io/caller_http/caller_duty.cpp
+++ b/plugins/entry_io/caller_http/caller_duty.cpp
@@ -48,8 +48,8 @@
     {.number = 17,
      .name = "caller.unwatched",
      .level = kernel::severity::info,
-     .meaning = "A caller sent more before the answer to its request `id`; if it leaves, this "
-                "is not seen until then.",
+     .meaning = "A caller sent more ahead of the answer to its request `id` than is read; if it "
+                "leaves, this is not seen until the answer.",
      .action = "None."}};
 kernel::counter_kind const lookups("lookups.answered", "Look-ups that were answered.");
 
@@ -213,6 +213,9 @@
     template <class T>
     void submit(std::shared_ptr<session> const& from, request_id id, T&& what)
     {
+        // A caller that left before its request was read waits for nothing.
+        if (!from->read_ahead())
+            return from->end();
         if (!to_decision_.try_push(entry::input(std::forward<T>(what))))
             return from->answer(refuse_overloaded());
         unanswered_.emplace(id, from);
--- a/plugins/entry_io/caller_http/session.cpp
+++ b/plugins/entry_io/caller_http/session.cpp
@@ -13,6 +13,12 @@
 
 namespace http = boost::beast::http;
 
+/// Bytes that are taken from a socket at a time.
+constexpr std::size_t read_size = 4096;
+/// Bytes that are read behind an unanswered request: some dozens of requests without
+/// bodies. What a caller sends beyond stays in its socket.
+constexpr std::size_t most_read_ahead = 65'536;
+
 client_address address_of(boost::asio::ip::tcp::socket const& socket)
 {
     client_address out;
@@ -48,6 +54,7 @@
 {
     boost::system::error_code ec;
     stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ec);
+    stream_.socket().non_blocking(true, ec);
     kernel::limit_silence(stream_.socket(), owner.config().read_limit);
 }
 
@@ -61,7 +68,7 @@
         return read_header();
     // Until the first byte the connection is idle, which may take longer than a request.
     stream_.expires_after(owner_.limits().idle_limit);
-    stream_.async_read_some(buf_.prepare(4096),
+    stream_.async_read_some(buf_.prepare(read_size),
                             [self = shared_from_this()](auto ec, std::size_t n)
                             {
                                 self->buf_.commit(n);
@@ -118,26 +125,35 @@
     watch_for_close();
 }
 
-/// A readable socket without data is a closed one; a pipelined request is data,
-/// and then the connection is not watched until it is read.
+bool session::read_ahead()
+{
+    boost::system::error_code ec;
+    while (!ec && buf_.size() < most_read_ahead)
+        buf_.commit(stream_.socket().read_some(buf_.prepare(read_size), ec));
+    return !ec || ec == boost::asio::error::would_block;
+}
+
 void session::watch_for_close()
 {
-    if (buf_.size() != 0)
+    if (buf_.size() >= most_read_ahead)
         return owner_.unwatched(*unanswered_);
     stream_.socket().async_wait(boost::asio::ip::tcp::socket::wait_read,
                                 [self = shared_from_this(), id = *unanswered_](auto ec)
                                 {
-                                    if (ec || self->unanswered_ != id)
-                                        return;
-                                    boost::system::error_code failed;
-                                    if (self->stream_.socket().available(failed) != 0 && !failed)
-                                        return self->owner_.unwatched(id);
-                                    self->unanswered_.reset();
-                                    self->owner_.caller_gone(id);
-                                    self->end();
+                                    if (!ec && self->unanswered_ == id)
+                                        self->watched(id);
                                 });
 }
 
+void session::watched(request_id id)
+{
+    if (read_ahead())
+        return watch_for_close();
+    unanswered_.reset();
+    owner_.caller_gone(id);
+    end();
+}
+
 void session::answer(http_response&& what)
 {
     if (ended_)
--- a/plugins/entry_io/caller_http/session.hpp
+++ b/plugins/entry_io/caller_http/session.hpp
@@ -29,7 +29,8 @@
     virtual void arrived(std::shared_ptr<session> const& from, http_request&& what) = 0;
     /// The caller closed its connection while request `id` was unanswered.
     virtual void caller_gone(request_id id) = 0;
-    /// From now on the end of the connection would not be seen while `id` is unanswered.
+    /// The caller sent more ahead than is read: the end of its connection will not be seen
+    /// while `id` is unanswered.
     virtual void unwatched(request_id id) = 0;
     virtual void ended(std::shared_ptr<session> const& it) = 0;
     virtual caller_settings const& config() const = 0;
@@ -39,8 +40,9 @@
     virtual bool closing() const = 0;
 };
 
-/// One connection of a caller or a target. It reads one request at a time, within
-/// the limits, and reads on only after the request is answered.
+/// One connection of a caller or a target. It takes one request at a time, within
+/// the limits. While one is unanswered it reads ahead, so that the connection's end is
+/// seen behind further requests; these are taken one by one after the answers.
 ///
 /// Thread safety: the caller duty's thread.
 class session final : public std::enable_shared_from_this<session>
@@ -55,9 +57,16 @@
     /// Answers the current request.
     void answer(http_response&& what);
 
+    /// Reads what came behind the current request; returns whether the connection is still
+    /// open behind it.
+    bool read_ahead();
+
     /// Notes which request is unanswered, so that the caller's leaving can be told.
     void expect_answer(request_id id);
 
+    /// Closes the connection without an answer.
+    void end();
+
     /// Closes the connection if it is between two requests.
     void close_if_idle();
 
@@ -74,7 +83,7 @@
     void refuse_unreadable(boost::system::error_code ec);
     void written(boost::system::error_code ec, bool keep_open);
     void watch_for_close();
-    void end();
+    void watched(request_id id);
 
     boost::beast::tcp_stream stream_;
     session_owner& owner_;
--- a/tests/entry_io/caller_http/caller_duty_test.cpp
+++ b/tests/entry_io/caller_http/caller_duty_test.cpp
@@ -37,12 +37,19 @@
     hang_up
 };
 
+/// What the decision duty does with requests.
+enum class decisions
+{
+    refuse,
+    none
+};
+
 /// Runs the caller duty on a thread, as a process does, and plays the decision duty.
 class running_duty
 {
 public:
     /// `stated`: the limits of the plan that comes before the first caller.
-    explicit running_duty(caller_limits const& stated = {})
+    explicit running_duty(caller_limits const& stated = {}, decisions with = decisions::refuse)
     {
         config_.set(fleet::instance_section,
                     {.id = instance_id(1), .caller = {"127.0.0.1", test_port}});
@@ -54,7 +61,8 @@
         duty_ = kernel::duty_registry::instance().entries().front().make(parts_);
         duty_->connect();
         thread_ = std::thread([this] { duty_->run(); });
-        decisions_ = std::jthread([this](std::stop_token const& it) { refuse_all(it); });
+        if (with == decisions::refuse)
+            decisions_ = std::jthread([this](std::stop_token const& it) { refuse_all(it); });
     }
 
     ~running_duty()
@@ -82,6 +90,24 @@
         return out;
     }
 
+    /// Opens a connection and sends bytes. The duty listens a moment after its start.
+    void send(tcp::socket& socket, std::string const& bytes)
+    {
+        connect(socket);
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+    }
+
+    /// Returns the next input for the decisions; nothing if none comes within a second.
+    std::optional<entry::input> next_input()
+    {
+        entry::input out;
+        for (auto const until = monotonic_now() + seconds(1); monotonic_now() < until;
+             std::this_thread::sleep_for(milliseconds(1)))
+            if (from_duty_.try_pop(out))
+                return out;
+        return std::nullopt;
+    }
+
 private:
     /// Refuses whatever the duty passes on, as a decision duty without targets does.
     void refuse_all(std::stop_token const& stopped)
@@ -176,6 +202,10 @@
     CPPUNIT_TEST(a_plan_narrows_the_time_for_a_header);
     CPPUNIT_TEST(a_plan_narrows_the_time_without_a_request);
     CPPUNIT_TEST(a_plan_never_widens_the_settings);
+    CPPUNIT_TEST(a_caller_that_leaves_is_told);
+    CPPUNIT_TEST(a_caller_that_sent_ahead_and_leaves_is_told);
+    CPPUNIT_TEST(a_caller_that_sends_more_while_it_waits_and_leaves_is_told);
+    CPPUNIT_TEST(requests_sent_ahead_are_answered_in_order);
     CPPUNIT_TEST(random_bytes_end_with_a_closed_connection);
     CPPUNIT_TEST(almost_valid_requests_end_with_a_closed_connection);
     CPPUNIT_TEST_SUITE_END();
@@ -248,6 +278,53 @@
         CPPUNIT_ASSERT(out == narrowed(config, {}));
     }
 
+    void a_caller_that_leaves_is_told()
+    {
+        restart({}, decisions::none);
+        boost::asio::io_context loop;
+        tcp::socket socket(loop);
+        duty_->send(socket, request);
+        expect_departure_of(expect_request(), socket);
+    }
+
+    // Guards against GONE: a connection with a further request in its buffer was not watched,
+    // so work went on, and the further requests ran, after their caller had left.
+    void a_caller_that_sent_ahead_and_leaves_is_told()
+    {
+        restart({}, decisions::none);
+        boost::asio::io_context loop;
+        tcp::socket socket(loop);
+        duty_->send(socket, request + request + request);
+        expect_departure_of(expect_request(), socket);
+        CPPUNIT_ASSERT_MESSAGE("a request that was sent ahead", !duty_->next_input());
+    }
+
+    // Guards against GONE: once bytes came on a watched connection it was not watched again.
+    void a_caller_that_sends_more_while_it_waits_and_leaves_is_told()
+    {
+        restart({}, decisions::none);
+        boost::asio::io_context loop;
+        tcp::socket socket(loop);
+        duty_->send(socket, request);
+        auto const id = expect_request();
+        for (int n = 0; n != 3; ++n)
+        {
+            boost::asio::write(socket, boost::asio::buffer(request));
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+        expect_departure_of(id, socket);
+    }
+
+    void requests_sent_ahead_are_answered_in_order()
+    {
+        auto const last = "GET /v1/health HTTP/1.1\r\nConnection: close\r\n\r\n";
+        auto const replies = duty_->exchange(request + request + last);
+        auto const first = replies.find("503 Service Unavailable");
+        auto const second = replies.find("503 Service Unavailable", first + 1);
+        CPPUNIT_ASSERT(second != std::string::npos);
+        CPPUNIT_ASSERT(replies.find("200 OK", second) != std::string::npos);
+    }
+
     void random_bytes_end_with_a_closed_connection()
     {
         std::mt19937_64 random(20261204);
@@ -265,10 +342,27 @@
     }
 
 private:
-    void restart(caller_limits const& stated)
+    static inline std::string const request = "GET /r/ HTTP/1.1\r\nHost: x\r\n\r\n";
+    void restart(caller_limits const& stated, decisions with = decisions::refuse)
     {
         duty_.reset();
-        duty_ = std::make_unique<running_duty>(stated);
+        duty_ = std::make_unique<running_duty>(stated, with);
+    }
+
+    request_id expect_request()
+    {
+        auto const it = duty_->next_input();
+        CPPUNIT_ASSERT_MESSAGE("a request arrives", it.has_value());
+        return std::get<entry::request_arrived>(*it).id;
+    }
+
+    /// Closes a connection and expects that the decisions hear of it.
+    void expect_departure_of(request_id id, tcp::socket& socket)
+    {
+        socket.close();
+        auto const it = duty_->next_input();
+        CPPUNIT_ASSERT_MESSAGE("the departure is told", it.has_value());
+        CPPUNIT_ASSERT(std::get<entry::caller_gone>(*it).id == id);
     }
 
     void still_answers()
