Keep a caller's departure while the ring to the decisions is full

Cause: the caller duty dropped the message for good, with the comment that the request then ran into its deadline; for a target that is work for a caller that has left. The same class as the connection that was not watched: what ends work was treated as a hint.

The departure now waits in an outbox, which the requests that are unanswered bound. Trying a full ring again moves from the target duty to asio_duty, for both. a_departure_waits_for_room_in_the_ring failed with the message dropped.

--- a/include/mulberryrudder/kernel/asio_duty.hpp
+++ b/include/mulberryrudder/kernel/asio_duty.hpp
@@ -3,11 +3,14 @@
 
 #include <mulberryrudder/core/time.hpp>
 #include <mulberryrudder/kernel/duty.hpp>
+#include <mulberryrudder/kernel/outbox.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <set>
+
 namespace mulberryrudder::kernel
 {
 
@@ -40,6 +43,10 @@
     /// Calls `work` on the duty's thread once, `delay` from now on.
     void run_once(span delay, std::function<void()> const& work);
 
+    /// Sends what an outbox keeps, soon and again until its ring has taken all of it. Does
+    /// nothing if it keeps nothing. Precondition: the outbox lives as long as the loop.
+    void flush_soon(outbox_base& it);
+
     boost::asio::io_context& loop() { return loop_; }
     duty_parts const& parts() const { return parts_; }
     event_sink& events() { return events_; }
@@ -57,6 +64,7 @@
     waker& waker_;
     boost::asio::posix::stream_descriptor wake_descriptor_;
     std::vector<std::shared_ptr<boost::asio::steady_timer>> timers_;
+    std::set<outbox_base*> flushing_; ///< Those that a timer is set for.
 };
 
 } // namespace mulberryrudder::kernel
--- a/kernel/asio_duty.cpp
+++ b/kernel/asio_duty.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+/// How soon a full ring is tried again.
+constexpr milliseconds flush_delay{2};
+
 /// Re-arms a periodic timer from its last expiry, so that the period does not drift.
 void rearm(std::shared_ptr<boost::asio::steady_timer> const& timer, span period,
            std::function<void()> const& work)
@@ -74,6 +77,19 @@
         });
 }
 
+void asio_duty::flush_soon(outbox_base& it)
+{
+    if (!it.blocked() || !flushing_.insert(&it).second)
+        return;
+    run_once(flush_delay,
+             [this, &it]
+             {
+                 flushing_.erase(&it);
+                 it.flush();
+                 flush_soon(it);
+             });
+}
+
 void asio_duty::wait_for_wake()
 {
     wake_descriptor_.async_wait(boost::asio::posix::stream_descriptor::wait_read,
--- a/plugins/entry_io/caller_http/caller_duty.cpp
+++ b/plugins/entry_io/caller_http/caller_duty.cpp
@@ -36,8 +36,6 @@
                                               "Connections taken from callers and targets.");
 kernel::counter_kind const connections_refused("callers.connections_refused",
                                                "Connections refused because too many were open.");
-kernel::counter_kind const departures_lost("callers.departures_lost",
-                                           "Callers that left, which the decisions were not told.");
 kernel::event_kind const left_event{
     {.number = 16,
      .name = "caller.left",
@@ -254,9 +252,8 @@
     {
         unanswered_.erase(id);
         events().record(left_event, {{"id", std::to_string(id.value())}});
-        // If the ring is full the request runs into its deadline, which is no harm.
-        if (!to_decision_.try_push(entry::caller_gone{id}))
-            parts().counters.add(departures_lost);
+        departures_.post(entry::caller_gone{id});
+        flush_soon(departures_);
     }
     void unwatched(request_id id) override
     {
@@ -271,6 +268,8 @@
     caller_limits limits_ = narrowed(config_, {});
     fleet::instance_settings instance_;
     kernel::ring<entry::input>& to_decision_;
+    /// Bounded by the requests that are unanswered.
+    kernel::outbox<entry::input> departures_{to_decision_};
     kernel::ring<entry::effect>& answers_;
     entry::numbering numbers_;
     tcp::acceptor acceptor_;
--- a/plugins/entry_io/target_http/target_duty.cpp
+++ b/plugins/entry_io/target_http/target_duty.cpp
@@ -16,8 +16,6 @@
 /// Orders that are carried out before the sockets have their turn.
 constexpr int batch_size = 256;
 constexpr milliseconds sweep_period{500};
-/// How soon a full ring is tried again.
-constexpr milliseconds flush_delay{2};
 
 kernel::counter_kind const connections_opened("targets.exchanges",
                                               "Requests and probes sent over connections.");
@@ -118,22 +116,7 @@
     void tell(entry::input what)
     {
         to_decision_.post(std::move(what));
-        if (to_decision_.blocked())
-            flush_later();
-    }
-
-    void flush_later()
-    {
-        if (std::exchange(flush_pending_, true))
-            return;
-        run_once(flush_delay,
-                 [this]
-                 {
-                     flush_pending_ = false;
-                     to_decision_.flush();
-                     if (to_decision_.blocked())
-                         flush_later();
-                 });
+        flush_soon(to_decision_);
     }
 
     void cancel(attempt_id id)
@@ -165,7 +148,6 @@
     kernel::ring<entry::effect>& orders_;
     /// Bounded by the attempts and probes that the decisions have running.
     kernel::outbox<entry::input> to_decision_;
-    bool flush_pending_ = false;
     pool pool_;
     std::unordered_map<attempt_id, std::shared_ptr<connection>> running_;
 };
--- a/tests/entry_io/caller_http/caller_duty_test.cpp
+++ b/tests/entry_io/caller_http/caller_duty_test.cpp
@@ -9,6 +9,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <iostream>
@@ -205,6 +208,7 @@
     CPPUNIT_TEST(a_caller_that_leaves_is_told);
     CPPUNIT_TEST(a_caller_that_sent_ahead_and_leaves_is_told);
     CPPUNIT_TEST(a_caller_that_sends_more_while_it_waits_and_leaves_is_told);
+    CPPUNIT_TEST(a_departure_waits_for_room_in_the_ring);
     CPPUNIT_TEST(requests_sent_ahead_are_answered_in_order);
     CPPUNIT_TEST(random_bytes_end_with_a_closed_connection);
     CPPUNIT_TEST(almost_valid_requests_end_with_a_closed_connection);
@@ -315,6 +319,29 @@
         expect_departure_of(id, socket);
     }
 
+    // Guards against GONE: a departure that met a full ring was dropped, and the request ran
+    // until its deadline.
+    void a_departure_waits_for_room_in_the_ring()
+    {
+        restart({}, decisions::none);
+        boost::asio::io_context loop;
+        tcp::socket leaving(loop);
+        duty_->send(leaving, request);
+        tcp::socket busy(loop);
+        duty_->send(busy, announcement);
+        while (next_status(busy) != "HTTP/1.1 503 Service Unavailable")
+            boost::asio::write(busy, boost::asio::buffer(announcement));
+        leaving.close();
+        std::this_thread::sleep_for(milliseconds(50));
+        auto const id = expect_request();
+        std::optional<entry::input> it;
+        while ((it = duty_->next_input()) && !std::holds_alternative<entry::caller_gone>(*it))
+        {
+        }
+        CPPUNIT_ASSERT_MESSAGE("the departure is told", it.has_value());
+        CPPUNIT_ASSERT(std::get<entry::caller_gone>(*it).id == id);
+    }
+
     void requests_sent_ahead_are_answered_in_order()
     {
         auto const last = "GET /v1/health HTTP/1.1\r\nConnection: close\r\n\r\n";
@@ -343,6 +370,22 @@
 
 private:
     static inline std::string const request = "GET /r/ HTTP/1.1\r\nHost: x\r\n\r\n";
+    static inline std::string const announcement = [] {
+        std::string const body = R"({"target":"t","address":"127.0.0.1:1","domain":"d",)"
+                                 R"("version":"v","routes":["r"],"slots":1})";
+        return "POST /v1/announce HTTP/1.1\r\nContent-Length: " +
+               std::to_string(body.size()) + "\r\n\r\n" + body;
+    }();
+
+    /// Reads a whole answer and returns its first line.
+    static std::string next_status(tcp::socket& from)
+    {
+        boost::beast::flat_buffer buf;
+        boost::beast::http::response<boost::beast::http::string_body> it;
+        boost::beast::http::read(from, buf, it);
+        return "HTTP/1.1 " + std::to_string(it.result_int()) + " " + std::string(it.reason());
+    }
+
     void restart(caller_limits const& stated, decisions with = decisions::refuse)
     {
         duty_.reset();
