End a request that did not run once its caller has left

Cause: a request that runs at most once is left to its target when its caller leaves, since it may have run. Nothing recorded that, so when the target then turned it away it was sent to another one, for nobody.

--- a/entry/core.cpp
+++ b/entry/core.cpp
@@ -37,9 +37,6 @@
 kernel::counter_kind const requests_answered("requests.answered",
                                              "Requests answered with a target's whole reply.");
 kernel::counter_kind const attempts_sent("attempts.sent", "Sendings of a request to a target.");
-kernel::counter_kind const
-    attempts_for_nobody("attempts.sent_for_nobody",
-                        "Sendings of a request whose caller had left by then.");
 kernel::counter_kind const attempts_failed("attempts.failed",
                                            "Attempts that ended without a whole reply.");
 
@@ -297,8 +294,6 @@
     it.what.attempts.push_back({.id = number, .target = target, .started = context_.now});
     attempts_.emplace(number, it.what.id);
     context_.counters.add(attempts_sent);
-    if (it.what.caller_left)
-        context_.counters.add(attempts_for_nobody);
     scratch_.push_back(send_attempt{.id = number,
                                     .request = it.what.id,
                                     .target = target.id,
@@ -356,6 +351,8 @@
     auto& it = found->second;
     if (std::any_of(it.what.attempts.begin(), it.what.attempts.end(), is_running))
         return;
+    if (it.what.caller_left)
+        return finish(id, refused{.why = &caller_left});
     for (auto& stage : stages_)
     {
         auto const decided = stage.rule->recover(it.what, last, how, context_);
--- a/tests/entry/plan_stages/plan_bench.cpp
+++ b/tests/entry/plan_stages/plan_bench.cpp
@@ -139,6 +139,12 @@
     collect();
 }
 
+void plan_bench::leave(request_id id)
+{
+    core_.handle(now, caller_gone{id}, effects_);
+    collect();
+}
+
 void plan_bench::pass(span time)
 {
     now += time;
--- a/tests/entry/plan_stages/plan_bench.hpp
+++ b/tests/entry/plan_stages/plan_bench.hpp
@@ -64,6 +64,8 @@
     void reply(request_id id, std::uint16_t status = 200);
     /// Ends the newest attempt of a request without one.
     void fail(request_id id, attempt_failure cause, verdict run);
+    /// The caller of a request closes its connection.
+    void leave(request_id id);
     void pass(span time);
 
     /// Returns the target of a request's newest attempt; empty if there is none.
