Close the connection of a cancelled exchange

Cause: cancel() ends operations that are pending. One whose step was just done, as a write behind which the read begins, went on, and the exchange ran until its deadline: the target worked on for a caller that had left.

The connection is closed instead, which no later step survives. a_cancellation_behind_the_request_closes_the_connection failed before.

--- a/plugins/entry_io/target_http/connection.cpp
+++ b/plugins/entry_io/target_http/connection.cpp
@@ -72,7 +72,7 @@
     http::async_write(stream_, request_,
                       [self = shared_from_this()](auto ec, std::size_t)
                       {
-                          if (ec)
+                          if (ec || self->cancelled_)
                               return self->fail(ec, verdict::may_have_run);
                           self->read();
                       });
@@ -109,7 +109,8 @@
 void connection::cancel()
 {
     cancelled_ = true;
-    stream_.cancel();
+    // Unlike cancel(), this also ends an operation that is between two steps.
+    stream_.close();
 }
 
 void connection::fail(boost::system::error_code ec, verdict run)
--- a/plugins/entry_io/target_http/connection.hpp
+++ b/plugins/entry_io/target_http/connection.hpp
@@ -40,7 +40,8 @@
     /// Precondition: the connection is idle.
     void exchange(http_request what, instant deadline, ended done);
 
-    /// Gives the running exchange up: `done` is called with `cancelled`.
+    /// Gives the running exchange up and closes the connection: `done` is called with
+    /// `cancelled`.
     void cancel();
 
     /// Calls `closed` once the idle connection is closed by either side.
