Let entries change their control instance at the cost of what differs

Cause: an entry that turned to another control instance asked it for all targets, some 90 KB, over a link that callers' traffic fills too. The limit for that answer, 0.25 s and then twice as much up to 1.3 s, passed first; the answer was thrown away when it came, and the next instance was asked for the same. Each change of control, also the return to the nearest instance five seconds later, began this anew, so the fleet went on with it long after the trouble: retries that multiply the load that causes them.

Ruled out: leaves that control instances learned late (all nine within 0.1 s in the first case), targets chosen before the leave was known at the entry.

Now a report to another instance tells sums over 64 parts of what the entry holds, and where it stands in that instance's changes; the answer holds the parts that differ. Late answers are taken in, since all they tell is ordered by its own numbers, and an entry that seeks an instance stays with the one that answers. Reports are numbered from anywhere, so that an answer to an earlier start is not taken.

--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -383,8 +383,8 @@
 
     bool has_news(messages::roster_poll const& it, instant now)
     {
-        return !is_connected(now) || it.known_boot != epoch_ || it.known < targets_.newest() ||
-               it.generation < steering().steering()->generation;
+        return it.held || !is_connected(now) || it.known_boot != epoch_ ||
+               it.known < targets_.newest() || it.generation < steering().steering()->generation;
     }
 
     void answer_polls(context& with)
@@ -410,7 +410,7 @@
                                     .newest = targets_.newest(),
                                     .connected = is_connected(with.now),
                                     .steering = state->generation > it.generation ? state : nullptr,
-                                    .targets = targets_.changed_since(since, with.now),
+                                    .targets = targets_.changed_since(since, it.held, with.now),
                                     .control = controls_.known_since(with.now - remember_control),
                                     .entries_in_domain =
                                         std::max(entries_.ready_count_in(domain), 1U),
--- a/plugins/control/roster/target_table.cpp
+++ b/plugins/control/roster/target_table.cpp
@@ -163,11 +163,22 @@
     return out;
 }
 
-std::vector<target_notice> target_table::changed_since(sequence_id since, instant now) const
+messages::target_summary target_table::summary(instant now) const
 {
+    messages::target_summary out;
+    for (auto const& [id, it] : rows_)
+        out.add(it.what, aged(it, now).cold_for > milliseconds(0));
+    return out;
+}
+
+std::vector<target_notice>
+target_table::changed_since(sequence_id since, std::optional<messages::target_summary> const& held,
+                            instant now) const
+{
+    auto const known = held ? summary(now) : messages::target_summary();
     std::vector<target_notice> out;
     for (auto const& [id, it] : rows_)
-        if (it.changed > since)
+        if (it.changed > since && (!held || known.differs_at(id, *held)))
             out.push_back(aged(it, now));
     return out;
 }
--- a/plugins/control/roster/target_table.hpp
+++ b/plugins/control/roster/target_table.hpp
@@ -4,6 +4,7 @@
 #include <mulberryrudder/messages/roster.hpp>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -36,8 +37,11 @@
 
     sequence_id newest() const { return newest_; }
 
-    /// Returns what changed behind a number, with ages as of now.
-    std::vector<messages::target_notice> changed_since(sequence_id since, instant now) const;
+    /// Returns what changed behind a number, with ages as of now; of that only the parts
+    /// in which the asker holds something else, if it says what it holds.
+    std::vector<messages::target_notice>
+    changed_since(sequence_id since, std::optional<messages::target_summary> const& held,
+                  instant now) const;
 
     /// Returns the targets that are to be told to other control instances: those that
     /// were heard since the last call, and those that began to leave lately.
@@ -63,6 +67,7 @@
     static void end(messages::target_notice& it, start_id start);
     void mark(row& it, messages::target_standing standing, instant now);
     static messages::target_notice aged(row const& it, instant now);
+    messages::target_summary summary(instant now) const;
 
     std::map<target_id, row> rows_;
     std::set<target_id> fresh_;
--- a/plugins/entry/roster/control_choice.cpp
+++ b/plugins/entry/roster/control_choice.cpp
@@ -55,6 +55,12 @@
         it->second.avoided_until = now + avoid_failed;
 }
 
+void control_choice::answered(instance_id id)
+{
+    if (auto const it = rows_.find(id); it != rows_.end())
+        it->second.avoided_until = {};
+}
+
 std::optional<instance_id> control_choice::best(instance_description const& self,
                                                 std::optional<instance_id> answered_last,
                                                 instant now, random_source& random) const
--- a/plugins/entry/roster/control_choice.hpp
+++ b/plugins/entry/roster/control_choice.hpp
@@ -29,6 +29,9 @@
     /// Notes that an instance did not answer.
     void failed(instance_id id, instant now);
 
+    /// Notes that an instance did answer after all.
+    void answered(instance_id id);
+
     /// Returns the best instance now; nothing if none is known. Of instances that are
     /// equally near the one that answered last is the best, since it knows what this
     /// entry holds.
--- a/plugins/entry/roster/listed_targets.cpp
+++ b/plugins/entry/roster/listed_targets.cpp
@@ -20,6 +20,14 @@
     return std::tuple(it.start, it.sequence, it.standing);
 }
 
+/// Returns whether two notices of a target differ in time only.
+bool say_the_same(target_notice it, target_notice const& other)
+{
+    it.sequence = other.sequence;
+    it.age = other.age;
+    return it == other;
+}
+
 } // namespace
 
 std::vector<target_notice> listed_targets::take(std::vector<target_notice> const& told, instant now)
@@ -50,9 +58,18 @@
             gone_.erase(gone_.begin());
         return listed;
     }
+    bool const changed = known == listed_.end() || !say_the_same(it, known->second.what);
     auto const cold_until = it.cold_for > milliseconds(0) ? now + it.cold_for : instant{};
     listed_[it.id] = {.what = it, .cold_until = cold_until, .learned = now};
-    return true;
+    return changed;
+}
+
+messages::target_summary listed_targets::summary(instant now) const
+{
+    messages::target_summary out;
+    for (auto const& [id, it] : listed_)
+        out.add(it.what, it.cold_until > now);
+    return out;
 }
 
 } // namespace mulberryrudder::entry
--- a/plugins/entry/roster/listed_targets.hpp
+++ b/plugins/entry/roster/listed_targets.hpp
@@ -2,6 +2,7 @@
 #define MULBERRYRUDDER_PLUGINS_ENTRY_ROSTER_LISTED_TARGETS_HPP
 
 #include <mulberryrudder/entry/plan_view.hpp>
+#include <mulberryrudder/messages/target_summary.hpp>
 
 #include <vector>
 
@@ -15,12 +16,15 @@
 class listed_targets
 {
 public:
-    /// Takes notices in; returns those that changed something.
+    /// Takes notices in; returns those that changed more than the time of a target's word.
     std::vector<messages::target_notice> take(std::vector<messages::target_notice> const& told,
                                               instant now);
 
     std::map<target_id, listed_target> const& all() const { return listed_; }
 
+    /// Sums up what is listed, for an instance that may know more or less.
+    messages::target_summary summary(instant now) const;
+
 private:
     bool take_one(messages::target_notice const& it, instant now);
 
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -72,8 +72,8 @@
     {.number = 305,
      .name = "control.answered_late",
      .level = kernel::severity::warning,
-     .meaning = "A control instance answered a report after it was given up; `targets` tells how "
-                "many notices the answer holds.",
+     .meaning = "A control instance answered a report after it was given up; what it told is "
+                "taken in. `targets` tells how many notices that were.",
      .action = "If it goes on, look at the load of the link to that instance."}};
 
 kernel::histogram_kind const news_age("targets.news_age",
@@ -82,6 +82,8 @@
 
 /// Silences after which the limit for an answer does not double any more.
 constexpr int most_doublings = 4;
+/// Reports whose answers are taken in, also late ones.
+constexpr std::size_t most_reports = 32;
 
 /// Reports to a control instance and learns the plan, the targets and the parts of
 /// the rates from its answers.
@@ -150,6 +152,19 @@
     }
 
 private:
+    /// A place in the changes of one start of a control instance.
+    struct position
+    {
+        boot_id boot;
+        sequence_id known;
+    };
+    /// A report that was sent.
+    struct report
+    {
+        instance_id to;
+        instant sent;
+    };
+
     static bool is_late(attempt_end const& how, bool time_is_up)
     {
         if (!how.failed)
@@ -181,6 +196,9 @@
         if (!to)
             return;
         with.counters.add(reports_counter);
+        // Begins anywhere, so that an answer to an earlier start is not taken for one's own.
+        if (number_ == sequence_id())
+            number_ = sequence_id(with.random() >> 16U);
         number_ = sequence_id(number_.value() + 1);
         messages::roster_poll out{.self = {.who = with.self.self,
                                            .boot = with.self.boot,
@@ -188,9 +206,12 @@
                                            .ready = shown_ != nullptr && !stopping_,
                                            .demand = {}},
                                   .generation = steering_->generation,
-                                  .known_boot = to == answered_by_ ? known_boot_ : boot_id(),
-                                  .known = to == answered_by_ ? known_ : sequence_id(),
-                                  .outcomes = {}};
+                                  .known_boot = positions_[*to].boot,
+                                  .known = positions_[*to].known,
+                                  .outcomes = {},
+                                  .held = std::nullopt};
+        if (to != answered_by_)
+            out.held = listed_.summary(with.now);
         if (auto* const demand = services_.find<demand_view>())
             out.self.demand = demand->demand(with.now);
         for (auto const& [key, it] : outcomes_)
@@ -201,6 +222,9 @@
         }
         outcomes_.clear();
         with.send(*to, std::move(out));
+        reports_[number_] = {*to, with.now};
+        if (reports_.size() > most_reports)
+            reports_.erase(reports_.begin());
         waiting_for_ = to;
         answer_due_ = with.now + answer_limit(to == answered_by_);
         report_due_ = with.now + config_.least_pause;
@@ -218,31 +242,59 @@
 
     void take_update(instance_id from, messages::roster_update const& it, context& with)
     {
-        if (from != waiting_for_ || it.poll != number_)
-            return with.events.record(late_answer_event,
-                                      {{"control", std::to_string(from.value())},
-                                       {"poll", std::to_string(it.poll.value())},
-                                       {"behind", std::to_string(number_.value() - it.poll.value())},
-                                       {"targets", std::to_string(it.targets.size())}});
-        waiting_for_.reset();
-        unanswered_ = 0;
-        if (answered_by_ != from)
-            with.events.record(control_found_event, {{"control", std::to_string(from.value())}});
-        answered_by_ = from;
-        known_boot_ = it.boot;
-        known_ = it.newest;
+        auto const asked = reports_.find(it.poll);
+        if (asked == reports_.end() || asked->second.to != from)
+            return;
+        auto const sent = asked->second.sent;
+        reports_.erase(asked);
+        bool const late = from != waiting_for_ || it.poll != number_;
+        if (late)
+            note_late(from, it, sent, with);
+        positions_[from] = {it.boot, it.newest};
+        if (!late || (!answered_by_ && it.connected))
+            attach(from, with);
+        take_news(it, with);
+        if (!late && !it.connected)
+            leave(from, with);
+    }
+
+    static void note_late(instance_id from, messages::roster_update const& it, instant sent,
+                          context& with)
+    {
+        auto const took = std::chrono::duration_cast<milliseconds>(with.now - sent);
+        with.events.record(late_answer_event, {{"control", std::to_string(from.value())},
+                                               {"took_ms", std::to_string(took.count())},
+                                               {"targets", std::to_string(it.targets.size())}});
+    }
+
+    /// Takes in what control told. All of it is ordered by its own numbers, so answers may
+    /// come late, and from several control instances.
+    void take_news(messages::roster_update const& it, context& with)
+    {
         for (auto const& each : choice_.learn(it.control))
             with.out.push_back(learn_instance{.id = each.id, .peer = each.peer});
         for (auto const& changed : listed_.take(it.targets, with.now))
             note(changed, with);
+        if (it.steering && it.steering->generation > steering_->generation)
+            take_steering(it.steering, with);
+        if (it.poll < newest_answered_)
+            return;
+        newest_answered_ = it.poll;
         entries_ = std::max<std::int64_t>(it.entries, 1);
         entries_in_domain_ = std::max<std::int64_t>(it.entries_in_domain, 1);
         shares_ = it.shares;
         demand_ = it.demand;
-        if (it.steering && it.steering->generation > steering_->generation)
-            take_steering(it.steering, with);
-        if (!it.connected)
-            leave(from, with);
+    }
+
+    /// Reports to a control instance from now on, as long as it answers.
+    void attach(instance_id to, context& with)
+    {
+        waiting_for_.reset();
+        unanswered_ = 0;
+        choice_.answered(to);
+        if (answered_by_ != to)
+            with.events.record(control_found_event, {{"control", std::to_string(to.value())}});
+        answered_by_ = to;
     }
 
     /// Asks another control instance next, since this one may miss what others decide.
@@ -251,6 +303,7 @@
         with.events.record(control_apart_event, {{"control", std::to_string(control.value())}});
         choice_.failed(control, with.now);
         waiting_for_.reset();
+        answered_by_.reset();
         report_due_ = with.now + config_.apart_pause;
     }
 
@@ -305,8 +358,10 @@
     sequence_id number_;
     std::optional<instance_id> waiting_for_;
     std::optional<instance_id> answered_by_;
-    boot_id known_boot_;
-    sequence_id known_;
+    /// What of each control instance's roster is held here.
+    std::map<instance_id, position> positions_;
+    std::map<sequence_id, report> reports_; ///< The latest that were not answered yet.
+    sequence_id newest_answered_;
     int unanswered_ = 0; ///< Reports in a row without an answer.
     instant answer_due_;
     instant report_due_;
--- a/plugins/entry/targets/target_record.cpp
+++ b/plugins/entry/targets/target_record.cpp
@@ -1,5 +1,7 @@
 #include "target_record.hpp"
 
+#include <mulberryrudder/core/stable_hash.hpp>
+
 #include <algorithm>
 
 namespace mulberryrudder::entry
@@ -52,11 +54,10 @@
 
 std::uint64_t salt_of(target_id const& id)
 {
-    // FNV-1a: all instances must agree on it, which std::hash does not promise.
-    std::uint64_t out = 0xcbf29ce484222325U;
-    for (unsigned char const it : id.value())
-        out = (out ^ it) * 0x100000001b3U;
-    return out >> 32U;
+    stable_hash out;
+    for (char const it : id.value())
+        out.add_byte(static_cast<unsigned char>(it));
+    return out.value() >> 32U;
 }
 
 } // namespace mulberryrudder::entry
--- a/plugins/peer/codecs/roster_codec.cpp
+++ b/plugins/peer/codecs/roster_codec.cpp
@@ -8,6 +8,7 @@
 #include <mulberryrudder/messages/roster.hpp>
 #include <mulberryrudder/wire/codec.hpp>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace mulberryrudder::wire
@@ -168,6 +169,23 @@
     to.setKnownBoot(from.known_boot.value());
     to.setKnown(from.known.value());
     encode_list(from.outcomes, to.initOutcomes(size_of(from.outcomes)));
+    if (!from.held)
+        return;
+    auto held = to.initHeld(messages::target_summary::parts);
+    unsigned n = 0;
+    for (auto const sum : from.held->values())
+        held.set(n++, sum);
+}
+
+std::optional<messages::target_summary> decode_held(capnp::List<std::uint64_t>::Reader from)
+{
+    if (from.size() == 0)
+        return std::nullopt;
+    messages::target_summary::sums out{};
+    if (from.size() != out.size())
+        throw std::invalid_argument("a summary with another number of parts");
+    std::copy(from.begin(), from.end(), out.begin());
+    return messages::target_summary(out);
 }
 
 messages::roster_poll decode_poll(Poll::Reader from)
@@ -176,7 +194,8 @@
                               .generation = generation_id(from.getGeneration()),
                               .known_boot = boot_id(from.getKnownBoot()),
                               .known = sequence_id(from.getKnown()),
-                              .outcomes = {}};
+                              .outcomes = {},
+                              .held = decode_held(from.getHeld())};
     decode_list(from.getOutcomes(), out.outcomes);
     return out;
 }
--- a/schemas/steering.capnp
+++ b/schemas/steering.capnp
@@ -170,6 +170,7 @@
   knownBoot @2 :UInt64;
   known @3 :UInt64;
   outcomes @4 :List(Outcomes);
+  held @5 :List(UInt64);
 }
 
 struct Update {
--- a/tests/control/roster/target_table_test.cpp
+++ b/tests/control/roster/target_table_test.cpp
@@ -156,7 +156,7 @@
         cold.cold_for = milliseconds(3000);
         take(cold);
         now_ += milliseconds(1000);
-        CPPUNIT_ASSERT(it_.changed_since(sequence_id(), now_).front().cold_for ==
+        CPPUNIT_ASSERT(it_.changed_since(sequence_id(), std::nullopt, now_).front().cold_for ==
                        milliseconds(2000));
     }
 
@@ -165,7 +165,7 @@
 
     target_standing standing(std::string const& id)
     {
-        for (auto const& it : it_.changed_since(sequence_id(), now_))
+        for (auto const& it : it_.changed_since(sequence_id(), std::nullopt, now_))
             if (it.id == target_id(id))
                 return it.standing;
         CPPUNIT_FAIL("the target is not known");
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -27,6 +27,9 @@
     CPPUNIT_TEST(several_silences_in_a_row_take_little_time);
     CPPUNIT_TEST(a_slow_network_is_waited_for);
     CPPUNIT_TEST(another_instance_is_asked_when_one_hears_too_few);
+    CPPUNIT_TEST(a_late_answer_is_taken_in);
+    CPPUNIT_TEST(an_answer_that_nobody_asked_for_is_not_taken);
+    CPPUNIT_TEST(another_instance_is_told_what_is_held);
     CPPUNIT_TEST(changes_are_asked_for_from_where_they_are_known);
     CPPUNIT_TEST(a_restarted_instance_is_asked_for_everything);
     CPPUNIT_TEST(a_stopping_entry_says_so_at_once);
@@ -149,6 +152,45 @@
         CPPUNIT_ASSERT(asked_ != first);
     }
 
+    // Guards against DRAIN: an answer that came after its limit was thrown away, and all of it
+    // was asked for again elsewhere.
+    void a_late_answer_is_taken_in()
+    {
+        tick();
+        auto const first = asked_;
+        auto const number = number_of_poll();
+        tick(milliseconds(300));
+        CPPUNIT_ASSERT(asked_ != first);
+        answer_late(first, number,
+                    {.boot = boot_id(9), .newest = sequence_id(4), .steering = state(4, true)});
+        CPPUNIT_ASSERT(view().steering()->generation == generation_id(4));
+        CPPUNIT_ASSERT_MESSAGE("it is asked again, from there on", asked_ == first);
+        CPPUNIT_ASSERT(poll_.known == sequence_id(4) && !poll_.held);
+    }
+
+    void an_answer_that_nobody_asked_for_is_not_taken()
+    {
+        tick();
+        auto const other = asked_ == instance_id(1) ? instance_id(2) : instance_id(1);
+        answer_late(other, number_of_poll(), {.steering = state(4, true)});
+        answer_late(asked_, sequence_id(number_of_poll().value() + 1),
+                    {.steering = state(4, true)});
+        CPPUNIT_ASSERT(view().steering() == nullptr);
+    }
+
+    void another_instance_is_told_what_is_held()
+    {
+        tick();
+        CPPUNIT_ASSERT_MESSAGE("the first report", poll_.held.has_value());
+        answer({.boot = boot_id(9), .targets = {{.id = target_id("t"), .start = start_id(1)}}});
+        tick();
+        CPPUNIT_ASSERT_MESSAGE("to who answered", !poll_.held);
+        tick(milliseconds(1400));
+        messages::target_summary expected;
+        expected.add({.id = target_id("t"), .start = start_id(1)}, false);
+        CPPUNIT_ASSERT(poll_.held == expected);
+    }
+
     void changes_are_asked_for_from_where_they_are_known()
     {
         tick();
@@ -203,14 +245,16 @@
         collect(out);
     }
 
-    void answer(roster_update it)
+    void answer(roster_update it) { answer_late(asked_, number_of_poll(), std::move(it)); }
+
+    void answer_late(instance_id from, sequence_id number, roster_update it)
     {
-        it.poll = poll_.self.sequence;
+        it.poll = number;
         effects out;
         core_->handle(
             now_,
             message_arrived{
-                {.from = asked_, .to = instance_id(50), .body = any_message::of(std::move(it))}},
+                {.from = from, .to = instance_id(50), .body = any_message::of(std::move(it))}},
             out);
         collect(out);
     }
