Acknowledge an order once most control instances hold it

Cause: the log has three voters, and two of them, cut off from the four other control instances, committed the version and acknowledged it. Entries judge a control instance by whether it hears most of all control instances, so they had left the two for the four, which could not know. Two majorities of different groups need not meet. The class is that of the leaves: an acknowledgement has to bind those whom entries listen to.

An accepted order is now answered once more than half of the control instances hold its state; else its operator is told to ask again. A new state is told and counted at once, not with the next message.

an_order_that_most_control_instances_miss_is_not_acknowledged failed before. With all well an order takes less than 300 ms in that fleet.

--- a/include/mulberryrudder/control/steering.hpp
+++ b/include/mulberryrudder/control/steering.hpp
@@ -109,7 +109,7 @@
     refused   ///< It does not fit; nothing of it is in force.
 };
 
-/// Answers an order once it is decided and durable.
+/// Answers an order once it is decided, durable, and held by most control instances.
 struct steering_answer
 {
     order_result result = order_result::refused;
@@ -151,6 +151,19 @@
     virtual void learn(shared_steering const& it) = 0;
 };
 
+/// Tells how far steering states have spread among the control instances.
+///
+/// Thread safety: the decision core's thread.
+class spread_view
+{
+public:
+    virtual ~spread_view() = default;
+
+    /// Returns whether more than half of the control instances hold a state or a newer one.
+    /// Voters are only some of them, and entries listen to any.
+    virtual bool held_by_majority(generation_id it) const = 0;
+};
+
 /// Tells where the group's leader takes operators' requests.
 ///
 /// Thread safety: the decision core's thread.
--- a/plugins/control/roster/control_table.cpp
+++ b/plugins/control/roster/control_table.cpp
@@ -50,6 +50,13 @@
     return static_cast<std::size_t>(held) + 1;
 }
 
+bool control_table::held_by_majority(generation_id it, generation_id own) const
+{
+    auto const held = std::count_if(rows_.begin(), rows_.end(),
+                                    [&](auto const& each) { return each.second.generation >= it; });
+    return static_cast<std::size_t>(held + (own >= it)) * 2 > size();
+}
+
 bool control_table::hears_majority(instant since) const
 {
     auto const heard = std::count_if(rows_.begin(), rows_.end(),
--- a/plugins/control/roster/control_table.hpp
+++ b/plugins/control/roster/control_table.hpp
@@ -52,6 +52,10 @@
     /// Returns how many instances are known, this one included.
     std::size_t size() const { return rows_.size() + 1; }
 
+    /// Returns whether more than half of the known instances, this one included, hold a
+    /// steering state or a newer one. `own` is this instance's.
+    bool held_by_majority(generation_id it, generation_id own) const;
+
     /// Returns whether more than half of the known instances, this one included, were
     /// heard since a time.
     bool hears_majority(instant since) const;
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -96,13 +96,17 @@
 /// announcements, spreads them, and answers entries' reports and callers' look-ups.
 ///
 /// Thread safety: the decision core's thread.
-class roster final : public component, public roster_view, public leader_directory
+class roster final : public component,
+                     public roster_view,
+                     public spread_view,
+                     public leader_directory
 {
 public:
     explicit roster(component_parts const& parts)
         : services_(parts.services), config_(parts.config.get(roster_section))
     {
         parts.services.provide<roster_view>(*this);
+        parts.services.provide<spread_view>(*this);
         parts.services.provide<leader_directory>(*this);
     }
 
@@ -123,7 +127,9 @@
     {
         begin(with);
         forgive_own_pause(with);
-        if (with.now >= exchange_due_)
+        // Others fetch a new state, or count this instance among its holders, at once.
+        bool const steered = steering().steering()->generation != told_generation_;
+        if (steered || with.now >= exchange_due_)
         {
             exchange(with);
             expire(with);
@@ -152,6 +158,12 @@
         return std::exchange(outcomes_, {});
     }
 
+    bool held_by_majority(generation_id it) const override
+    {
+        auto const own = services_.require<steering_view>().steering()->generation;
+        return controls_.held_by_majority(it, own);
+    }
+
     std::optional<endpoint> leader_address(instant now) const override
     {
         return controls_.leader_since(now - leader_word);
@@ -281,6 +293,7 @@
         exchange_due_ = with.now + config_.exchange_period;
         number_ = sequence_id(number_.value() + 1);
         auto const state = steering().steering();
+        told_generation_ = state->generation;
         messages::roster_exchange common{.who = with.self.self,
                                          .operators = with.self.operators,
                                          .generation = state->generation,
@@ -438,6 +451,7 @@
     std::vector<waiting_leave> leaves_;
     std::vector<messages::version_outcomes> outcomes_;
     sequence_id number_;
+    generation_id told_generation_; ///< Of the last message to the other instances.
     instant exchange_due_;
     instant introduction_due_;
     instant last_tick_;
--- a/plugins/control/steering/steering_orders.cpp
+++ b/plugins/control/steering/steering_orders.cpp
@@ -1,3 +1,4 @@
+#include <mulberryrudder/control/operator_answers.hpp>
 #include <mulberryrudder/control/pending_requests.hpp>
 #include <mulberryrudder/control/replicated_log.hpp>
 #include <mulberryrudder/control/steering.hpp>
@@ -19,8 +20,9 @@
     "steering",
     {
         kernel::field("answer_timeout", &steering_settings::answer_timeout, {100, 60'000},
-                      "Milliseconds to wait for an order's commit before its operator is told to "
-                      "ask again; below the time for which operators wait."),
+                      "Milliseconds to wait for an order's commit, and then for most control "
+                      "instances to hold it, before its operator is told to ask again; below the "
+                      "time for which operators wait."),
     }};
 
 /// Accepted plans whose content is remembered, so that a resent one is recognised:
@@ -51,6 +53,16 @@
     std::string what;
 };
 
+/// An accepted order that is not held by most control instances yet.
+struct accepted_order
+{
+    operator_request_id asker;
+    std::string name;
+    steering_answer what;
+    generation_id generation;
+    instant deadline; ///< When the operator is told that the outcome is unknown.
+};
+
 /// Keeps the plan, the evacuations and the versions of the services in the replicated
 /// log, and decides operators' orders about them.
 ///
@@ -96,7 +108,7 @@
         pending_.settle(
             it,
             [&](operator_request_id asker, order_identity const& about)
-            { answer(asker, about.what, last_, with); },
+            { conclude(asker, about.what, last_, with); },
             with);
     }
 
@@ -117,7 +129,12 @@
     }
 
     void following(context& with) override { pending_.abandon(with); }
-    void tick(context& with) override { pending_.expire(with); }
+
+    void tick(context& with) override
+    {
+        pending_.expire(with);
+        answer_spread(with);
+    }
 
 private:
     replicated_log& log() { return services_.require<replicated_log>(); }
@@ -136,7 +153,7 @@
         auto const content = it.plan ? sha256(it.plan->source) : digest();
         auto const name = "plan " + std::to_string(it.plan ? it.plan->number.value() : 0);
         if (it.plan && was_accepted(it.plan->number, content))
-            return answer(asker, name, {order_result::accepted, {}, newest()}, with);
+            return conclude(asker, name, {order_result::accepted, {}, newest()}, with);
         if (!log().may_act(with.now))
             return send_elsewhere(asker, with);
         auto failed = it.failed;
@@ -164,7 +181,7 @@
             return send_elsewhere(asker, with);
         auto const name = (it.evacuated ? "evacuation " : "evacuation_end ") + it.domain.value();
         if (pending_.empty() && applied_->evacuated.contains(it.domain) == it.evacuated)
-            return answer(asker, name, {order_result::accepted, {}, newest()}, with);
+            return conclude(asker, name, {order_result::accepted, {}, newest()}, with);
         propose(asker, name, set_evacuation{it.domain, it.evacuated}, with);
     }
 
@@ -176,7 +193,7 @@
         auto const name = "rollout " + it.service.value() + " " + it.version.value();
         auto const known = applied_->versions.find(it.service);
         if (known != applied_->versions.end() && known->second.next == it.version)
-            return answer(asker, name, {order_result::accepted, {}, newest()}, with);
+            return conclude(asker, name, {order_result::accepted, {}, newest()}, with);
         propose(asker, name, start_rollout{it.service, it.version, it.duration}, with);
     }
 
@@ -201,7 +218,7 @@
             return send_elsewhere(asker, with);
         // A group of one may commit while it proposes.
         if (last_index_ == *index)
-            return answer(asker, name, last_, with);
+            return conclude(asker, name, last_, with);
         pending_.add({*index, term, with.now + config_.answer_timeout, {name}, {asker}});
     }
 
@@ -213,6 +230,34 @@
                                                             : leaders->leader_address(with.now)});
     }
 
+    /// Answers an order that is decided. One that was accepted waits until entries cannot
+    /// listen to a majority of the control instances that misses it.
+    void conclude(operator_request_id asker, std::string const& name, steering_answer const& what,
+                  context& with)
+    {
+        if (what.result != order_result::accepted)
+            return answer(asker, name, what, with);
+        spreading_.push_back(
+            {asker, name, what, applied_->generation, with.now + config_.answer_timeout});
+        answer_spread(with);
+    }
+
+    void answer_spread(context& with)
+    {
+        auto const* const spread = services_.find<spread_view>();
+        std::erase_if(spreading_,
+                      [&](accepted_order const& it)
+                      {
+                          if (spread == nullptr || spread->held_by_majority(it.generation))
+                              answer(it.asker, it.name, it.what, with);
+                          else if (it.deadline <= with.now)
+                              with.answer(it.asker, outcome_unknown{});
+                          else
+                              return false;
+                          return true;
+                      });
+    }
+
     static void answer(operator_request_id asker, std::string const& name,
                        steering_answer const& what, context& with)
     {
@@ -325,6 +370,7 @@
     log_index last_index_;
     steering_answer last_; ///< Result of the entry at last_index_.
     pending_requests<order_identity> pending_;
+    std::vector<accepted_order> spreading_;
 };
 
 component_registrar<steering_orders> const entered{"steering", component_order::steering};
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -16,11 +16,16 @@
 /// From the acknowledgement of a target's leave on, requests may reach it for so long.
 constexpr milliseconds drain{2500};
 
+/// From the acknowledgement of an order on, entries may act by an older one for so long.
+constexpr milliseconds config_apply{2500};
+
 class roster_fleet_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(roster_fleet_test);
     CPPUNIT_TEST(all_entries_learn_of_a_leave_after_control_instances_fall_silent);
     CPPUNIT_TEST(a_change_of_control_instance_costs_only_what_differs);
+    CPPUNIT_TEST(an_order_is_acknowledged_soon_when_all_is_well);
+    CPPUNIT_TEST(an_order_that_most_control_instances_miss_is_not_acknowledged);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -63,7 +68,49 @@
                                bytes < std::int64_t{18} * targets * 170 / 3);
     }
 
+    void an_order_is_acknowledged_soon_when_all_is_well()
+    {
+        auto const id = evacuate();
+        fleet_->commit({0, 1, 2});
+        fleet_->run(milliseconds(300));
+        CPPUNIT_ASSERT(is_accepted(id));
+    }
+
+    // Guards against CONFIG: a leader that was cut off together with a majority of the voters
+    // acknowledged what the other control instances, and the entries there, did not learn.
+    void an_order_that_most_control_instances_miss_is_not_acknowledged()
+    {
+        fleet_->part({0, 1});
+        fleet_->run(seconds(1));
+        auto const id = evacuate();
+        fleet_->commit({0, 1});
+        fleet_->run(seconds(3));
+        CPPUNIT_ASSERT_MESSAGE("told to ask again",
+                               fleet_->answer(id) != nullptr && !is_accepted(id));
+        fleet_->part({});
+        auto const again = evacuate();
+        auto const until = fleet_->now() + seconds(1);
+        while (!is_accepted(again) && fleet_->now() < until)
+            fleet_->run(milliseconds(10));
+        CPPUNIT_ASSERT_MESSAGE("acknowledged once they hold it", is_accepted(again));
+        fleet_->run(config_apply);
+        for (std::size_t n = 0; n != fleet_->entries(); ++n)
+            CPPUNIT_ASSERT(fleet_->generation(n) == generation_id(2));
+    }
+
 private:
+    control::operator_request_id evacuate()
+    {
+        return fleet_->order(0, any_message::of(control::evacuation_order{domain_id("d7"), true}));
+    }
+
+    bool is_accepted(control::operator_request_id id) const
+    {
+        auto const* const it = fleet_->answer(id);
+        auto const* const told = it == nullptr ? nullptr : it->get<control::steering_answer>();
+        return told != nullptr && told->result == control::order_result::accepted;
+    }
+
     bool is_held(control::operator_request_id id) const
     {
         auto const* const it = fleet_->answer(id);
