Bound what all connections together hold of bytes without end

Targets in trouble may send a head or a body until they are closed, and callers may do so too.

Now the replies that have not come whole share target_connections/ most_unread, and the requests that are not answered share callers/ most_unanswered: a reply beyond is given up and its connection closed, a request beyond is refused as not run. Buffers are bounded by the header's limit and one reading. A failed exchange frees what it read.

Read-ahead behind a request is 16 KiB a connection, so that it stays small over all callers.

--- a/plugins/entry_io/caller_http/caller_duty.cpp
+++ b/plugins/entry_io/caller_http/caller_duty.cpp
@@ -220,12 +220,6 @@
         from->expect_answer(id);
     }
 
-    http_response refuse_overloaded()
-    {
-        parts().counters.add(overloaded.counter());
-        return encode_refusal(overloaded);
-    }
-
     void pass_on(request_id id, http_response&& what)
     {
         auto const it = unanswered_.find(id);
@@ -260,6 +254,12 @@
         events().record(unwatched_event, {{"id", std::to_string(id.value())}});
     }
     void ended(std::shared_ptr<session> const& it) override { sessions_.erase(it); }
+    http_response refuse_overloaded() override
+    {
+        parts().counters.add(overloaded.counter());
+        return encode_refusal(overloaded);
+    }
+    kernel::byte_budget& unanswered_bytes() override { return unanswered_bytes_; }
     caller_settings const& config() const override { return config_; }
     caller_limits const& limits() const override { return limits_; }
     bool closing() const override { return closing_ || stopping_; }
@@ -274,6 +274,7 @@
     entry::numbering numbers_;
     tcp::acceptor acceptor_;
     std::list<tcp::acceptor> operator_acceptors_; ///< Handlers refer to them.
+    kernel::byte_budget unanswered_bytes_{config_.most_unanswered};
     std::set<std::shared_ptr<session>> sessions_;
     std::unordered_map<request_id, std::shared_ptr<session>> unanswered_;
     bool listening_ = false;
--- a/plugins/entry_io/caller_http/caller_settings.cpp
+++ b/plugins/entry_io/caller_http/caller_settings.cpp
@@ -44,6 +44,9 @@
               "Bytes of a request's header at most; a plan may state fewer."),
         field("most_body", &caller_settings::most_body, body_bytes,
               "Bytes of a request's body at most; a plan may state fewer."),
+        field("most_unanswered", &caller_settings::most_unanswered, body_bytes,
+              "Bytes of requests that are not answered yet, over all connections; a request that "
+              "would exceed this is refused."),
         field("start_limit", &caller_settings::start_limit, long_times,
               "Milliseconds after the start from which connections are taken without a lease."),
         field("read_limit", &caller_settings::read_limit, short_times,
--- a/plugins/entry_io/caller_http/caller_settings.hpp
+++ b/plugins/entry_io/caller_http/caller_settings.hpp
@@ -16,6 +16,7 @@
 {
     byte_count most_header{16'384};
     byte_count most_body{1'048'576};
+    byte_count most_unanswered{67'108'864};
     milliseconds start_limit{10000};
     milliseconds read_limit{5000};
     milliseconds idle_limit{60000};
--- a/plugins/entry_io/caller_http/session.cpp
+++ b/plugins/entry_io/caller_http/session.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t read_size = 4096;
 /// Bytes that are read behind an unanswered request: some dozens of requests without
 /// bodies. What a caller sends beyond stays in its socket.
-constexpr std::size_t most_read_ahead = 65'536;
+constexpr std::size_t most_read_ahead = 16'384;
 
 client_address address_of(boost::asio::ip::tcp::socket const& socket)
 {
@@ -50,7 +50,9 @@
 session::session(boost::asio::ip::tcp::socket socket, session_owner& owner, instant now,
                  bool for_operators)
     : stream_(std::move(socket)), owner_(owner), client_(address_of(stream_.socket())),
-      close_after_(now + owner.config().connection_lifetime), for_operators_(for_operators)
+      close_after_(now + owner.config().connection_lifetime),
+      buf_(static_cast<std::size_t>(owner.config().most_header.count()) + 2 * most_read_ahead),
+      held_(owner.unanswered_bytes()), for_operators_(for_operators)
 {
     boost::system::error_code ec;
     stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ec);
@@ -66,6 +68,7 @@
     parser_->body_limit(static_cast<std::uint64_t>(owner_.limits().most_body.count()));
     if (buf_.size() != 0)
         return read_header();
+    buf_.shrink_to_fit();
     // Until the first byte the connection is idle, which may take longer than a request.
     stream_.expires_after(owner_.limits().idle_limit);
     stream_.async_read_some(buf_.prepare(read_size),
@@ -95,8 +98,22 @@
 void session::read_body()
 {
     stream_.expires_after(read_until_ - monotonic_now());
-    http::async_read(stream_, buf_, *parser_,
-                     [self = shared_from_this()](auto ec, std::size_t) { self->request_read(ec); });
+    http::async_read_some(stream_, buf_, *parser_,
+                          [self = shared_from_this()](auto ec, std::size_t)
+                          {
+                              if (ec || self->parser_->is_done())
+                                  return self->request_read(ec);
+                              auto const held = self->parser_->get().body().size();
+                              if (!self->held_.set(byte_count(static_cast<std::int64_t>(held))))
+                                  return self->refuse_overloaded();
+                              self->read_body();
+                          });
+}
+
+void session::refuse_overloaded()
+{
+    keep_alive_ = false;
+    answer(owner_.refuse_overloaded());
 }
 
 void session::request_read(boost::system::error_code ec)
@@ -179,6 +196,7 @@
 void session::written(boost::system::error_code ec, bool keep_open)
 {
     response_.reset();
+    held_.reset();
     if (ec || !keep_open)
         return end();
     read();
--- a/plugins/entry_io/caller_http/session.hpp
+++ b/plugins/entry_io/caller_http/session.hpp
@@ -5,6 +5,7 @@
 #include "caller_settings.hpp"
 
 #include <mulberryrudder/core/client_address.hpp>
+#include <mulberryrudder/kernel/byte_budget.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -33,6 +34,10 @@
     /// while `id` is unanswered.
     virtual void unwatched(request_id id) = 0;
     virtual void ended(std::shared_ptr<session> const& it) = 0;
+    /// Returns the refusal of a request that this instance has no room for.
+    virtual http_response refuse_overloaded() = 0;
+    /// For the bytes of requests that are not answered.
+    virtual kernel::byte_budget& unanswered_bytes() = 0;
     virtual caller_settings const& config() const = 0;
     /// The limits that hold for the next request.
     virtual caller_limits const& limits() const = 0;
@@ -79,6 +84,7 @@
     void read();
     void read_header();
     void read_body();
+    void refuse_overloaded();
     void request_read(boost::system::error_code ec);
     void refuse_unreadable(boost::system::error_code ec);
     void written(boost::system::error_code ec, bool keep_open);
@@ -91,6 +97,7 @@
     instant close_after_; ///< When the connection has lived long enough.
     instant read_until_;  ///< When the current request must have come whole.
     boost::beast::flat_buffer buf_;
+    kernel::byte_charge held_;
     std::optional<parser> parser_;
     std::optional<http_response> response_;
     std::optional<request_id> unanswered_;
--- a/plugins/entry_io/target_http/connection.cpp
+++ b/plugins/entry_io/target_http/connection.cpp
@@ -15,6 +15,10 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+/// Bytes that are taken from a socket at a time, at most; what of a reply cannot be decoded
+/// yet, such as a line without an end, is bounded by this and the header's limit.
+constexpr std::size_t read_size = 65'536;
+
 entry::attempt_failure cause_of(boost::system::error_code ec, bool open)
 {
     if (ec == boost::beast::error::timeout)
@@ -30,8 +34,10 @@
 
 } // namespace
 
-connection::connection(boost::asio::io_context& loop, endpoint where, target_settings const& config)
-    : stream_(loop), where_(std::move(where)), config_(config)
+connection::connection(boost::asio::io_context& loop, endpoint where, target_settings const& config,
+                       kernel::byte_budget& unread)
+    : stream_(loop), where_(std::move(where)), config_(config),
+      buf_(static_cast<std::size_t>(config.most_header.count()) + read_size), unread_(unread)
 {
 }
 
@@ -85,8 +91,22 @@
     parser_->body_limit(static_cast<std::uint64_t>(config_.most_body.count()));
     if (request_.method() == http::verb::head)
         parser_->skip(true);
-    http::async_read(stream_, buf_, *parser_,
-                     [self = shared_from_this()](auto ec, std::size_t) { self->reply_read(ec); });
+    read_more();
+}
+
+void connection::read_more()
+{
+    http::async_read_some(stream_, buf_, *parser_,
+                          [self = shared_from_this()](boost::system::error_code ec, std::size_t)
+                          {
+                              if (ec || self->cancelled_ || self->parser_->is_done())
+                                  return self->reply_read(ec);
+                              auto const held = self->parser_->get().body().size();
+                              if (!self->unread_.set(byte_count(static_cast<std::int64_t>(held))))
+                                  return self->reply_read(
+                                      http::make_error_code(http::error::body_limit));
+                              self->read_more();
+                          });
 }
 
 void connection::reply_read(boost::system::error_code ec)
@@ -117,11 +137,13 @@
 {
     auto const cause = cancelled_ ? entry::attempt_failure::cancelled : cause_of(ec, open_);
     close();
+    parser_.reset();
     finish(exchange_failed{.cause = cause, .run = run});
 }
 
 void connection::finish(exchange_end how)
 {
+    unread_.reset();
     auto const done = std::move(done_);
     done_ = nullptr;
     if (done)
--- a/plugins/entry_io/target_http/connection.hpp
+++ b/plugins/entry_io/target_http/connection.hpp
@@ -4,6 +4,8 @@
 #include "exchange_codec.hpp"
 #include "target_settings.hpp"
 
+#include <mulberryrudder/kernel/byte_budget.hpp>
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -34,7 +36,9 @@
 public:
     using ended = std::function<void(exchange_end)>;
 
-    connection(boost::asio::io_context& loop, endpoint where, target_settings const& config);
+    /// Precondition: `unread`, for the bytes of replies, outlives the connection.
+    connection(boost::asio::io_context& loop, endpoint where, target_settings const& config,
+               kernel::byte_budget& unread);
 
     /// Sends one request and calls `done` once, with the whole reply or the failure.
     /// Precondition: the connection is idle.
@@ -57,6 +61,7 @@
     void connected(boost::system::error_code ec);
     void write();
     void read();
+    void read_more();
     void reply_read(boost::system::error_code ec);
     void fail(boost::system::error_code ec, verdict run);
     void finish(exchange_end how);
@@ -65,6 +70,7 @@
     endpoint where_;
     target_settings const& config_;
     boost::beast::flat_buffer buf_;
+    kernel::byte_charge unread_;
     http_request request_;
     std::optional<reply_parser> parser_;
     instant deadline_;
--- a/plugins/entry_io/target_http/pool.cpp
+++ b/plugins/entry_io/target_http/pool.cpp
@@ -21,7 +21,7 @@
     if (target.open >= most)
         return nullptr;
     target.open += connections(1);
-    return std::make_shared<connection>(loop_, where, config_);
+    return std::make_shared<connection>(loop_, where, config_, unread_);
 }
 
 void pool::release(target_id const& id, std::shared_ptr<connection> const& it)
--- a/plugins/entry_io/target_http/pool.hpp
+++ b/plugins/entry_io/target_http/pool.hpp
@@ -16,8 +16,9 @@
 class pool
 {
 public:
-    pool(boost::asio::io_context& loop, target_settings const& config)
-        : loop_(loop), config_(config)
+    /// Precondition: all three outlive the pool and its connections.
+    pool(boost::asio::io_context& loop, target_settings const& config, kernel::byte_budget& unread)
+        : loop_(loop), config_(config), unread_(unread)
     {
     }
 
@@ -52,6 +53,7 @@
 
     boost::asio::io_context& loop_;
     target_settings const& config_;
+    kernel::byte_budget& unread_;
     std::map<target_id, target_connections> targets_;
 };
 
--- a/plugins/entry_io/target_http/target_duty.cpp
+++ b/plugins/entry_io/target_http/target_duty.cpp
@@ -35,7 +35,7 @@
           orders_(given.links.link<entry::effect>(duties::decision, name(), duty_ring_capacity)),
           to_decision_(
               given.links.link<entry::input>(name(), duties::decision, duty_ring_capacity)),
-          pool_(loop(), config_)
+          pool_(loop(), config_, unread_)
     {
     }
 
@@ -129,7 +129,7 @@
     {
         parts().counters.add(connections_opened);
         // A probe has a connection of its own: it must tell whether new ones are taken.
-        auto const way = std::make_shared<connection>(loop(), what.where, config_);
+        auto const way = std::make_shared<connection>(loop(), what.where, config_, unread_);
         way->exchange(encode(what), what.deadline,
                       [this, id = what.id, way](exchange_end how)
                       {
@@ -148,6 +148,7 @@
     kernel::ring<entry::effect>& orders_;
     /// Bounded by the attempts and probes that the decisions have running.
     kernel::outbox<entry::input> to_decision_;
+    kernel::byte_budget unread_{config_.most_unread};
     pool pool_;
     std::unordered_map<attempt_id, std::shared_ptr<connection>> running_;
 };
--- a/plugins/entry_io/target_http/target_settings.cpp
+++ b/plugins/entry_io/target_http/target_settings.cpp
@@ -30,6 +30,9 @@
               "Bytes of a reply's header at most."),
         field("most_body", &target_settings::most_body, body_bytes,
               "Bytes of a reply's body at most; a larger reply is never passed on."),
+        field("most_unread", &target_settings::most_unread, body_bytes,
+              "Bytes of replies that have not come whole, over all connections; a reply that "
+              "would exceed this is given up."),
     }};
 
 } // namespace mulberryrudder::target_http
--- a/plugins/entry_io/target_http/target_settings.hpp
+++ b/plugins/entry_io/target_http/target_settings.hpp
@@ -16,6 +16,7 @@
     bool lenient = false;
     byte_count most_header{16'384};
     byte_count most_body{4'194'304};
+    byte_count most_unread{67'108'864};
 };
 
 extern kernel::section<target_settings> const target_section;
--- a/tests/entry_io/caller_http/caller_duty_test.cpp
+++ b/tests/entry_io/caller_http/caller_duty_test.cpp
@@ -370,11 +370,12 @@
 
 private:
     static inline std::string const request = "GET /r/ HTTP/1.1\r\nHost: x\r\n\r\n";
-    static inline std::string const announcement = [] {
+    static inline std::string const announcement = []
+    {
         std::string const body = R"({"target":"t","address":"127.0.0.1:1","domain":"d",)"
                                  R"("version":"v","routes":["r"],"slots":1})";
-        return "POST /v1/announce HTTP/1.1\r\nContent-Length: " +
-               std::to_string(body.size()) + "\r\n\r\n" + body;
+        return "POST /v1/announce HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
     }();
 
     /// Reads a whole answer and returns its first line.
--- a/tests/entry_io/caller_http/session_test.cpp
+++ b/tests/entry_io/caller_http/session_test.cpp
@@ -30,11 +30,19 @@
     caller_settings const& config() const override { return config_; }
     caller_limits const& limits() const override { return limits_; }
     bool closing() const override { return false; }
+    http_response refuse_overloaded() override
+    {
+        ++refused;
+        return encode_status(503);
+    }
+    kernel::byte_budget& unanswered_bytes() override { return bytes; }
 
     std::uint64_t arrived_ = 0;
     int gone = 0;
     int unwatched_ = 0;
     int ended_ = 0;
+    int refused = 0;
+    kernel::byte_budget bytes{byte_count(300'000)};
     std::shared_ptr<session> last;
 
 private:
@@ -49,6 +57,8 @@
     CPPUNIT_TEST(a_caller_that_left_before_its_request_was_read_asks_nothing);
     CPPUNIT_TEST(requests_sent_ahead_are_taken_after_the_answer);
     CPPUNIT_TEST(bytes_without_end_behind_a_request_are_left_in_the_socket);
+    CPPUNIT_TEST(a_head_without_end_is_refused);
+    CPPUNIT_TEST(a_body_without_end_is_refused_when_there_is_no_room);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -94,20 +104,37 @@
     {
         send(request);
         start();
-        caller_->non_blocking(true);
-        std::string const bytes(4096, 'x');
-        std::size_t sent = 0;
-        boost::system::error_code ec;
-        for (int stalls = 0; stalls != 20; ++stalls, turn())
-            for (ec = {}; !ec && sent < endless;)
-                sent += caller_->write_some(boost::asio::buffer(bytes), ec);
-        CPPUNIT_ASSERT_MESSAGE("the sender is held up", sent < endless);
+        CPPUNIT_ASSERT_MESSAGE("the sender is held up", pour() < endless);
         CPPUNIT_ASSERT_EQUAL(1, owner_.unwatched_);
         owner_.last->answer(encode_status(204));
         turn();
         CPPUNIT_ASSERT_EQUAL_MESSAGE("closed", 1, owner_.ended_);
     }
 
+    void a_head_without_end_is_refused()
+    {
+        send("GET /r/ HTTP/1.1\r\nX: ");
+        start();
+        CPPUNIT_ASSERT(pour() < endless);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, owner_.arrived_);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("closed", 1, owner_.ended_);
+    }
+
+    /// Pattern: callers send bodies without end; each is within its own limit, and together
+    /// they would fill the memory.
+    void a_body_without_end_is_refused_when_there_is_no_room()
+    {
+        kernel::byte_charge others(owner_.bytes);
+        CPPUNIT_ASSERT(others.set(byte_count(200'000)));
+        send("POST /r/ HTTP/1.1\r\nContent-Length: 900000\r\n\r\n");
+        start();
+        CPPUNIT_ASSERT(pour() < endless);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, owner_.arrived_);
+        CPPUNIT_ASSERT_EQUAL(1, owner_.refused);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("closed", 1, owner_.ended_);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{200'000}, owner_.bytes.used().count());
+    }
+
 private:
     static inline std::string const request = "GET /r/ HTTP/1.1\r\nHost: x\r\n\r\n";
     static constexpr std::size_t endless = 67'108'864;
@@ -117,6 +144,19 @@
         boost::asio::write(*caller_, boost::asio::buffer(bytes));
     }
 
+    /// Sends bytes for as long as they are taken; returns how many were.
+    std::size_t pour()
+    {
+        caller_->non_blocking(true);
+        std::string const bytes(4096, 'x');
+        std::size_t out = 0;
+        boost::system::error_code ec;
+        for (int stalls = 0; stalls != 20; ++stalls, turn())
+            for (ec = {}; !ec && out < endless;)
+                out += caller_->write_some(boost::asio::buffer(bytes), ec);
+        return out;
+    }
+
     void start()
     {
         session_owner& owner = owner_;
