Answer a leader's request of an earlier term in no round

What was seen: replica_schedules failed on arm64 of its 2,000: "the group does not settle".

The refusal now names no round. a_request_of_an_earlier_term_is_not_ answered_in_its_round failed before; replica_schedules passes.

--- a/include/mulberryrudder/messages/replica.hpp
+++ b/include/mulberryrudder/messages/replica.hpp
@@ -29,7 +29,7 @@
 {
     term_id term;
     control::disk_id disk;
-    round_id round;
+    round_id round; ///< Of the request; none if that was of an earlier term than `term`.
     bool matched = false;
     log_index last; ///< Last entry known to match, or a place to try next if none did.
 };
--- a/plugins/control/replica/following.cpp
+++ b/plugins/control/replica/following.cpp
@@ -26,15 +26,16 @@
 
 void replica::take_append(instance_id from, messages::append_request const& it, context&)
 {
-    messages::append_reply answer{
-        .term = state_.term, .disk = state_.disk, .round = it.round, .matched = false};
+    messages::append_reply answer{.term = state_.term, .disk = state_.disk, .matched = false};
     if (!heard_leader(from, it.term, it.to_disk))
     {
+        // It only tells the newer term: the request's round is one of an earlier term.
         if (it.to_disk == state_.disk && is_registered())
             send_synced(from, answer);
         return;
     }
     answer.term = state_.term;
+    answer.round = it.round;
     if (!fits(it))
     {
         with_->counters.add(replica_events::appends_rejected);
--- a/tests/control/replica/commit_rule_test.cpp
+++ b/tests/control/replica/commit_rule_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST_SUITE(commit_rule_test);
     CPPUNIT_TEST(an_entry_of_an_earlier_term_is_not_committed_by_counting);
     CPPUNIT_TEST(an_entry_of_the_own_term_commits_those_before_it);
+    CPPUNIT_TEST(a_request_of_an_earlier_term_is_not_answered_in_its_round);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -51,6 +52,18 @@
         CPPUNIT_ASSERT(log_index(3) == log().applied_index());
     }
 
+    // Guards against replicas that lose their vote for good: a refusal of a leader's old
+    // request bore the new term and the old round. When the same instance led again, it took
+    // this for an answer in its present round, by a disk that had lost what it held.
+    void a_request_of_an_earlier_term_is_not_answered_in_its_round()
+    {
+        tell(2, messages::append_request{
+                    .term = term_id(3), .to_disk = disk_of(1), .round = messages::round_id(7)});
+        CPPUNIT_ASSERT(refusal_.has_value());
+        CPPUNIT_ASSERT_MESSAGE("it tells of the newer term", refusal_->term == term_id(4));
+        CPPUNIT_ASSERT(refusal_->round == messages::round_id());
+    }
+
 private:
     static disk_recovered recovered_log()
     {
@@ -94,9 +107,13 @@
                     nonce_ = saved->state->own_starts.back();
                 give(disk_synced{saved->ticket});
             }
-            if (auto const* const sent = std::get_if<send_message>(&it))
-                if (auto const* const append = sent->message.body.get<messages::append_request>())
-                    round_ = append->round;
+            auto const* const sent = std::get_if<send_message>(&it);
+            if (sent == nullptr)
+                continue;
+            if (auto const* const append = sent->message.body.get<messages::append_request>())
+                round_ = append->round;
+            if (auto const* const reply = sent->message.body.get<messages::append_reply>())
+                refusal_ = *reply;
         }
     }
 
@@ -135,6 +152,7 @@
     instant now_{seconds(1000)};
     start_nonce nonce_;
     messages::round_id round_;
+    std::optional<messages::append_reply> refusal_;
     std::unique_ptr<core> core_;
 };
 
