Count all control instances, and this start's acknowledgements only

Cause: an instance that had just started took the seeds of its settings for all, and before its first tick counted itself only. Its numbers begin anew, while the others' messages still bore acknowledgements of the numbers of its earlier start. A leave that it was told then was acknowledged, though most instances did not know of it.

Acknowledgements name the start that they are of, and nothing is held by a majority before another instance has named those that it knows, which each does every second. a_restarted_instance_counts_all_control_instances failed before, and fails with either half taken out.

--- a/include/mulberryrudder/messages/roster.hpp
+++ b/include/mulberryrudder/messages/roster.hpp
@@ -20,7 +20,9 @@
     generation_id generation;    ///< Of its steering state.
     bool wants_steering = false; ///< It asks for a newer steering state.
     shared_steering steering;    ///< Only if the receiver is known to need it.
+    boot_id boot;                ///< Start of the sender that `number` is of.
     sequence_id number;          ///< Of this message, for the acknowledgement.
+    boot_id acknowledged_boot;   ///< Start of the receiver that `acknowledged` is of.
     sequence_id acknowledged;    ///< Newest number of the receiver that was taken in.
     std::vector<target_notice> targets;
     std::vector<entry_notice> entries;      ///< Those that reported since the last message.
--- a/plugins/control/roster/control_table.cpp
+++ b/plugins/control/roster/control_table.cpp
@@ -18,15 +18,18 @@
     return true;
 }
 
-void control_table::heard(instance_id id, messages::roster_exchange const& it, instant now)
+void control_table::heard(instance_id id, messages::roster_exchange const& it, boot_id own,
+                          instant now)
 {
     auto& to = rows_.at(id);
     to.who = it.who;
     to.operators = it.operators;
     to.leads = it.leads;
     to.heard = now;
+    to.boot = it.boot;
     to.taken = it.number;
-    to.acknowledged = it.acknowledged;
+    // An acknowledgement of an earlier start of this instance says nothing of this one.
+    to.acknowledged = it.acknowledged_boot == own ? it.acknowledged : sequence_id();
     to.generation = it.generation;
     to.wants_steering = it.wants_steering;
 }
@@ -37,9 +40,14 @@
                   [since](auto const& it) { return !it.second.kept && it.second.heard < since; });
 }
 
+bool control_table::is_majority(std::size_t count) const
+{
+    return (introduced_ || rows_.empty()) && count * 2 > size();
+}
+
 bool control_table::held_by_majority(sequence_id number) const
 {
-    return holders(number) * 2 > size();
+    return is_majority(holders(number));
 }
 
 std::size_t control_table::holders(sequence_id number) const
@@ -54,14 +62,14 @@
 {
     auto const held = std::count_if(rows_.begin(), rows_.end(),
                                     [&](auto const& each) { return each.second.generation >= it; });
-    return static_cast<std::size_t>(held + (own >= it)) * 2 > size();
+    return is_majority(static_cast<std::size_t>(held + (own >= it)));
 }
 
 bool control_table::hears_majority(instant since) const
 {
     auto const heard = std::count_if(rows_.begin(), rows_.end(),
                                      [since](auto const& it) { return it.second.heard >= since; });
-    return static_cast<std::size_t>(heard + 1) * 2 > rows_.size() + 1;
+    return is_majority(static_cast<std::size_t>(heard + 1));
 }
 
 std::optional<endpoint> control_table::leader_since(instant since) const
--- a/plugins/control/roster/control_table.hpp
+++ b/plugins/control/roster/control_table.hpp
@@ -24,6 +24,7 @@
         bool leads = false;
         bool kept = false;        ///< A contact of the settings: never forgotten.
         instant heard;            ///< Last message from it.
+        boot_id boot;             ///< Start of it that `taken` is of.
         sequence_id taken;        ///< Newest number of it that was taken in here.
         sequence_id acknowledged; ///< Newest number of this instance that it took in.
         generation_id generation; ///< Of its steering state.
@@ -33,8 +34,13 @@
     /// Adds an instance; returns whether its address is new.
     bool add(instance_description const& who, bool kept, instant now);
 
-    /// Notes what a message of it says. Precondition: it was added.
-    void heard(instance_id id, messages::roster_exchange const& it, instant now);
+    /// Notes what a message of it says; `own` is the start of this instance. Precondition:
+    /// it was added.
+    void heard(instance_id id, messages::roster_exchange const& it, boot_id own, instant now);
+
+    /// Notes that another instance named those that it knows. Before, an instance that has
+    /// just started knows too few to tell what a majority is.
+    void introduced() { introduced_ = true; }
 
     /// Forgets those that were not heard since a time and are no contacts.
     void expire(instant since);
@@ -67,7 +73,10 @@
     std::vector<instance_description> known_since(instant since) const;
 
 private:
+    bool is_majority(std::size_t count) const;
+
     std::map<instance_id, row> rows_;
+    bool introduced_ = false;
 };
 
 } // namespace mulberryrudder::control
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -112,6 +112,7 @@
 
     bool asked(operator_asked const& it, context& with) override
     {
+        begin(with);
         static std::array const table{on<&roster::take_announcement>(), on<&roster::take_leave>(),
                                       on<&roster::look_up>()};
         return dispatch(*this, table, it.id, it.body, with);
@@ -119,6 +120,7 @@
 
     void received(envelope const& it, context& with) override
     {
+        begin(with);
         static std::array const table{on<&roster::take_poll>(), on<&roster::take_exchange>()};
         dispatch(*this, table, it.from, it.body, with);
     }
@@ -298,6 +300,7 @@
                                          .operators = with.self.operators,
                                          .generation = state->generation,
                                          .steering = nullptr,
+                                         .boot = epoch_,
                                          .number = number_,
                                          .targets = targets_.take_fresh(with.now),
                                          .entries = {},
@@ -314,6 +317,7 @@
         for (auto& [id, it] : controls_.rows())
         {
             auto out = common;
+            out.acknowledged_boot = it.boot;
             out.acknowledged = it.taken;
             out.wants_steering = it.generation > state->generation;
             if (std::exchange(it.wants_steering, false) && it.generation < state->generation)
@@ -339,13 +343,14 @@
 
     void take_exchange(instance_id from, messages::roster_exchange const& it, context& with)
     {
-        begin(with);
         if (it.who.id != from)
             return;
         meet(it.who, false, with);
-        controls_.heard(from, it, with.now);
+        controls_.heard(from, it, epoch_, with.now);
         for (auto const& each : it.control)
             meet(each, false, with);
+        if (!it.control.empty())
+            controls_.introduced();
         for (auto const& target : it.targets)
             if (targets_.take(target, with.now))
                 note_target(target, with);
@@ -371,7 +376,6 @@
 
     void take_poll(instance_id from, messages::roster_poll const& it, context& with)
     {
-        begin(with);
         with.counters.add(polls_counter);
         learn_entry(it.self, with);
         entries_.take_own(it.self, with.now);
--- a/plugins/peer/codecs/roster_codec.cpp
+++ b/plugins/peer/codecs/roster_codec.cpp
@@ -131,7 +131,9 @@
     to.setHasSteering(from.steering != nullptr);
     if (from.steering)
         encode_state(*from.steering, true, to.initSteering());
+    to.setBoot(from.boot.value());
     to.setNumber(from.number.value());
+    to.setAcknowledgedBoot(from.acknowledged_boot.value());
     to.setAcknowledged(from.acknowledged.value());
     encode_list(from.targets, to.initTargets(size_of(from.targets)));
     encode_list(from.entries, to.initEntries(size_of(from.entries)));
@@ -147,7 +149,9 @@
                                   .generation = generation_id(from.getGeneration()),
                                   .wants_steering = from.getWantsSteering(),
                                   .steering = nullptr,
+                                  .boot = boot_id(from.getBoot()),
                                   .number = sequence_id(from.getNumber()),
+                                  .acknowledged_boot = boot_id(from.getAcknowledgedBoot()),
                                   .acknowledged = sequence_id(from.getAcknowledged()),
                                   .targets = {},
                                   .entries = {},
--- a/schemas/steering.capnp
+++ b/schemas/steering.capnp
@@ -162,6 +162,8 @@
   entries @10 :List(EntryNotice);
   outcomes @11 :List(Outcomes);
   control @12 :List(Lease.InstanceDescription);
+  boot @13 :UInt64;
+  acknowledgedBoot @14 :UInt64;
 }
 
 struct Poll {
--- a/tests/control/roster/roster_schedules_test.cpp
+++ b/tests/control/roster/roster_schedules_test.cpp
@@ -227,6 +227,7 @@
     CPPUNIT_TEST(instances_that_know_only_seeds_find_each_other);
     CPPUNIT_TEST(a_leave_is_held_by_a_majority_before_it_is_answered);
     CPPUNIT_TEST(an_instance_that_is_cut_off_does_not_acknowledge_a_leave);
+    CPPUNIT_TEST(a_restarted_instance_counts_all_control_instances);
     CPPUNIT_TEST(a_restarted_instance_learns_all_again);
     CPPUNIT_TEST(a_state_reaches_instances_without_a_part_in_the_log);
     CPPUNIT_TEST(followers_name_the_leader);
@@ -273,6 +274,31 @@
         CPPUNIT_ASSERT(it.held(id) == false);
     }
 
+    // Guards against DRAIN: an instance that had just started took most of the seeds for most
+    // of the control instances, and acknowledgements of its earlier start for those of this one.
+    void a_restarted_instance_counts_all_control_instances()
+    {
+        // At any moment between two messages that name the instances.
+        for (int phase = 0; phase != 20; ++phase)
+        {
+            fleet it(9, 10);
+            it.run(seconds(2));
+            it.ask(0, target(1, 1));
+            it.run(milliseconds(500 + 50 * phase));
+            for (std::size_t n = 3; n != 8; ++n)
+                it.cut(n, true);
+            it.start(8, 99);
+            auto const id = it.ask(8, target(1, 2, messages::target_standing::leaving));
+            it.run(milliseconds(1000));
+            CPPUNIT_ASSERT(it.held(id) == false);
+            for (std::size_t n = 3; n != 8; ++n)
+                it.cut(n, false);
+            auto const again = it.ask(8, target(1, 3, messages::target_standing::leaving));
+            it.run(milliseconds(1000));
+            CPPUNIT_ASSERT(it.held(again) == true);
+        }
+    }
+
     void a_restarted_instance_learns_all_again()
     {
         fleet it(6, 4);
