Grow the control group to the voters that its losses need

Cause: the three seeds are the voters, however many disks may be lost at once. Two of three voters' disks hold all majorities there are.

An addition is a replacement that takes nobody's place; one that does not come about holds up nothing.

--- a/include/mulberryrudder/control/replicated_log.hpp
+++ b/include/mulberryrudder/control/replicated_log.hpp
@@ -49,8 +49,9 @@
     /// Returns the newest membership that this replica knows.
     virtual group_membership const& membership() const = 0;
 
-    /// Begins to put an instance in the place of a voter. Returns false, and changes
-    /// nothing, if this replica may not act or another change is under way.
+    /// Begins to put an instance in the place of a voter; one that replaces itself joins the
+    /// voters that there are. Returns false, and changes nothing, if this replica may not act
+    /// or another change is under way; an addition that did not come about yet is given up.
     virtual bool begin_replacement(replacement const& wanted, instant now) = 0;
 };
 
--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -111,16 +111,31 @@
 void replica::note_replacement(replacement const& wanted)
 {
     auto next = members();
-    std::erase_if(next.pending, [&](replacement const& each)
-                  { return each.leaving == wanted.leaving && each.joining != wanted.leaving; });
-    next.pending.push_back(wanted);
+    // An addition that waits for an instance holds up nothing else.
+    std::erase_if(next.pending,
+                  [&](replacement const& each)
+                  {
+                      return each != wanted &&
+                             (is_addition(each) ||
+                              (each.leaving == wanted.leaving && each.joining != wanted.leaving));
+                  });
+    if (std::find(next.pending.begin(), next.pending.end(), wanted) == next.pending.end())
+        next.pending.push_back(wanted);
     if (next != members())
         append_membership(std::move(next));
 }
 
+bool replica::is_addition(replacement const& it) const
+{
+    return it.leaving == it.joining && members().find(it.joining) == nullptr;
+}
+
 bool replica::begin_replacement(replacement const& wanted, instant now)
 {
-    bool const busy = members_.newest_index() > committed_ || !members().pending.empty();
+    auto const& pending = members().pending;
+    bool const busy = members_.newest_index() > committed_ ||
+                      !std::all_of(pending.begin(), pending.end(),
+                                   [this](replacement const& it) { return is_addition(it); });
     if (with_ == nullptr || !is_leader() || !may_act(now) || busy)
         return false;
     note_replacement(wanted);
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -144,6 +144,8 @@
     void take_list(operator_request_id id, list_members const& it, context& with);
     void take_replace(operator_request_id id, replace_member const& it, context& with);
     replace_refusal refusal_of(replace_member const& it) const;
+    /// Returns whether a replacement takes nobody's place.
+    bool is_addition(replacement const& it) const;
     void note_replacement(replacement const& wanted);
     void answer_replaced(operator_request_id id, replace_refusal refusal);
     void answer_committed();
--- a/plugins/control/voters/voter_keeper.cpp
+++ b/plugins/control/voters/voter_keeper.cpp
@@ -15,6 +15,7 @@
 
 struct voter_settings
 {
+    std::int64_t losses_borne = 1;
     milliseconds replace_after{4000};
     milliseconds check_period{500};
 };
@@ -24,6 +25,10 @@
 kernel::section<voter_settings> const voter_section{
     "voters",
     {
+        kernel::field(
+            "losses_borne", &voter_settings::losses_borne, {1, 3},
+            "Control instances whose disks may be lost at once without a loss of what was "
+            "accepted: the group grows to twice as many voters and one more."),
         kernel::field("replace_after", &voter_settings::replace_after, times,
                       "Milliseconds without a word from a voter after which another control "
                       "instance takes its place."),
@@ -31,6 +36,13 @@
                       "Milliseconds between two looks at the voters."),
     }};
 
+kernel::event_kind const adding_event{
+    {.number = 731,
+     .name = "voters.adding",
+     .level = kernel::severity::info,
+     .meaning = "The group has too few voters for the losses that it is to bear; a control "
+                "instance joins them.",
+     .action = "None."}};
 kernel::event_kind const replacing_event{
     {.number = 730,
      .name = "voters.replacing",
@@ -38,9 +50,9 @@
      .meaning = "A voter was not heard for long; another control instance takes its place.",
      .action = "Look at the silent instance. It joins again by itself when it returns."}};
 
-/// Keeps the control group whole while this instance leads: a voter that stays silent
-/// is replaced by an instance that is heard, in the region with the fewest voters, so
-/// that the loss of a region leaves a majority.
+/// Keeps the control group whole while this instance leads: it grows to the voters that it
+/// needs, and a voter that stays silent is replaced. The places go to instances that are
+/// heard, in the region with the fewest voters, so that the loss of a region leaves a majority.
 ///
 /// Thread safety: the decision core's thread.
 class voter_keeper final : public component
@@ -63,8 +75,10 @@
         auto const heard =
             services_.require<roster_view>().control_since(with.now - config_.check_period * 2);
         note_silence(heard, with.now);
-        if (auto const wanted = choose(heard, with.now))
+        if (auto const wanted = choose_replacement(heard, with.now))
             replace(*wanted, with);
+        else if (is_small())
+            add(heard, with);
     }
 
 private:
@@ -85,7 +99,14 @@
         }
     }
 
-    std::optional<replacement> choose(std::vector<instance_description> const& heard, instant now)
+    bool is_small()
+    {
+        auto const wanted = static_cast<std::size_t>(2 * config_.losses_borne + 1);
+        return group().membership().voters.size() < wanted;
+    }
+
+    std::optional<replacement> choose_replacement(std::vector<instance_description> const& heard,
+                                                  instant now)
     {
         auto const& members = group().membership();
         auto const overdue = std::find_if(silent_since_.begin(), silent_since_.end(),
@@ -93,25 +114,47 @@
                                               return members.find(it.first) != nullptr &&
                                                      it.second + config_.replace_after <= now;
                                           });
-        if (overdue == silent_since_.end())
+        auto const* const joining = overdue == silent_since_.end() ? nullptr : best_of(heard);
+        if (joining == nullptr)
             return std::nullopt;
+        return replacement{
+            .leaving = overdue->first, .joining = joining->id, .peer = joining->peer};
+    }
+
+    /// Returns the instance that is to vote next; null if all that are heard do.
+    instance_description const* best_of(std::vector<instance_description> const& heard)
+    {
+        auto const& members = group().membership();
         std::map<region_id, int> voters_in;
         ++voters_in[self_.self.region];
         for (auto const& it : heard)
             voters_in[it.region] += members.find(it.id) != nullptr;
-        std::optional<replacement> out;
+        instance_description const* out = nullptr;
         std::tuple<int, instance_id> least{};
         for (auto const& it : heard)
         {
             std::tuple const cost(voters_in[it.region], it.id);
-            if (members.find(it.id) != nullptr || (out && cost >= least))
+            if (members.find(it.id) != nullptr || (out != nullptr && cost >= least))
                 continue;
             least = cost;
-            out = replacement{.leaving = overdue->first, .joining = it.id, .peer = it.peer};
+            out = &it;
         }
         return out;
     }
 
+    void add(std::vector<instance_description> const& heard, context& with)
+    {
+        auto const* const joining = best_of(heard);
+        // One that replaces itself leaves nobody's place.
+        if (joining == nullptr ||
+            !group().begin_replacement(
+                {.leaving = joining->id, .joining = joining->id, .peer = joining->peer}, with.now))
+            return;
+        with.events.record(adding_event,
+                           {{"joining", std::to_string(joining->id.value())},
+                            {"voters", std::to_string(group().membership().voters.size())}});
+    }
+
     void replace(replacement const& wanted, context& with)
     {
         if (!group().begin_replacement(wanted, with.now))
--- a/tests/control/replica/seeds_test.cpp
+++ b/tests/control/replica/seeds_test.cpp
@@ -68,6 +68,8 @@
     CPPUNIT_TEST(a_wiped_seed_gets_its_vote_back_by_joining);
     CPPUNIT_TEST(all_seeds_come_back_with_their_disks);
     CPPUNIT_TEST(an_instance_takes_the_place_of_a_lost_seed);
+    CPPUNIT_TEST(a_group_that_grew_bears_the_loss_of_two_disks);
+    CPPUNIT_TEST(an_addition_that_never_comes_about_holds_up_nothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -172,7 +174,75 @@
         CPPUNIT_ASSERT(it.wait_for_leader());
     }
 
+    // Guards against LOST and RECOVER: of three voters two lost their disks, as all others
+    // lost power, and nobody could lead any more.
+    void a_group_that_grew_bears_the_loss_of_two_disks()
+    {
+        seeded_group it;
+        start_all(it);
+        it.founding = false;
+        for (int n = 0; n != 2; ++n)
+            grow(it);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, it.members().members.size());
+        it.propose(5);
+        it.run_for(seconds(1));
+        auto const leader = it.acting();
+        auto const other = leader == 1 ? 2U : 1U;
+        for (std::uint32_t id = 1; id != 6; ++id)
+            it.kill(id);
+        it.at(leader).disk = {};
+        it.at(other).disk = {};
+        for (std::uint32_t id = 1; id != 6; ++id)
+            it.start(id);
+        CPPUNIT_ASSERT(it.wait_for_leader());
+        for (int n = 0; n != 200 && !(it.votes(leader) && it.votes(other)); ++n)
+            it.run_for(milliseconds(100));
+        CPPUNIT_ASSERT(it.votes(leader) && it.votes(other));
+        CPPUNIT_ASSERT(it.has_value(it.acting(), 5));
+    }
+
+    void an_addition_that_never_comes_about_holds_up_nothing()
+    {
+        seeded_group it;
+        start_all(it);
+        it.founding = false;
+        auto const dead = it.add_instance();
+        CPPUNIT_ASSERT(begin(it, dead, dead));
+        it.run_for(seconds(2));
+        auto const other = it.add_instance();
+        it.start(other);
+        it.run_for(seconds(2));
+        std::uint32_t const lost = it.acting() == 1 ? 2 : 1;
+        it.kill(lost);
+        it.run_for(seconds(1));
+        CPPUNIT_ASSERT(begin(it, lost, other));
+        for (int n = 0; n != 100 && !it.votes(other); ++n)
+            it.run_for(milliseconds(100));
+        CPPUNIT_ASSERT(it.votes(other));
+    }
+
 private:
+    static bool begin(seeded_group& it, std::uint32_t leaving, std::uint32_t joining)
+    {
+        auto& group = it.at(it.acting()).decisions->services().require<voter_group>();
+        return group.begin_replacement({.leaving = instance_id(leaving),
+                                        .joining = instance_id(joining),
+                                        .peer = {"10.0.0.9", static_cast<std::uint16_t>(joining)}},
+                                       it.now());
+    }
+
+    /// Adds an instance to the group and waits until it votes.
+    static void grow(seeded_group& it)
+    {
+        auto const joining = it.add_instance();
+        it.start(joining);
+        it.run_for(seconds(2));
+        CPPUNIT_ASSERT(begin(it, joining, joining));
+        for (int n = 0; n != 100 && !it.votes(joining); ++n)
+            it.run_for(milliseconds(100));
+        CPPUNIT_ASSERT(it.votes(joining));
+    }
+
     static void start_all(seeded_group& it)
     {
         for (std::uint32_t id = 1; id != 4; ++id)
--- a/tests/control/voters/voter_keeper_test.cpp
+++ b/tests/control/voters/voter_keeper_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(the_place_goes_to_a_region_without_voters);
     CPPUNIT_TEST(nobody_is_replaced_without_another_instance);
     CPPUNIT_TEST(a_follower_replaces_nobody);
+    CPPUNIT_TEST(the_group_grows_to_what_it_has_to_bear);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -113,6 +114,17 @@
         CPPUNIT_ASSERT(near().begun.empty());
     }
 
+    // Guards against LOST: three voters were all there were, however many disks may be lost.
+    void the_group_grows_to_what_it_has_to_bear()
+    {
+        near().members.voters.pop_back();
+        run(seconds(2));
+        CPPUNIT_ASSERT(!near().begun.empty());
+        auto const& it = near().begun.front();
+        CPPUNIT_ASSERT_MESSAGE("nobody leaves", it.leaving == it.joining);
+        CPPUNIT_ASSERT_MESSAGE("where no voter is", it.joining == instance_id(3));
+    }
+
 private:
     fake_neighbours& near() { return it_.service<fake_neighbours>(); }
 
