--- a/tests/support/known_failures.cpp
+++ b/tests/support/known_failures.cpp
@@ -28,8 +28,7 @@
     return it == listed_.end() ? nullptr : &*it;
 }
 
-std::vector<std::string>
-known_failures::missing_from(std::vector<std::string> const& failed) const
+std::vector<std::string> known_failures::missing_from(std::vector<std::string> const& failed) const
 {
     std::set<std::string> left = listed_;
     for (auto const& it : failed)
