--- a/plugins/control/voters/voter_keeper.cpp
+++ b/plugins/control/voters/voter_keeper.cpp
@@ -144,15 +144,18 @@
 
     void add(std::vector<instance_description> const& heard, context& with)
     {
-        auto const* const joining = best_of(heard);
-        // One that replaces itself leaves nobody's place.
-        if (joining == nullptr ||
-            !group().begin_replacement(
-                {.leaving = joining->id, .joining = joining->id, .peer = joining->peer}, with.now))
+        auto const* const it = best_of(heard);
+        if (it == nullptr)
             return;
-        with.events.record(adding_event,
-                           {{"joining", std::to_string(joining->id.value())},
-                            {"voters", std::to_string(group().membership().voters.size())}});
+        // One that replaces itself takes nobody's place.
+        replacement const wanted{.leaving = it->id, .joining = it->id, .peer = it->peer};
+        auto const& members = group().membership();
+        bool const begun = std::find(members.pending.begin(), members.pending.end(), wanted) !=
+                           members.pending.end();
+        auto const voters = members.voters.size();
+        if (!begun && group().begin_replacement(wanted, with.now))
+            with.events.record(adding_event, {{"joining", std::to_string(it->id.value())},
+                                              {"voters", std::to_string(voters)}});
     }
 
     void replace(replacement const& wanted, context& with)
