Report failures and broken replies of a version apart

Cause: an entry counted failures that targets report and connections that end without a complete reply as one number, and control recorded nothing between two decisions.

Change: version_outcomes has both numbers; rollout.judged has the answers and broken replies of both versions; rollout.suspected tells every two seconds why a version that fails more often goes on. Decisions are unchanged. Checked: steering_tests and steering_codec_tests pass.

--- a/include/mulberryrudder/messages/roster_notices.hpp
+++ b/include/mulberryrudder/messages/roster_notices.hpp
@@ -54,8 +54,9 @@
     service_id service;
     version_id version;
     std::uint64_t answered = 0;
-    std::uint64_t bad = 0;  ///< Failures by the target's own word, and broken replies.
-    std::uint64_t late = 0; ///< Without a reply within the request's time.
+    std::uint64_t failed = 0; ///< Failures that the target itself reported.
+    std::uint64_t broken = 0; ///< Connections that ended without a complete reply.
+    std::uint64_t late = 0;   ///< Without a reply within the request's time.
 
     friend bool operator==(version_outcomes const&, version_outcomes const&) = default;
 };
--- a/plugins/control/rollouts/rollouts.cpp
+++ b/plugins/control/rollouts/rollouts.cpp
@@ -70,12 +70,27 @@
      .meaning = "The share of a rollout's version changes, or the rollout ends.",
      .action = "If it was rolled back, check the failures of that version's targets."}};
 
+kernel::event_kind const suspected_event{
+    {.number = 711,
+     .name = "rollout.suspected",
+     .level = kernel::severity::warning,
+     .meaning = "A rollout's version fails more often than the old one, but not clearly enough to "
+                "be rolled back. The fields give the answers, failures, broken replies and "
+                "timeouts of both versions.",
+     .action = "Check the failures of the targets of both versions."}};
+
+/// Time between two reports that a version is suspected.
+constexpr seconds suspected_interval{2};
+
 /// Outcomes of one version since its rollout began.
 struct outcome_counts
 {
     std::uint64_t answered = 0;
-    std::uint64_t bad = 0;  ///< Failures reported by the target, and broken replies.
-    std::uint64_t late = 0; ///< Without a reply within the request's time.
+    std::uint64_t failed = 0; ///< Failures reported by the target.
+    std::uint64_t broken = 0; ///< Connections that ended without a complete reply.
+    std::uint64_t late = 0;   ///< Without a reply within the request's time.
+
+    std::uint64_t bad() const { return failed + broken; }
 
     /// Returns `count` in thousandths of the answers, or 0 without answers.
     std::int64_t per_mille_of(std::uint64_t count) const
@@ -124,6 +139,7 @@
     {
         instant second_stage_start;
         instant completion_time;
+        instant next_suspected_report;
         std::map<version_id, outcome_counts> outcomes;
     };
 
@@ -136,7 +152,8 @@
                 continue;
             auto& counts = found->second.outcomes[it.version];
             counts.answered += it.answered;
-            counts.bad += it.bad;
+            counts.failed += it.failed;
+            counts.broken += it.broken;
             counts.late += it.late;
         }
     }
@@ -184,7 +201,7 @@
         else if (ctx.now >= rollout.second_stage_start)
             step.share = std::max(versions.share, config_.second_stage_share);
         if (step.phase == rollout_phase::running && step.share == versions.share)
-            return;
+            return report_suspicion(service, versions, rollout, ctx);
         ctx.events.record(
             judged_event,
             {{"service", service.value()},
@@ -192,13 +209,41 @@
              {"share", std::to_string(step.share.count())},
              {"phase", std::to_string(static_cast<int>(step.phase))},
              {"answered", std::to_string(new_counts.answered)},
-             {"bad", std::to_string(new_counts.bad)},
+             {"bad", std::to_string(new_counts.bad())},
+             {"broken", std::to_string(new_counts.broken)},
              {"late", std::to_string(new_counts.late)},
-             {"old_bad_per_mille", std::to_string(old_counts.per_mille_of(old_counts.bad))},
+             {"old_answered", std::to_string(old_counts.answered)},
+             {"old_bad_per_mille", std::to_string(old_counts.per_mille_of(old_counts.bad()))},
+             {"old_broken_per_mille", std::to_string(old_counts.per_mille_of(old_counts.broken))},
              {"old_late_per_mille", std::to_string(old_counts.per_mille_of(old_counts.late))}});
         log.propose(any_message::of(std::move(step)));
     }
 
+    /// Records at intervals that a version fails more often than the old one, yet not clearly
+    /// enough to be rolled back.
+    static void report_suspicion(service_id const& service, service_versions const& versions,
+                                 progress& rollout, context& ctx)
+    {
+        auto const& new_counts = rollout.outcomes[versions.next];
+        auto const& old_counts = rollout.outcomes[versions.base];
+        bool const is_suspected =
+            new_counts.per_mille_of(new_counts.bad()) > old_counts.per_mille_of(old_counts.bad()) ||
+            new_counts.per_mille_of(new_counts.late) > old_counts.per_mille_of(old_counts.late);
+        if (!is_suspected || ctx.now < rollout.next_suspected_report)
+            return;
+        rollout.next_suspected_report = ctx.now + suspected_interval;
+        ctx.events.record(suspected_event, {{"service", service.value()},
+                                            {"version", versions.next.value()},
+                                            {"answered", std::to_string(new_counts.answered)},
+                                            {"failed", std::to_string(new_counts.failed)},
+                                            {"broken", std::to_string(new_counts.broken)},
+                                            {"late", std::to_string(new_counts.late)},
+                                            {"old_answered", std::to_string(old_counts.answered)},
+                                            {"old_failed", std::to_string(old_counts.failed)},
+                                            {"old_broken", std::to_string(old_counts.broken)},
+                                            {"old_late", std::to_string(old_counts.late)}});
+    }
+
     /// Returns whether the new version fails, or times out, more often than the old one by
     /// more than the settings allow. Detects versions that fail for only some of their requests.
     bool is_worse(outcome_counts const& new_counts, outcome_counts const& old_counts) const
@@ -206,13 +251,13 @@
         auto const is_enough = [this](std::uint64_t n)
         { return static_cast<std::int64_t>(n) >= config_.min_bad.count(); };
         auto const bad_excess =
-            new_counts.per_mille_of(new_counts.bad) - old_counts.per_mille_of(old_counts.bad);
+            new_counts.per_mille_of(new_counts.bad()) - old_counts.per_mille_of(old_counts.bad());
         auto const late_excess =
             new_counts.per_mille_of(new_counts.late) - old_counts.per_mille_of(old_counts.late);
         bool const exceeds_factor =
-            new_counts.per_mille_of(new_counts.bad) >=
-            config_.min_bad_factor * old_counts.per_mille_of(old_counts.bad);
-        return (is_enough(new_counts.bad) && exceeds_factor &&
+            new_counts.per_mille_of(new_counts.bad()) >=
+            config_.min_bad_factor * old_counts.per_mille_of(old_counts.bad());
+        return (is_enough(new_counts.bad()) && exceeds_factor &&
                 bad_excess > config_.max_bad_excess.count()) ||
                (is_enough(new_counts.late) && late_excess > config_.max_late_excess.count());
     }
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -130,8 +130,10 @@
         ++out.answered;
         if (late)
             ++out.late;
-        else if (reply_broken || result.content->status >= 500)
-            ++out.bad;
+        else if (reply_broken)
+            ++out.broken;
+        else if (result.content->status >= 500)
+            ++out.failed;
     }
 
     void stopping(context& ctx) override
--- a/plugins/peer/codecs/roster_codec.cpp
+++ b/plugins/peer/codecs/roster_codec.cpp
@@ -83,7 +83,8 @@
     to.setService(from.service.value());
     to.setVersion(from.version.value());
     to.setAnswered(from.answered);
-    to.setBad(from.bad);
+    to.setFailed(from.failed);
+    to.setBroken(from.broken);
     to.setLate(from.late);
 }
 
@@ -92,7 +93,8 @@
     return {.service = service_id(decode_text(from.getService())),
             .version = version_id(decode_text(from.getVersion())),
             .answered = from.getAnswered(),
-            .bad = from.getBad(),
+            .failed = from.getFailed(),
+            .broken = from.getBroken(),
             .late = from.getLate()};
 }
 
--- a/schemas/steering.capnp
+++ b/schemas/steering.capnp
@@ -130,8 +130,9 @@
   service @0 :Text;
   version @1 :Text;
   answered @2 :UInt64;
-  bad @3 :UInt64;
+  failed @3 :UInt64;
   late @4 :UInt64;
+  broken @5 :UInt64;
 }
 
 struct CustomerNumber {
--- a/tests/control/steering/rollouts_test.cpp
+++ b/tests/control/steering/rollouts_test.cpp
@@ -173,8 +173,8 @@
         {
             auto& outcomes = replica_.service<fake_roster>().outcomes;
             outcomes.push_back(
-                {.service = desk, .version = v2, .answered = 10, .bad = bad, .late = late});
-            outcomes.push_back({.service = desk, .version = v1, .answered = 10, .bad = bad_old});
+                {.service = desk, .version = v2, .answered = 10, .failed = bad, .late = late});
+            outcomes.push_back({.service = desk, .version = v1, .answered = 10, .failed = bad_old});
             replica_.tick(milliseconds(100));
             replica_.log().commit_all();
             replica_.tick(milliseconds(0));
--- a/tests/control/steering/steering_codec_test.cpp
+++ b/tests/control/steering/steering_codec_test.cpp
@@ -129,7 +129,8 @@
         original.outcomes = {{.service = service_id("s"),
                               .version = version_id("v2"),
                               .answered = 3,
-                              .bad = 1,
+                              .failed = 1,
+                              .broken = 4,
                               .late = 2}};
         auto const decoded = round_trip(original);
         CPPUNIT_ASSERT(decoded.who == original.who);
