--- a/tests/control/steering/rollouts_test.cpp
+++ b/tests/control/steering/rollouts_test.cpp
@@ -61,6 +61,8 @@
     CPPUNIT_TEST(occasional_timeouts_of_a_cold_version_cause_no_rollback);
     CPPUNIT_TEST(equal_failure_rates_of_both_versions_cause_no_rollback);
     CPPUNIT_TEST(a_version_without_enough_capacity_does_not_succeed_yet);
+    CPPUNIT_TEST(a_failing_version_is_rolled_back_although_the_old_one_fails_too);
+    CPPUNIT_TEST(a_version_that_gets_no_answers_does_not_succeed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -158,6 +160,26 @@
         CPPUNIT_ASSERT(versions().phase == rollout_phase::succeeded);
     }
 
+    // Guards against EXPOSURE: while a fault of the targets made the old version fail 242 in
+    // 1000 requests, a bad version could not reach four times as many and succeeded.
+    void a_failing_version_is_rolled_back_although_the_old_one_fails_too()
+    {
+        start_rollout_to_v2();
+        run(seconds(5), 6, 2);
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::rolled_back);
+    }
+
+    // Guards against EXPOSURE of a version whose targets accept no connection: entries report
+    // no outcomes of it, so that it has no failures either.
+    void a_version_that_gets_no_answers_does_not_succeed()
+    {
+        start_rollout_to_v2();
+        run_without_answers_of_v2(seconds(12));
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::running);
+        run(seconds(2), 0);
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::succeeded);
+    }
+
 private:
     void start_rollout_to_v2()
     {
@@ -175,12 +197,28 @@
             outcomes.push_back(
                 {.service = desk, .version = v2, .answered = 10, .failed = bad, .late = late});
             outcomes.push_back({.service = desk, .version = v1, .answered = 10, .failed = bad_old});
-            replica_.tick(milliseconds(100));
-            replica_.log().commit_all();
-            replica_.tick(milliseconds(0));
+            tick();
+        }
+    }
+
+    /// Advances time. Every 100 ms, 10 answers of the old version are reported.
+    void run_without_answers_of_v2(span duration)
+    {
+        for (span elapsed{0}; elapsed < duration; elapsed += milliseconds(100))
+        {
+            replica_.service<fake_roster>().outcomes.push_back(
+                {.service = desk, .version = v1, .answered = 10});
+            tick();
         }
     }
 
+    void tick()
+    {
+        replica_.tick(milliseconds(100));
+        replica_.log().commit_all();
+        replica_.tick(milliseconds(0));
+    }
+
     service_versions versions()
     {
         return replica_.service<steering_view>().steering()->versions.at(desk);
