Judge a version by what it adds to the failures of the old one

Cause: a version was rolled back only if it failed four times as often as the old one. While replies of targets were lost (242 in 1000 at the old version), no version could reach that, and at the end of its time it succeeded by default. The same default let three others pass: a version without answers, one with too few failures to be rolled back, and a rollout that replaced a running one and inherited its progress. Fix: the excess over the old version, in the part of the requests that the old one serves well (Abbott's formula), decides, for reported failures, broken replies and timeouts apart, beyond three standard errors. Broken replies keep the ratio beside a higher limit, since a fault of a few targets can hit all targets of a small share. A version succeeds only with answers, and not if it is suspected. a_fault_that_affects_both_versions_causes_no_rollback reports its lost replies as broken replies now, as its comment says; figures and expectation are unchanged. Failed before: a_failing_version_is_rolled_back_although_the_old_one_fails_too, a_version_that_gets_no_answers_does_not_succeed, a_suspected_version_does_not_succeed, a_rollout_that_replaces_a_running_one_starts_anew.

--- a/plugins/control/rollouts/rollouts.cpp
+++ b/plugins/control/rollouts/rollouts.cpp
@@ -1,3 +1,5 @@
+#include "version_comparison.hpp"
+
 #include <mulberryrudder/control/component.hpp>
 #include <mulberryrudder/control/replicated_log.hpp>
 #include <mulberryrudder/control/roster.hpp>
@@ -17,9 +19,11 @@
     per_mille second_stage_start{750};
     per_mille completion_time{900};
     per_mille max_bad_excess{30};
+    per_mille max_broken_excess{400};
     std::int64_t min_bad_factor = 4;
     per_mille max_late_excess{300};
     requests min_bad{6};
+    per_mille min_answers{10};
     per_mille min_capacity{700};
     milliseconds check_interval{200};
 };
@@ -40,20 +44,27 @@
                       "requests unless it is worse than the old one."),
         kernel::field(
             "bad_beyond", &rollout_settings::max_bad_excess, per_mille_limits,
-            "Thousandths of the answers by which a new version may fail more often than the "
-            "old one; beyond, it may be rolled back."),
+            "Thousandths of the requests served well by the old version that the new one may "
+            "fail; beyond, it is rolled back."),
+        kernel::field(
+            "broken_beyond", &rollout_settings::max_broken_excess, per_mille_limits,
+            "The same for connections that end without a complete reply. More than the excess "
+            "of a good version on a few targets while replies of some targets are lost."),
         kernel::field("bad_times", &rollout_settings::min_bad_factor, {1, 1000},
-                      "A new version is rolled back only if it fails at least this many times as "
-                      "often as the old one, so that a fault that affects the targets of both "
-                      "versions causes no rollback."),
+                      "A new version is also rolled back for less than broken_beyond if it fails "
+                      "at least this many times as often as the old one."),
         kernel::field(
             "late_beyond", &rollout_settings::max_late_excess, per_mille_limits,
-            "Thousandths of the answers by which a new version may time out more often than "
-            "the old one; beyond, it is rolled back. More than the excess of a good "
+            "Thousandths of the requests answered in time by the old version that may time out "
+            "at the new one; beyond, it is rolled back. More than the excess of a good "
             "version whose targets have empty caches."),
         kernel::field(
             "least_bad", &rollout_settings::min_bad, {1, 1000},
             "Bad answers, or late ones, before a new version can be rolled back for them."),
+        kernel::field(
+            "least_answers", &rollout_settings::min_answers, {0, 1000},
+            "Answers that the new version must have given to get all requests, in thousandths "
+            "of the old version's; the rollout waits for them, even beyond its duration."),
         kernel::field(
             "least_room", &rollout_settings::min_capacity, {0, 1000},
             "Thousandths of the old version's slots that the new one must have to get all "
@@ -82,33 +93,23 @@
 /// Time between two reports that a version is suspected.
 constexpr seconds suspected_interval{2};
 
-/// Outcomes of one version since its rollout began.
-struct outcome_counts
-{
-    std::uint64_t answered = 0;
-    std::uint64_t failed = 0; ///< Failures reported by the target.
-    std::uint64_t broken = 0; ///< Connections that ended without a complete reply.
-    std::uint64_t late = 0;   ///< Without a reply within the request's time.
-
-    std::uint64_t bad() const { return failed + broken; }
-
-    /// Returns `count` in thousandths of the answers, or 0 without answers.
-    std::int64_t per_mille_of(std::uint64_t count) const
-    {
-        return answered == 0 ? 0 : static_cast<std::int64_t>(count * 1000 / answered);
-    }
-};
-
 /// Runs the rollouts while this instance leads. A new version gets a small share of the
 /// requests first and a larger one in a second stage, then all requests. It is rolled back
-/// immediately if it fails or times out more often than the old version.
+/// immediately if it is clearly worse than the old version, and instead of getting all
+/// requests if it may be.
 ///
 /// Thread safety: the decision core's thread.
 class rollouts final : public component
 {
 public:
     explicit rollouts(component_parts const& parts)
-        : services_(parts.services), config_(parts.config.get(rollout_section))
+        : services_(parts.services), config_(parts.config.get(rollout_section)),
+          limits_{.max_failed_excess = config_.max_bad_excess,
+                  .max_broken_excess = config_.max_broken_excess,
+                  .max_late_excess = config_.max_late_excess,
+                  .min_bad_factor = config_.min_bad_factor,
+                  .min_bad = config_.min_bad,
+                  .min_answer_share = config_.min_answers}
     {
     }
 
@@ -140,6 +141,7 @@
         instant second_stage_start;
         instant completion_time;
         instant next_suspected_report;
+        version_id version;
         std::map<version_id, outcome_counts> outcomes;
     };
 
@@ -173,27 +175,39 @@
         }
     }
 
+    /// Returns the progress of a service's rollout. A rollout of another version starts anew.
+    progress& progress_of(service_id const& service, service_versions const& versions, instant now)
+    {
+        auto& rollout = running_[service];
+        if (rollout.version == versions.next)
+            return rollout;
+        rollout = {.second_stage_start =
+                       now + versions.duration * config_.second_stage_start.count() / 1000,
+                   .completion_time =
+                       now + versions.duration * config_.completion_time.count() / 1000,
+                   .next_suspected_report = {},
+                   .version = versions.next,
+                   .outcomes = {}};
+        return rollout;
+    }
+
     void evaluate(service_id const& service, service_versions const& versions, replicated_log& log,
                   context& ctx)
     {
-        auto const [found, added] = running_.try_emplace(service);
-        auto& rollout = found->second;
-        if (added)
-        {
-            rollout.second_stage_start =
-                ctx.now + versions.duration * config_.second_stage_start.count() / 1000;
-            rollout.completion_time =
-                ctx.now + versions.duration * config_.completion_time.count() / 1000;
-        }
+        auto& rollout = progress_of(service, versions, ctx.now);
         auto const& new_counts = rollout.outcomes[versions.next];
         auto const& old_counts = rollout.outcomes[versions.base];
+        auto const result = compare_versions(new_counts, old_counts, limits_);
+        bool const is_complete = ctx.now >= rollout.completion_time;
         step_rollout step{.service = service, .version = versions.next, .share = versions.share};
-        if (is_worse(new_counts, old_counts))
+        if (result == version_comparison::worse ||
+            (is_complete && result == version_comparison::suspected))
         {
             step.phase = rollout_phase::rolled_back;
             step.share = per_mille(0);
         }
-        else if (ctx.now >= rollout.completion_time && has_capacity(service, versions))
+        else if (is_complete && has_evidence(new_counts, old_counts, limits_) &&
+                 has_capacity(service, versions))
         {
             step.phase = rollout_phase::succeeded;
             step.share = whole_share;
@@ -244,24 +258,6 @@
                                             {"old_late", std::to_string(old_counts.late)}});
     }
 
-    /// Returns whether the new version fails, or times out, more often than the old one by
-    /// more than the settings allow. Detects versions that fail for only some of their requests.
-    bool is_worse(outcome_counts const& new_counts, outcome_counts const& old_counts) const
-    {
-        auto const is_enough = [this](std::uint64_t n)
-        { return static_cast<std::int64_t>(n) >= config_.min_bad.count(); };
-        auto const bad_excess =
-            new_counts.per_mille_of(new_counts.bad()) - old_counts.per_mille_of(old_counts.bad());
-        auto const late_excess =
-            new_counts.per_mille_of(new_counts.late) - old_counts.per_mille_of(old_counts.late);
-        bool const exceeds_factor =
-            new_counts.per_mille_of(new_counts.bad()) >=
-            config_.min_bad_factor * old_counts.per_mille_of(old_counts.bad());
-        return (is_enough(new_counts.bad()) && exceeds_factor &&
-                bad_excess > config_.max_bad_excess.count()) ||
-               (is_enough(new_counts.late) && late_excess > config_.max_late_excess.count());
-    }
-
     bool has_capacity(service_id const& service, service_versions const& versions) const
     {
         auto const& targets = services_.require<roster_view>();
@@ -271,6 +267,7 @@
 
     kernel::service_map& services_;
     rollout_settings const& config_;
+    comparison_limits limits_;
     instant check_due_;
     std::map<service_id, progress> running_;
 };
--- a/tests/control/steering/rollouts_test.cpp
+++ b/tests/control/steering/rollouts_test.cpp
@@ -18,6 +18,7 @@
 service_id const desk("desk");
 version_id const v1("v1");
 version_id const v2("v2");
+version_id const v3("v3");
 
 /// Replaces the roster: the test sets the versions, their slots and the reported outcomes.
 class fake_roster final : public component, public roster_view
@@ -63,6 +64,8 @@
     CPPUNIT_TEST(a_version_without_enough_capacity_does_not_succeed_yet);
     CPPUNIT_TEST(a_failing_version_is_rolled_back_although_the_old_one_fails_too);
     CPPUNIT_TEST(a_version_that_gets_no_answers_does_not_succeed);
+    CPPUNIT_TEST(a_suspected_version_does_not_succeed);
+    CPPUNIT_TEST(a_rollout_that_replaces_a_running_one_starts_anew);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -130,7 +133,7 @@
     void a_fault_that_affects_both_versions_causes_no_rollback()
     {
         start_rollout_to_v2();
-        run(seconds(5), 2, 1);
+        run(seconds(5), {.answered = 10, .broken = 2}, {.answered = 10, .broken = 1});
         CPPUNIT_ASSERT(versions().phase == rollout_phase::running);
     }
 
@@ -174,7 +177,34 @@
     void a_version_that_gets_no_answers_does_not_succeed()
     {
         start_rollout_to_v2();
-        run_without_answers_of_v2(seconds(12));
+        run(seconds(12), {}, {.answered = 10});
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::running);
+        run(seconds(2), 0);
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::succeeded);
+    }
+
+    // Guards against EXPOSURE: a version whose few answers were bad got all requests, since
+    // there were not enough of them to roll it back.
+    void a_suspected_version_does_not_succeed()
+    {
+        start_rollout_to_v2();
+        run(milliseconds(8500), {}, {.answered = 10});
+        run(milliseconds(100), {.answered = 10, .failed = 4}, {.answered = 10});
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::running);
+        run(seconds(1), {}, {.answered = 10});
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::rolled_back);
+    }
+
+    // Guards against EXPOSURE: a rollout that replaced a running one inherited its progress and
+    // succeeded at the earlier one's time.
+    void a_rollout_that_replaces_a_running_one_starts_anew()
+    {
+        start_rollout_to_v2();
+        run(seconds(8), 0);
+        replica_.commit<steering_answer>(rollout_order{desk, v3, seconds(10)});
+        new_version_ = v3;
+        run(seconds(8), 0);
+        CPPUNIT_ASSERT(versions().next == v3);
         CPPUNIT_ASSERT(versions().phase == rollout_phase::running);
         run(seconds(2), 0);
         CPPUNIT_ASSERT(versions().phase == rollout_phase::succeeded);
@@ -191,40 +221,35 @@
     void run(span duration, std::uint64_t bad = 0, std::uint64_t bad_old = 0,
              std::uint64_t late = 0)
     {
-        for (span elapsed{0}; elapsed < duration; elapsed += milliseconds(100))
-        {
-            auto& outcomes = replica_.service<fake_roster>().outcomes;
-            outcomes.push_back(
-                {.service = desk, .version = v2, .answered = 10, .failed = bad, .late = late});
-            outcomes.push_back({.service = desk, .version = v1, .answered = 10, .failed = bad_old});
-            tick();
-        }
+        run(duration, {.answered = 10, .failed = bad, .late = late},
+            {.answered = 10, .failed = bad_old});
     }
 
-    /// Advances time. Every 100 ms, 10 answers of the old version are reported.
-    void run_without_answers_of_v2(span duration)
+    /// Advances time. Every 100 ms, these outcomes are reported.
+    void run(span duration, messages::version_outcomes new_outcomes,
+             messages::version_outcomes old_outcomes)
     {
+        new_outcomes.service = old_outcomes.service = desk;
+        new_outcomes.version = new_version_;
+        old_outcomes.version = v1;
         for (span elapsed{0}; elapsed < duration; elapsed += milliseconds(100))
         {
-            replica_.service<fake_roster>().outcomes.push_back(
-                {.service = desk, .version = v1, .answered = 10});
-            tick();
+            auto& outcomes = replica_.service<fake_roster>().outcomes;
+            outcomes.push_back(new_outcomes);
+            outcomes.push_back(old_outcomes);
+            replica_.tick(milliseconds(100));
+            replica_.log().commit_all();
+            replica_.tick(milliseconds(0));
         }
     }
 
-    void tick()
-    {
-        replica_.tick(milliseconds(100));
-        replica_.log().commit_all();
-        replica_.tick(milliseconds(0));
-    }
-
     service_versions versions()
     {
         return replica_.service<steering_view>().steering()->versions.at(desk);
     }
 
     replica replica_;
+    version_id new_version_ = v2; ///< Whose outcomes run() reports.
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(rollouts_test);
