Show by three tests that an acknowledged leave can be lost

A control instance that was down or suspended for longer than the others repeat a leave (5 s) does not learn of it, since a target that deregisters announces nothing more.

--- a/tests/roster_fleet/roster_fleet.cpp
+++ b/tests/roster_fleet/roster_fleet.cpp
@@ -81,33 +81,68 @@
     : config_(config), random_(config.seed), link_free_at_(config.entries)
 {
     for (std::size_t n = 0; n != config.controls; ++n)
-    {
-        control::identity self;
-        self.self = describe(control_id(n), n, n);
-        self.operators = address(1000 + n);
-        for (std::size_t k = 0; k != 3; ++k)
-            self.contacts[control_id(k)] = address(k);
-        controls_.push_back(
-            std::make_unique<control::core>(control::core::options{.config = settings_,
-                                                                   .counters = counters_,
-                                                                   .events = events_,
-                                                                   .self = self,
-                                                                   .seed = config.seed + n}));
-        controls_.back()->services().require<fake_log>().leads = n == 0;
-    }
+        controls_.push_back(make_control(n));
     for (std::size_t n = 0; n != config.entries; ++n)
-    {
-        entry::identity self;
-        self.self = describe(entry_id(n), n % config.controls, 2000 + n);
-        self.boot = boot_id(1);
-        self.control = {control_id(0), control_id(1), control_id(2)};
-        entries_.push_back(
-            std::make_unique<entry::core>(entry::core::options{.config = settings_,
-                                                               .counters = counters_,
-                                                               .events = events_,
-                                                               .self = self,
-                                                               .seed = config.seed + 100 + n}));
-    }
+        entries_.push_back(make_entry(n));
+}
+
+std::unique_ptr<control::core> roster_fleet::make_control(std::size_t n)
+{
+    control::identity self;
+    self.self = describe(control_id(n), n, n);
+    self.operators = address(1000 + n);
+    for (std::size_t k = 0; k != 3; ++k)
+        self.contacts[control_id(k)] = address(k);
+    auto out = std::make_unique<control::core>(control::core::options{.config = settings_,
+                                                                      .counters = counters_,
+                                                                      .events = events_,
+                                                                      .self = self,
+                                                                      .seed = next_seed()});
+    out->services().require<fake_log>().leads = n == 0;
+    return out;
+}
+
+std::unique_ptr<entry::core> roster_fleet::make_entry(std::size_t n)
+{
+    entry::identity self;
+    self.self = describe(entry_id(n), n % config_.controls, 2000 + n);
+    self.control = {control_id(0), control_id(1), control_id(2)};
+    auto const seed = next_seed();
+    self.boot = boot_id(seed);
+    return std::make_unique<entry::core>(entry::core::options{
+        .config = settings_, .counters = counters_, .events = events_, .self = self, .seed = seed});
+}
+
+std::uint64_t roster_fleet::next_seed()
+{
+    return config_.seed + ++starts_;
+}
+
+void roster_fleet::restart_control(std::size_t control)
+{
+    controls_.at(control) = make_control(control);
+}
+
+void roster_fleet::restart_entry(std::size_t entry)
+{
+    entries_.at(entry) = make_entry(entry);
+}
+
+void roster_fleet::freeze(std::set<std::size_t> const& controls)
+{
+    frozen_ = controls;
+    isolate(controls);
+}
+
+void roster_fleet::disconnect(std::set<std::size_t> const& entries)
+{
+    disconnected_ = entries;
+}
+
+control::operator_request_id roster_fleet::deliver_old_announcement(std::size_t control, int target)
+{
+    return request(control,
+                   any_message::of(control::target_announced{notice(target, sequence_id(1))}));
 }
 
 instance_id roster_fleet::control_id(std::size_t n)
@@ -137,10 +172,11 @@
         now_ += step;
         deliver();
         announce_targets();
-        for (auto const& it : controls_)
+        for (std::size_t n = 0; n != controls_.size(); ++n)
         {
             control::effects out;
-            it->tick(now_, out);
+            if (!frozen_.contains(n))
+                controls_.at(n)->tick(now_, out);
             process(out);
         }
         for (auto const& it : entries_)
@@ -173,7 +209,10 @@
 {
     auto const isolated = [&](instance_id id)
     { return !is_entry(id) && isolated_.contains(index_of(id)); };
-    if (isolated(message.from) || isolated(message.to))
+    auto const disconnected = [&](instance_id id)
+    { return is_entry(id) && disconnected_.contains(index_of(id)); };
+    if (isolated(message.from) || isolated(message.to) || disconnected(message.from) ||
+        disconnected(message.to))
         return true;
     return !is_entry(message.from) && !is_entry(message.to) &&
            partition_group_.contains(index_of(message.from)) !=
@@ -203,6 +242,8 @@
     {
         if (it.due > now_)
             transfers_.push_back(it);
+        else if (is_dropped(it.message))
+            continue;
         else if (is_entry(it.message.to))
         {
             entry::effects out;
@@ -210,7 +251,7 @@
                 ->handle(now_, entry::message_arrived{it.message}, out);
             process(out);
         }
-        else if (!is_dropped(it.message))
+        else
         {
             control::effects out;
             controls_.at(index_of(it.message.to))
@@ -263,6 +304,12 @@
     return request(control, any_message::of(control::target_announced{announcement}));
 }
 
+control::operator_request_id roster_fleet::deregister(std::size_t control, int target)
+{
+    targets_.erase(target);
+    return request(control, any_message::of(control::target_leaves{id_of(target), start_id(1)}));
+}
+
 any_message const* roster_fleet::answer(control::operator_request_id id) const
 {
     auto const it = answers_.find(id);
--- a/tests/roster_fleet/roster_fleet.hpp
+++ b/tests/roster_fleet/roster_fleet.hpp
@@ -43,6 +43,10 @@
     /// Announces that a target leaves; returns the id of the request, for answer().
     control::operator_request_id leave(std::size_t control, int target);
 
+    /// Deregisters a target, which never announced that it leaves; returns the id of the
+    /// request, for answer().
+    control::operator_request_id deregister(std::size_t control, int target);
+
     /// Sends a request of an operator or target to a control instance.
     control::operator_request_id request(std::size_t control, any_message body);
 
@@ -61,6 +65,18 @@
     /// Drops all messages from and to these control instances.
     void isolate(std::set<std::size_t> const& controls);
 
+    /// Suspends these control instances; their messages are lost. An empty set resumes them.
+    void freeze(std::set<std::size_t> const& controls);
+    /// Drops all messages from and to these entries.
+    void disconnect(std::set<std::size_t> const& entries);
+
+    /// Starts an instance again, without any state of its earlier start.
+    void restart_control(std::size_t control);
+    void restart_entry(std::size_t entry);
+
+    /// Delivers an announcement that a target sent before its newest one.
+    control::operator_request_id deliver_old_announcement(std::size_t control, int target);
+
     /// Returns how many targets are serving in the view of an entry.
     std::size_t serving_count(std::size_t entry);
     bool is_serving(std::size_t entry, int target);
@@ -86,6 +102,11 @@
         instant next_announcement;
     };
 
+    std::unique_ptr<control::core> make_control(std::size_t n);
+    std::unique_ptr<entry::core> make_entry(std::size_t n);
+
+    std::uint64_t next_seed();
+
     static instance_id control_id(std::size_t n);
     static instance_id entry_id(std::size_t n);
     static std::size_t index_of(instance_id id);
@@ -112,10 +133,13 @@
     std::vector<transfer> transfers_;
     std::set<std::size_t> partition_group_;
     std::set<std::size_t> isolated_;
+    std::set<std::size_t> frozen_;
+    std::set<std::size_t> disconnected_;
     std::map<int, announcer> targets_; ///< Serving targets.
     std::map<control::operator_request_id, any_message> answers_;
     byte_count sent_to_entries_{0};
     std::uint64_t last_ = 0;
+    std::uint64_t starts_ = 0; ///< Of all instances; makes each start differ.
     instant now_{seconds(1000)};
 };
 
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -13,6 +13,10 @@
 /// Number of targets. Their notices together take longer on an entry's link than the longest
 /// timeout for an answer.
 constexpr int total_targets = 480;
+/// Number of targets where the size of their notices does not matter.
+constexpr int small_total = 60;
+/// Fleets of each test in which the order of reports is random.
+constexpr std::uint64_t seeds = 6;
 /// Limit DRAIN: time after the acknowledgement of a leave for which requests may still reach
 /// the target.
 constexpr milliseconds drain_limit{2500};
@@ -28,20 +32,14 @@
     CPPUNIT_TEST(a_switch_of_control_instance_transfers_only_the_differences);
     CPPUNIT_TEST(an_order_is_acknowledged_quickly_without_faults);
     CPPUNIT_TEST(an_order_that_no_majority_holds_is_not_acknowledged);
+    CPPUNIT_TEST(entries_do_not_rely_on_what_a_restarted_control_instance_missed);
+    CPPUNIT_TEST(a_control_instance_that_was_suspended_learns_what_it_missed);
+    CPPUNIT_TEST(an_old_announcement_to_a_restarted_control_instance_restores_no_target);
+    CPPUNIT_TEST(a_restart_of_all_control_instances_removes_no_target);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void setUp() override
-    {
-        fleet_ = std::make_unique<roster_fleet>(roster_fleet::options{});
-        fleet_->apply_first_plan();
-        fleet_->run(seconds(1));
-        for (int n = 0; n != total_targets; ++n)
-            fleet_->start_target(n);
-        fleet_->run(seconds(6));
-        for (std::size_t n = 0; n != fleet_->entries(); ++n)
-            CPPUNIT_ASSERT_EQUAL(std::size_t{total_targets}, fleet_->serving_count(n));
-    }
+    void setUp() override { start(total_targets, 1); }
 
     // Guards against a violation of DRAIN: entries whose control instance became unreachable
     // requested all targets from one instance after the other. On their links, the answers
@@ -103,7 +101,110 @@
             CPPUNIT_ASSERT(fleet_->generation(n) == generation_id(2));
     }
 
+    // Guards against a violation of DRAIN: a control instance that was down while a target
+    // left knew nothing of that target after its start. Entries that had been cut off too got
+    // their answers from that instance, and went on sending requests to the target.
+    void entries_do_not_rely_on_what_a_restarted_control_instance_missed()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            start(small_total, seed);
+            leave_without(1);
+            fleet_->isolate({});
+            fleet_->restart_control(1);
+            fleet_->run(seconds(1));
+            fleet_->disconnect({});
+            fleet_->run(drain_limit);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("entries that still send requests", 0,
+                                         entries_serving(11));
+            for (std::size_t n = 0; n != fleet_->entries(); ++n)
+                CPPUNIT_ASSERT_EQUAL(std::size_t{small_total - 1}, fleet_->serving_count(n));
+        }
+    }
+
+    // Guards against a violation of DRAIN: a control instance that was suspended for longer than
+    // the others repeat a leave went on telling entries that the target serves.
+    void a_control_instance_that_was_suspended_learns_what_it_missed()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            start(small_total, seed);
+            fleet_->freeze({1});
+            leave_without(1);
+            fleet_->freeze({});
+            for (std::size_t n = 0; n != fleet_->entries(); ++n)
+                fleet_->restart_entry(n);
+            fleet_->run(seconds(1));
+            fleet_->disconnect({});
+            fleet_->run(drain_limit);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("entries that still send requests", 0,
+                                         entries_serving(11));
+        }
+    }
+
+    // Guards against a violation of DRAIN: an announcement that a target had sent before its
+    // leave arrived late at a control instance that did not know of the leave any more.
+    void an_old_announcement_to_a_restarted_control_instance_restores_no_target()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            start(small_total, seed);
+            leave_without(1);
+            fleet_->isolate({});
+            fleet_->restart_control(1);
+            fleet_->run(seconds(1));
+            fleet_->deliver_old_announcement(1, 11);
+            for (std::size_t n = 0; n != fleet_->entries(); ++n)
+                fleet_->restart_entry(n);
+            fleet_->disconnect({});
+            fleet_->run(drain_limit);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("entries that still send requests", 0,
+                                         entries_serving(11));
+        }
+    }
+
+    // Guards against the loss of all targets: after a restart of all control instances, none of
+    // them knows a target before its next announcement.
+    void a_restart_of_all_control_instances_removes_no_target()
+    {
+        for (std::size_t n = 0; n != 9; ++n)
+            fleet_->restart_control(n);
+        for (int n = 0; n != 100; ++n)
+        {
+            fleet_->run(milliseconds(100));
+            for (std::size_t k = 0; k != fleet_->entries(); ++k)
+                CPPUNIT_ASSERT_EQUAL(std::size_t{total_targets}, fleet_->serving_count(k));
+        }
+    }
+
 private:
+    void start(int targets, std::uint64_t seed)
+    {
+        fleet_ = std::make_unique<roster_fleet>(roster_fleet::options{.seed = seed});
+        fleet_->apply_first_plan();
+        fleet_->run(seconds(1));
+        for (int n = 0; n != targets; ++n)
+            fleet_->start_target(n);
+        fleet_->run(seconds(6));
+        for (std::size_t n = 0; n != fleet_->entries(); ++n)
+            CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(targets), fleet_->serving_count(n));
+    }
+
+    /// Target 11 deregisters while this control instance and all entries cannot be reached. When
+    /// this returns, control instances do not forward the leave any more.
+    void leave_without(std::size_t control)
+    {
+        std::set<std::size_t> entries;
+        for (std::size_t n = 0; n != fleet_->entries(); ++n)
+            entries.insert(n);
+        fleet_->isolate({control});
+        fleet_->disconnect(entries);
+        fleet_->run(seconds(1));
+        auto const id = fleet_->deregister(7, 11);
+        fleet_->run(seconds(6));
+        CPPUNIT_ASSERT_MESSAGE("the leave is acknowledged", is_held(id));
+    }
+
     control::operator_request_id evacuate()
     {
         return fleet_->request(0,
