Let a control instance ask for the leaves that it missed

Cause: control instances repeat a leave to each other for 5 s and keep it in memory. One that was down or suspended for longer never learned of it, yet told entries that it was connected; its answers name only what it knows, so entries that had missed the leave too, or were new, went on. The acknowledgement counted on a majority, and a restart takes members out of it. Class: missing news taken for good news. Fix: after a start, a pause or a loss of the majority an instance asks the others for their tables, with the targets that are gone, and entries do not rely on it before half of all instances answered; this many meet each majority that acknowledged a leave, also if the asker itself was part of it. Without intact others, as after a restart of all, it waits for the announcements of 6 s and entries go by the connections as before.

--- a/include/mulberryrudder/messages/roster.hpp
+++ b/include/mulberryrudder/messages/roster.hpp
@@ -25,6 +25,9 @@
     boot_id acknowledged_boot;   ///< Start of the receiver that `acknowledged` is of.
     sequence_id acknowledged;    ///< Newest number of the receiver that was taken in.
     std::vector<target_notice> targets;
+    bool wants_targets = false;             ///< It asks for all targets that the receiver knows.
+    bool has_all_targets = false;           ///< `targets` are all that the sender knows.
+    bool intact = false;                    ///< The sender missed no leave since its start.
     std::vector<entry_notice> entries;      ///< Those that reported since the last message.
     std::vector<version_outcomes> outcomes; ///< For the leader.
     /// Other control instances that are known; not in every message.
--- a/plugins/control/roster/control_table.cpp
+++ b/plugins/control/roster/control_table.cpp
@@ -33,6 +33,8 @@
         exchange.acknowledged_boot == own_boot ? exchange.acknowledged : sequence_id();
     known.generation = exchange.generation;
     known.wants_steering = exchange.wants_steering;
+    known.wants_targets = exchange.wants_targets;
+    known.intact = exchange.intact;
 }
 
 void control_table::expire(instant cutoff)
@@ -41,9 +43,15 @@
                   { return !it.second.is_contact && it.second.last_message < cutoff; });
 }
 
+std::optional<std::size_t> control_table::total() const
+{
+    return members_received_ || rows_.empty() ? std::optional(size()) : std::nullopt;
+}
+
 bool control_table::is_majority(std::size_t count) const
 {
-    return (members_received_ || rows_.empty()) && count * 2 > size();
+    auto const all = total();
+    return all && count * 2 > *all;
 }
 
 bool control_table::acknowledged_by_majority(sequence_id number) const
@@ -67,6 +75,11 @@
     return is_majority(static_cast<std::size_t>(held + (own >= generation)));
 }
 
+bool control_table::any_intact() const
+{
+    return std::any_of(rows_.begin(), rows_.end(), [](auto const& it) { return it.second.intact; });
+}
+
 bool control_table::is_majority_reachable(instant cutoff) const
 {
     auto const reachable =
--- a/plugins/control/roster/control_table.hpp
+++ b/plugins/control/roster/control_table.hpp
@@ -30,6 +30,8 @@
         sequence_id acknowledged;    ///< Newest number of this instance's messages it received.
         generation_id generation;    ///< Of its steering state.
         bool wants_steering = false; ///< It requested the steering state.
+        bool wants_targets = false;  ///< It requested all targets.
+        bool intact = false;         ///< Its table of targets counts for others.
     };
 
     /// Adds an instance; returns whether its address is new.
@@ -60,10 +62,16 @@
     /// Returns the number of known instances, including this one.
     std::size_t size() const { return rows_.size() + 1; }
 
+    /// Returns the number of all instances; nothing until another one sent its list of them.
+    std::optional<std::size_t> total() const;
+
     /// Returns whether more than half of the known instances, including this one, hold the
     /// steering state of this generation or a newer one. `own` is this instance's generation.
     bool held_by_majority(generation_id generation, generation_id own) const;
 
+    /// Returns whether another instance has a table of targets that counts for others.
+    bool any_intact() const;
+
     /// Returns whether messages from more than half of the known instances, including this
     /// one, arrived at or after `cutoff`.
     bool is_majority_reachable(instant cutoff) const;
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -1,5 +1,6 @@
 #include "control_table.hpp"
 #include "entry_table.hpp"
+#include "table_sync.hpp"
 #include "target_table.hpp"
 
 #include <mulberryrudder/control/component.hpp>
@@ -96,6 +97,16 @@
      .meaning = "This process did not run for a while, so the timeouts of targets are extended.",
      .action = "Check the load of the machine."}};
 
+kernel::event_kind const synchronized_event{
+    {.number = 723,
+     .name = "roster.synchronized",
+     .level = kernel::severity::info,
+     .meaning = "After a start, a pause or a loss of the other control instances, this one holds "
+                "every acknowledged leave of a target again; `tables` is the number of instances "
+                "that sent their whole tables.",
+     .action = "None. Without tables of half of the instances it waited for the targets' own "
+               "announcements; check the connections to the others."}};
+
 /// Keeps the targets, the entries and the other control instances of the fleet: accepts
 /// announcements, replicates them to the other control instances, and answers entries' polls
 /// and callers' look-ups.
@@ -134,6 +145,9 @@
     {
         initialize(ctx);
         compensate_for_pause(ctx);
+        if (!is_majority_reachable(ctx.now))
+            begin_synchronization(ctx.now);
+        finish_synchronization(ctx);
         // A new steering state is announced immediately, so that the other instances request
         // it or count this instance among its holders.
         bool const steering_changed = steering().steering()->generation != sent_generation_;
@@ -210,6 +224,7 @@
         // Drawn at random, since two starts within a second have the same identity::boot.
         boot_ = boot_id(std::uniform_int_distribution<std::uint64_t>(1)(ctx.random));
         last_tick_ = ctx.now;
+        begin_synchronization(ctx.now);
         for (auto const& [id, peer] : ctx.self.contacts)
             add_control({.id = id, .region = {}, .domain = {}, .peer = peer, .caller = {}}, true,
                         ctx);
@@ -227,11 +242,27 @@
         if (pause <= max_tick_gap)
             return;
         targets_.extend_expiry(pause);
+        begin_synchronization(ctx.now);
         ctx.events.record(
             pause_event,
             {{"for_ms", std::to_string(std::chrono::duration_cast<milliseconds>(pause).count())}});
     }
 
+    bool is_majority_reachable(instant now) const
+    {
+        return controls_.is_majority_reachable(now - control_timeout);
+    }
+
+    void begin_synchronization(instant now) { sync_.begin(now + config_.target_timeout); }
+
+    void finish_synchronization(context& ctx)
+    {
+        if (sync_.finish(controls_.total(), ctx.now))
+            ctx.events.record(synchronized_event,
+                              {{"tables", std::to_string(sync_.received_count())},
+                               {"of", std::to_string(controls_.size())}});
+    }
+
     // Targets.
 
     void handle_announcement(operator_request_id requester, target_announced const& announcement,
@@ -317,6 +348,7 @@
                                          .control = {}};
         if (auto* const log = services_.find<replicated_log>())
             common.leads = log->may_act(ctx.now);
+        common.intact = sync_.is_intact();
         common.entries = entries_.take_unforwarded(ctx.now);
         if (ctx.now >= member_list_due_)
         {
@@ -331,6 +363,13 @@
             out.wants_steering = it.generation > state->generation;
             if (std::exchange(it.wants_steering, false) && it.generation < state->generation)
                 out.steering = state;
+            out.wants_targets = sync_.wants_table_of(id);
+            if (std::exchange(it.wants_targets, false) && sync_.is_intact())
+            {
+                out.targets = targets_.all(ctx.now);
+                out.has_all_targets = true;
+                out.control = controls_.instances_since(ctx.now - control_retention);
+            }
             if (!common.leads && it.leads)
                 out.outcomes = outcomes_;
             ctx.send(id, std::move(out));
@@ -366,13 +405,17 @@
                 record_target_change(target, ctx);
         for (auto const& entry : exchange.entries)
             entries_.update_from_control(entry, ctx.now);
+        if (exchange.has_all_targets)
+            sync_.record_table(sender);
+        finish_synchronization(ctx);
         outcomes_.insert(outcomes_.end(), exchange.outcomes.begin(), exchange.outcomes.end());
         if (exchange.steering)
             steering().learn(exchange.steering);
         answer_leaves(ctx);
         // An instance with an older state requests the newer one in its next exchange. That
         // exchange, or the one that answers a request, is sent with the next tick.
-        if (exchange.wants_steering || exchange.generation > steering().steering()->generation)
+        if (exchange.wants_steering || (exchange.wants_targets && sync_.is_intact()) ||
+            exchange.generation > steering().steering()->generation)
             exchange_due_ = ctx.now;
     }
 
@@ -407,9 +450,11 @@
             learn_instance{.id = notice.who.id, .peer = notice.who.peer, .restarted = restarted});
     }
 
+    /// Returns whether entries may rely on this instance's answers: it hears the others and
+    /// missed no leave, unless no other instance can tell it what it missed.
     bool is_connected(instant now) const
     {
-        return controls_.is_majority_reachable(now - control_timeout);
+        return is_majority_reachable(now) && (sync_.is_synchronized() || !controls_.any_intact());
     }
 
     bool has_update(messages::roster_poll const& poll, instant now)
@@ -466,6 +511,7 @@
     target_table targets_;
     entry_table entries_;
     control_table controls_;
+    table_sync sync_;
     std::map<instance_id, entry_process> entry_processes_;
     std::map<instance_id, held_poll> polls_;
     std::vector<pending_leave> pending_leaves_;
--- /dev/null
+++ b/plugins/control/roster/table_sync.hpp
@@ -0,0 +1,55 @@
+#ifndef MULBERRYRUDDER_PLUGINS_CONTROL_ROSTER_TABLE_SYNC_HPP
+#define MULBERRYRUDDER_PLUGINS_CONTROL_ROSTER_TABLE_SYNC_HPP
+
+#include <mulberryrudder/core/ids.hpp>
+#include <mulberryrudder/core/time.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <set>
+
+namespace mulberryrudder::control
+{
+
+/// Tracks whether this instance's table of targets contains every acknowledged leave. After a
+/// start, a pause or a loss of the other instances it may not, since they repeat a leave for a
+/// limited time only. It does again once enough of them sent their whole tables: every majority
+/// that acknowledged a leave includes one of these.
+///
+/// Thread safety: one owner.
+class table_sync
+{
+public:
+    /// Starts to collect tables. After `deadline` the table counts as synchronized anyway, since
+    /// each target that serves has announced itself by then.
+    void begin(instant deadline);
+
+    /// Records that an instance sent its whole table.
+    void record_table(instance_id sender) { received_.insert(sender); }
+
+    /// Ends the synchronization if at least half of all `instances`, including this one, sent
+    /// their tables or the deadline has passed. `instances` is empty while not all of them are
+    /// known. Returns whether the synchronization ended with this call.
+    bool finish(std::optional<std::size_t> instances, instant now);
+
+    bool is_synchronized() const { return synchronized_; }
+
+    /// Returns whether this instance was synchronized at some time since its start, so that its
+    /// table counts for others.
+    bool is_intact() const { return intact_; }
+
+    /// Returns whether the table of an instance is still to be requested.
+    bool wants_table_of(instance_id id) const { return !synchronized_ && !received_.contains(id); }
+
+    std::size_t received_count() const { return received_.size(); }
+
+private:
+    std::set<instance_id> received_;
+    instant deadline_;
+    bool synchronized_ = false;
+    bool intact_ = false;
+};
+
+} // namespace mulberryrudder::control
+
+#endif
--- a/plugins/control/roster/target_table.cpp
+++ b/plugins/control/roster/target_table.cpp
@@ -164,6 +164,14 @@
     return out;
 }
 
+target_notice target_table::forwarded_notice(row const& it, instant now)
+{
+    // The receivers compute the remaining cold time from the target's own value and the age.
+    auto out = it.notice;
+    out.age = elapsed_since(it.last_notice, now);
+    return out;
+}
+
 messages::target_summary target_table::summary(instant now) const
 {
     messages::target_summary out;
@@ -191,15 +199,20 @@
     {
         if (!unforwarded_.contains(id) && it.forward_until < now)
             continue;
-        // The receivers compute the remaining cold time from the target's own value and the age.
-        auto update = it.notice;
-        update.age = elapsed_since(it.last_notice, now);
-        out.push_back(std::move(update));
+        out.push_back(forwarded_notice(it, now));
     }
     unforwarded_.clear();
     return out;
 }
 
+std::vector<target_notice> target_table::all(instant now) const
+{
+    std::vector<target_notice> out;
+    for (auto const& [id, it] : rows_)
+        out.push_back(forwarded_notice(it, now));
+    return out;
+}
+
 slots target_table::capacity_of(service_id const& service, version_id const& version) const
 {
     slots out;
--- a/plugins/control/roster/target_table.hpp
+++ b/plugins/control/roster/target_table.hpp
@@ -49,6 +49,9 @@
     /// updated since the last call, and those of targets that began to leave recently.
     std::vector<messages::target_notice> take_unforwarded(instant now);
 
+    /// Returns all notices, also those of targets that are gone.
+    std::vector<messages::target_notice> all(instant now) const;
+
     /// Returns the versions of a service's serving targets, the oldest start first.
     std::vector<version_id> versions_of(service_id const& service) const;
 
@@ -69,6 +72,7 @@
     static void end_start(messages::target_notice& notice, start_id start);
     void set_standing(row& it, messages::target_standing standing, instant now);
     static messages::target_notice current_notice(row const& it, instant now);
+    static messages::target_notice forwarded_notice(row const& it, instant now);
     messages::target_summary summary(instant now) const;
 
     std::map<target_id, row> rows_;
--- a/plugins/peer/codecs/roster_codec.cpp
+++ b/plugins/peer/codecs/roster_codec.cpp
@@ -138,6 +138,9 @@
     to.setAcknowledgedBoot(from.acknowledged_boot.value());
     to.setAcknowledged(from.acknowledged.value());
     encode_list(from.targets, to.initTargets(size_of(from.targets)));
+    to.setWantsTargets(from.wants_targets);
+    to.setHasAllTargets(from.has_all_targets);
+    to.setIntact(from.intact);
     encode_list(from.entries, to.initEntries(size_of(from.entries)));
     encode_list(from.outcomes, to.initOutcomes(size_of(from.outcomes)));
     encode_list(from.control, to.initControl(size_of(from.control)));
@@ -156,6 +159,9 @@
                                   .acknowledged_boot = boot_id(from.getAcknowledgedBoot()),
                                   .acknowledged = sequence_id(from.getAcknowledged()),
                                   .targets = {},
+                                  .wants_targets = from.getWantsTargets(),
+                                  .has_all_targets = from.getHasAllTargets(),
+                                  .intact = from.getIntact(),
                                   .entries = {},
                                   .outcomes = {},
                                   .control = {}};
--- a/schemas/steering.capnp
+++ b/schemas/steering.capnp
@@ -165,6 +165,9 @@
   control @12 :List(Lease.InstanceDescription);
   boot @13 :UInt64;
   acknowledgedBoot @14 :UInt64;
+  wantsTargets @15 :Bool;
+  hasAllTargets @16 :Bool;
+  intact @17 :Bool;
 }
 
 struct Poll {
--- a/tests/control/steering/steering_codec_test.cpp
+++ b/tests/control/steering/steering_codec_test.cpp
@@ -126,6 +126,9 @@
                              .ready = true,
                              .age = milliseconds(4),
                              .demand = {{customer_id("c"), millitokens_per_second(5)}}}};
+        original.wants_targets = true;
+        original.has_all_targets = true;
+        original.intact = true;
         original.outcomes = {{.service = service_id("s"),
                               .version = version_id("v2"),
                               .answered = 3,
@@ -137,6 +140,9 @@
         CPPUNIT_ASSERT(decoded.operators == original.operators);
         CPPUNIT_ASSERT(decoded.leads);
         CPPUNIT_ASSERT(decoded.targets == original.targets);
+        CPPUNIT_ASSERT(decoded.wants_targets);
+        CPPUNIT_ASSERT(decoded.has_all_targets);
+        CPPUNIT_ASSERT(decoded.intact);
         CPPUNIT_ASSERT(decoded.entries == original.entries);
         CPPUNIT_ASSERT(decoded.outcomes == original.outcomes);
     }
