Let entries report totals of a rollout's outcomes

Cause: outcomes travelled as changes, each sent once by an entry and passed on to the leader by its control instance. While the last known leader could not be reached, the same outcomes were sent with each exchange and none was forgotten; the connection delivered them all after the cut. A message that was lost took its outcomes with it, and a new leader began with none. Ruled out: a wrong service or version in the outcomes; they are counted by their names. Fix: an entry reports the totals of its start and of the rollout in its notice, which control instances exchange anyway; the leader keeps the largest of each start. Lost, late and repeated messages do no harm, and each new leader has them all. The messages lose their lists of outcomes, and the counter roster.outcomes_dropped goes with its cause.

--- a/include/mulberryrudder/control/roster.hpp
+++ b/include/mulberryrudder/control/roster.hpp
@@ -62,8 +62,8 @@
     /// Returns the other control instances that were heard since a time.
     virtual std::vector<instance_description> control_since(instant since) const = 0;
 
-    /// Returns and forgets the outcomes that entries reported since the last call.
-    virtual std::vector<messages::version_outcomes> take_outcomes() = 0;
+    /// Returns the newest notices of the entries, which contain the outcomes of rollouts.
+    virtual std::vector<messages::entry_notice> entry_notices() const = 0;
 };
 
 } // namespace mulberryrudder::control
--- a/include/mulberryrudder/messages/roster.hpp
+++ b/include/mulberryrudder/messages/roster.hpp
@@ -25,11 +25,10 @@
     boot_id acknowledged_boot;   ///< Start of the receiver that `acknowledged` is of.
     sequence_id acknowledged;    ///< Newest number of the receiver that was taken in.
     std::vector<target_notice> targets;
-    bool wants_targets = false;             ///< It asks for all targets that the receiver knows.
-    bool has_all_targets = false;           ///< `targets` are all that the sender knows.
-    bool intact = false;                    ///< The sender missed no leave since its start.
-    std::vector<entry_notice> entries;      ///< Those that reported since the last message.
-    std::vector<version_outcomes> outcomes; ///< For the leader.
+    bool wants_targets = false;        ///< It asks for all targets that the receiver knows.
+    bool has_all_targets = false;      ///< `targets` are all that the sender knows.
+    bool intact = false;               ///< The sender missed no leave since its start.
+    std::vector<entry_notice> entries; ///< Those that reported since the last message.
     /// Other control instances that are known; not in every message.
     std::vector<instance_description> control;
 };
@@ -42,7 +41,6 @@
     generation_id generation; ///< Of the steering state that it holds.
     boot_id known_boot;       ///< Start of the control instance that `known` is of.
     sequence_id known;        ///< Newest change of the roster that it holds.
-    std::vector<version_outcomes> outcomes;
     /// What it holds, told to an instance that did not answer the last report. Such a report
     /// is answered at once, with the parts of the roster that differ.
     std::optional<target_summary> held;
--- a/include/mulberryrudder/messages/roster_notices.hpp
+++ b/include/mulberryrudder/messages/roster_notices.hpp
@@ -48,10 +48,12 @@
     friend bool operator==(target_notice const&, target_notice const&) = default;
 };
 
-/// Outcomes of one version of a service since an entry instance's last report.
+/// Outcomes of one version at an entry instance since a rollout of its service began there.
+/// Totals rather than changes, so that lost, late and repeated messages do no harm.
 struct version_outcomes
 {
     service_id service;
+    version_id rollout; ///< The new version of that rollout.
     version_id version;
     std::uint64_t answered = 0;
     std::uint64_t failed = 0; ///< Failures that the target itself reported.
@@ -71,6 +73,7 @@
     milliseconds age{0};  ///< Time since it said so.
     /// Requests a second of customers that ask much here, in millitokens.
     std::map<customer_id, millitokens_per_second> demand;
+    std::vector<version_outcomes> outcomes; ///< Of the rollouts that run; the totals of `boot`.
 
     friend bool operator==(entry_notice const&, entry_notice const&) = default;
 };
--- a/plugins/control/rollouts/version_comparison.cpp
+++ b/plugins/control/rollouts/rollout_comparison.cpp
@@ -1,4 +1,4 @@
-#include "version_comparison.hpp"
+#include "rollout_comparison.hpp"
 
 #include <algorithm>
 #include <array>
@@ -67,7 +67,7 @@
     return answered == 0 ? 0 : static_cast<std::int64_t>(count * 1000 / answered);
 }
 
-version_comparison compare_versions(outcome_counts const& new_counts,
+rollout_comparison compare_versions(outcome_counts const& new_counts,
                                     outcome_counts const& old_counts,
                                     comparison_limits const& limits)
 {
@@ -75,16 +75,16 @@
     auto const at_least = [](std::uint64_t n, std::int64_t bound)
     { return static_cast<std::int64_t>(n) >= bound; };
     if (at_least(new_counts.bad(), min_bad) && exceeds_factor(new_counts, old_counts, limits))
-        return version_comparison::worse;
-    auto result = version_comparison::not_worse;
+        return rollout_comparison::worse;
+    auto result = rollout_comparison::not_worse;
     for (auto const& it : criteria)
     {
         auto const count = new_counts.*it.count;
         if (at_least(count, min_bad) && exceeds(it, new_counts, old_counts, limits, significance))
-            return version_comparison::worse;
+            return rollout_comparison::worse;
         if (at_least(count * suspicion_divisor, min_bad) &&
             exceeds(it, new_counts, old_counts, limits, 0))
-            result = version_comparison::suspected;
+            result = rollout_comparison::suspected;
     }
     return result;
 }
--- a/plugins/control/rollouts/version_comparison.hpp
+++ b/plugins/control/rollouts/rollout_comparison.hpp
@@ -1,5 +1,5 @@
-#ifndef MULBERRYRUDDER_PLUGINS_CONTROL_ROLLOUTS_VERSION_COMPARISON_HPP
-#define MULBERRYRUDDER_PLUGINS_CONTROL_ROLLOUTS_VERSION_COMPARISON_HPP
+#ifndef MULBERRYRUDDER_PLUGINS_CONTROL_ROLLOUTS_ROLLOUT_COMPARISON_HPP
+#define MULBERRYRUDDER_PLUGINS_CONTROL_ROLLOUTS_ROLLOUT_COMPARISON_HPP
 
 #include <mulberryrudder/core/units.hpp>
 
@@ -36,7 +36,7 @@
 };
 
 /// Result of the comparison of a new version with the old one.
-enum class version_comparison
+enum class rollout_comparison
 {
     not_worse,
     suspected, ///< Worse, but chance could explain it.
@@ -47,7 +47,7 @@
 /// old version's failures count as those of the environment, which the new one suffers too.
 ///
 /// Thread safety: none of its own; reads its arguments only.
-version_comparison compare_versions(outcome_counts const& new_counts,
+rollout_comparison compare_versions(outcome_counts const& new_counts,
                                     outcome_counts const& old_counts,
                                     comparison_limits const& limits);
 
--- a/plugins/control/rollouts/rollouts.cpp
+++ b/plugins/control/rollouts/rollouts.cpp
@@ -1,4 +1,5 @@
-#include "version_comparison.hpp"
+#include "outcome_totals.hpp"
+#include "rollout_comparison.hpp"
 
 #include <mulberryrudder/control/component.hpp>
 #include <mulberryrudder/control/replicated_log.hpp>
@@ -124,12 +125,12 @@
         if (!log.may_act(ctx.now))
             return;
         auto const state = services_.require<steering_view>().steering();
-        add_outcomes(services_.require<roster_view>().take_outcomes());
+        auto const notices = services_.require<roster_view>().entry_notices();
         propose_base_versions(*state, log);
         for (auto const& [service, versions] : state->versions)
         {
             if (versions.phase == rollout_phase::running)
-                evaluate(service, versions, log, ctx);
+                evaluate(service, versions, notices, log, ctx);
             else
                 running_.erase(service);
         }
@@ -142,24 +143,9 @@
         instant completion_time;
         instant next_suspected_report;
         version_id version;
-        std::map<version_id, outcome_counts> outcomes;
+        outcome_totals outcomes;
     };
 
-    void add_outcomes(std::vector<messages::version_outcomes> const& outcomes)
-    {
-        for (auto const& it : outcomes)
-        {
-            auto const found = running_.find(it.service);
-            if (found == running_.end())
-                continue;
-            auto& counts = found->second.outcomes[it.version];
-            counts.answered += it.answered;
-            counts.failed += it.failed;
-            counts.broken += it.broken;
-            counts.late += it.late;
-        }
-    }
-
     void propose_base_versions(steering_state const& state, replicated_log& log)
     {
         if (!state.plan)
@@ -191,17 +177,20 @@
         return rollout;
     }
 
-    void evaluate(service_id const& service, service_versions const& versions, replicated_log& log,
+    void evaluate(service_id const& service, service_versions const& versions,
+                  std::vector<messages::entry_notice> const& notices, replicated_log& log,
                   context& ctx)
     {
         auto& rollout = progress_of(service, versions, ctx.now);
-        auto const& new_counts = rollout.outcomes[versions.next];
-        auto const& old_counts = rollout.outcomes[versions.base];
+        for (auto const& it : notices)
+            rollout.outcomes.update(it, service, versions.next);
+        auto const new_counts = rollout.outcomes.of(versions.next);
+        auto const old_counts = rollout.outcomes.of(versions.base);
         auto const result = compare_versions(new_counts, old_counts, limits_);
         bool const is_complete = ctx.now >= rollout.completion_time;
         step_rollout step{.service = service, .version = versions.next, .share = versions.share};
-        if (result == version_comparison::worse ||
-            (is_complete && result == version_comparison::suspected))
+        if (result == rollout_comparison::worse ||
+            (is_complete && result == rollout_comparison::suspected))
         {
             step.phase = rollout_phase::rolled_back;
             step.share = per_mille(0);
@@ -238,8 +227,8 @@
     static void report_suspicion(service_id const& service, service_versions const& versions,
                                  progress& rollout, context& ctx)
     {
-        auto const& new_counts = rollout.outcomes[versions.next];
-        auto const& old_counts = rollout.outcomes[versions.base];
+        auto const new_counts = rollout.outcomes.of(versions.next);
+        auto const old_counts = rollout.outcomes.of(versions.base);
         bool const is_suspected =
             new_counts.per_mille_of(new_counts.bad()) > old_counts.per_mille_of(old_counts.bad()) ||
             new_counts.per_mille_of(new_counts.late) > old_counts.per_mille_of(old_counts.late);
--- a/plugins/control/roster/entry_table.cpp
+++ b/plugins/control/roster/entry_table.cpp
@@ -67,6 +67,14 @@
     return in_region.empty() ? all : in_region;
 }
 
+std::vector<messages::entry_notice> entry_table::notices() const
+{
+    std::vector<messages::entry_notice> out;
+    for (auto const& [id, it] : rows_)
+        out.push_back(it.notice);
+    return out;
+}
+
 std::uint32_t entry_table::ready_count() const
 {
     return static_cast<std::uint32_t>(std::count_if(
--- a/plugins/control/roster/entry_table.hpp
+++ b/plugins/control/roster/entry_table.hpp
@@ -32,6 +32,9 @@
     /// those of the region, else all.
     std::vector<endpoint> ready_for(region_id const& region, domain_id const& domain) const;
 
+    /// Returns the newest notice of each entry.
+    std::vector<messages::entry_notice> notices() const;
+
     std::uint32_t ready_count() const;
     std::uint32_t ready_count_in(domain_id const& domain) const;
 
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -65,18 +65,12 @@
 constexpr milliseconds member_list_interval{1000};
 /// A longer time between two ticks means that the process was not running.
 constexpr milliseconds max_tick_gap{1000};
-/// Outcomes that wait for a leader are dropped when there are more than this.
-constexpr std::size_t max_pending_outcomes = 4096;
-
 kernel::counter_kind const announced_counter{"roster.announcements",
                                              "Announcements that targets sent to this instance."};
 kernel::counter_kind const stale_counter{
     "roster.stale", "Announcements that changed nothing that is known of the target."};
 kernel::counter_kind const polls_counter{"roster.polls",
                                          "Polls of entry instances, which contain their reports."};
-kernel::counter_kind const outcomes_dropped{
-    "roster.outcomes_dropped", "Outcomes that were dropped because no leader was known."};
-
 kernel::event_kind const target_event{
     {.number = 720,
      .name = "roster.target_changed",
@@ -175,9 +169,9 @@
         return controls_.instances_since(cutoff);
     }
 
-    std::vector<messages::version_outcomes> take_outcomes() override
+    std::vector<messages::entry_notice> entry_notices() const override
     {
-        return std::exchange(outcomes_, {});
+        return entries_.notices();
     }
 
     bool held_by_majority(generation_id generation) const override
@@ -344,7 +338,6 @@
                                          .number = exchange_number_,
                                          .targets = targets_.take_unforwarded(ctx.now),
                                          .entries = {},
-                                         .outcomes = {},
                                          .control = {}};
         if (auto* const log = services_.find<replicated_log>())
             common.leads = log->may_act(ctx.now);
@@ -370,23 +363,8 @@
                 out.has_all_targets = true;
                 out.control = controls_.instances_since(ctx.now - control_retention);
             }
-            if (!common.leads && it.leads)
-                out.outcomes = outcomes_;
             ctx.send(id, std::move(out));
         }
-        discard_forwarded_outcomes(common.leads, ctx);
-    }
-
-    void discard_forwarded_outcomes(bool leads, context& ctx)
-    {
-        if (leads)
-            return;
-        bool const sent = controls_.leader_address(ctx.now - leader_report_lifetime).has_value();
-        if (!sent && outcomes_.size() <= max_pending_outcomes)
-            return;
-        if (!sent)
-            ctx.counters.add(outcomes_dropped, outcomes_.size());
-        outcomes_.clear();
     }
 
     void handle_exchange(instance_id sender, messages::roster_exchange const& exchange,
@@ -408,7 +386,6 @@
         if (exchange.has_all_targets)
             sync_.record_table(sender);
         finish_synchronization(ctx);
-        outcomes_.insert(outcomes_.end(), exchange.outcomes.begin(), exchange.outcomes.end());
         if (exchange.steering)
             steering().learn(exchange.steering);
         answer_leaves(ctx);
@@ -433,7 +410,6 @@
         ctx.counters.add(polls_counter);
         update_entry_address(poll.self, ctx);
         entries_.update_from_entry(poll.self, ctx.now);
-        outcomes_.insert(outcomes_.end(), poll.outcomes.begin(), poll.outcomes.end());
         polls_[sender] = {poll, ctx.now + config_.poll_timeout};
         answer_polls(ctx);
     }
@@ -515,7 +491,6 @@
     std::map<instance_id, entry_process> entry_processes_;
     std::map<instance_id, held_poll> polls_;
     std::vector<pending_leave> pending_leaves_;
-    std::vector<messages::version_outcomes> outcomes_;
     sequence_id exchange_number_;
     generation_id sent_generation_; ///< Of the last exchange sent.
     instant exchange_due_;
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -126,7 +126,7 @@
         // version.
         if (result.failed && !late && !reply_broken)
             return;
-        auto& out = outcomes_[{req.service, sent.target.version}];
+        auto& out = outcomes_of(req.service, versions->second.next, sent.target.version);
         ++out.answered;
         if (late)
             ++out.late;
@@ -197,6 +197,31 @@
         return it == demand_.end() ? millitokens_per_second() : it->second;
     }
 
+    /// Returns the outcomes of a version in the rollout of a service to `next`.
+    messages::version_outcomes& outcomes_of(service_id const& service, version_id const& next,
+                                            version_id const& version)
+    {
+        auto const same = [&](messages::version_outcomes const& it)
+        { return it.service == service && it.rollout == next && it.version == version; };
+        auto const found = std::find_if(outcomes_.begin(), outcomes_.end(), same);
+        if (found != outcomes_.end())
+            return *found;
+        return outcomes_.emplace_back(
+            messages::version_outcomes{.service = service, .rollout = next, .version = version});
+    }
+
+    /// Removes the outcomes of rollouts that do not run any more.
+    void discard_outcomes()
+    {
+        auto const has_ended = [this](messages::version_outcomes const& it)
+        {
+            auto const found = steering_->versions.find(it.service);
+            return found == steering_->versions.end() || found->second.next != it.rollout ||
+                   found->second.phase != rollout_phase::running;
+        };
+        std::erase_if(outcomes_, has_ended);
+    }
+
     void send_report(context& ctx)
     {
         auto const recipient =
@@ -213,23 +238,17 @@
                                            .boot = ctx.self.boot,
                                            .sequence = last_report_,
                                            .ready = active_steering_ != nullptr && !stopping_,
-                                           .demand = {}},
+                                           .demand = {},
+                                           .outcomes = {}},
                                   .generation = steering_->generation,
                                   .known_boot = positions_[*recipient].boot,
                                   .known = positions_[*recipient].known,
-                                  .outcomes = {},
                                   .held = std::nullopt};
         if (recipient != current_control_)
             out.held = listed_.summary(ctx.now);
         if (auto* const demand = services_.find<demand_view>())
             out.self.demand = demand->demand(ctx.now);
-        for (auto const& [key, it] : outcomes_)
-        {
-            out.outcomes.push_back(it);
-            out.outcomes.back().service = key.first;
-            out.outcomes.back().version = key.second;
-        }
-        outcomes_.clear();
+        out.self.outcomes = outcomes_;
         ctx.send(*recipient, std::move(out));
         pending_reports_[last_report_] = {*recipient, ctx.now};
         if (pending_reports_.size() > max_pending_reports)
@@ -323,6 +342,7 @@
     void apply_steering(shared_steering const& state, context& ctx)
     {
         steering_ = state;
+        discard_outcomes();
         auto const plan = state->plan ? state->plan->number.value() : 0;
         ctx.events.record(steering_learned_event,
                           {{"generation", std::to_string(state->generation.value())},
@@ -369,7 +389,7 @@
     std::int64_t entries_in_domain_ = 1;
     std::map<customer_id, per_mille> shares_;
     std::map<customer_id, millitokens_per_second> demand_;
-    std::map<std::pair<service_id, version_id>, messages::version_outcomes> outcomes_;
+    std::vector<messages::version_outcomes> outcomes_; ///< Of the rollouts that run.
     sequence_id last_report_;
     std::optional<instance_id> awaited_control_;
     std::optional<instance_id> current_control_;
--- a/plugins/peer/codecs/roster_codec.cpp
+++ b/plugins/peer/codecs/roster_codec.cpp
@@ -81,6 +81,7 @@
 void encode(messages::version_outcomes const& from, Outcomes::Builder to)
 {
     to.setService(from.service.value());
+    to.setRollout(from.rollout.value());
     to.setVersion(from.version.value());
     to.setAnswered(from.answered);
     to.setFailed(from.failed);
@@ -91,6 +92,7 @@
 messages::version_outcomes decode(Outcomes::Reader from)
 {
     return {.service = service_id(decode_text(from.getService())),
+            .rollout = version_id(decode_text(from.getRollout())),
             .version = version_id(decode_text(from.getVersion())),
             .answered = from.getAnswered(),
             .failed = from.getFailed(),
@@ -106,6 +108,7 @@
     to.setReady(from.ready);
     to.setAgeMs(from.age.count());
     encode_numbers(from.demand, to.initDemand(size_of(from.demand)));
+    encode_list(from.outcomes, to.initOutcomes(size_of(from.outcomes)));
 }
 
 messages::entry_notice decode(EntryNotice::Reader from)
@@ -115,8 +118,10 @@
                                .sequence = sequence_id(from.getSequence()),
                                .ready = from.getReady(),
                                .age = milliseconds(from.getAgeMs()),
-                               .demand = {}};
+                               .demand = {},
+                               .outcomes = {}};
     decode_numbers(from.getDemand(), out.demand);
+    decode_list(from.getOutcomes(), out.outcomes);
     return out;
 }
 
@@ -142,7 +147,6 @@
     to.setHasAllTargets(from.has_all_targets);
     to.setIntact(from.intact);
     encode_list(from.entries, to.initEntries(size_of(from.entries)));
-    encode_list(from.outcomes, to.initOutcomes(size_of(from.outcomes)));
     encode_list(from.control, to.initControl(size_of(from.control)));
 }
 
@@ -163,13 +167,11 @@
                                   .has_all_targets = from.getHasAllTargets(),
                                   .intact = from.getIntact(),
                                   .entries = {},
-                                  .outcomes = {},
                                   .control = {}};
     if (from.getHasSteering())
         out.steering = std::make_shared<steering_state const>(decode(from.getSteering()));
     decode_list(from.getTargets(), out.targets);
     decode_list(from.getEntries(), out.entries);
-    decode_list(from.getOutcomes(), out.outcomes);
     decode_list(from.getControl(), out.control);
     return out;
 }
@@ -180,7 +182,6 @@
     to.setGeneration(from.generation.value());
     to.setKnownBoot(from.known_boot.value());
     to.setKnown(from.known.value());
-    encode_list(from.outcomes, to.initOutcomes(size_of(from.outcomes)));
     if (!from.held)
         return;
     auto held = to.initHeld(messages::target_summary::parts);
@@ -206,9 +207,7 @@
                               .generation = generation_id(from.getGeneration()),
                               .known_boot = boot_id(from.getKnownBoot()),
                               .known = sequence_id(from.getKnown()),
-                              .outcomes = {},
                               .held = decode_held(from.getHeld())};
-    decode_list(from.getOutcomes(), out.outcomes);
     return out;
 }
 
--- a/schemas/steering.capnp
+++ b/schemas/steering.capnp
@@ -133,6 +133,7 @@
   failed @3 :UInt64;
   late @4 :UInt64;
   broken @5 :UInt64;
+  rollout @6 :Text;
 }
 
 struct CustomerNumber {
@@ -147,6 +148,7 @@
   ready @3 :Bool;
   ageMs @4 :Int64;
   demand @5 :List(CustomerNumber);
+  outcomes @6 :List(Outcomes);
 }
 
 struct Exchange {
@@ -161,7 +163,7 @@
   acknowledged @8 :UInt64;
   targets @9 :List(TargetNotice);
   entries @10 :List(EntryNotice);
-  outcomes @11 :List(Outcomes);
+  unusedOutcomes @11 :List(Outcomes);  # Sent in entry notices.
   control @12 :List(Lease.InstanceDescription);
   boot @13 :UInt64;
   acknowledgedBoot @14 :UInt64;
@@ -175,7 +177,7 @@
   generation @1 :UInt64;
   knownBoot @2 :UInt64;
   known @3 :UInt64;
-  outcomes @4 :List(Outcomes);
+  unusedOutcomes @4 :List(Outcomes);  # Sent in entry notices.
   held @5 :List(UInt64);
 }
 
--- a/tests/control/steering/version_comparison_test.cpp
+++ b/tests/control/steering/rollout_comparison_test.cpp
@@ -1,4 +1,4 @@
-#include "plugins/control/rollouts/version_comparison.hpp"
+#include "plugins/control/rollouts/rollout_comparison.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
@@ -9,9 +9,9 @@
 namespace
 {
 
-class version_comparison_test : public CppUnit::TestFixture
+class rollout_comparison_test : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(version_comparison_test);
+    CPPUNIT_TEST_SUITE(rollout_comparison_test);
     CPPUNIT_TEST(failures_count_although_replies_of_both_versions_are_lost);
     CPPUNIT_TEST(lost_replies_of_few_targets_are_no_fault_of_the_version);
     CPPUNIT_TEST(a_version_that_breaks_most_connections_is_worse_whatever_the_old_one_does);
@@ -29,7 +29,7 @@
     {
         CPPUNIT_ASSERT(compare({.answered = 25, .failed = 6, .broken = 2},
                                {.answered = 1000, .failed = 4, .broken = 238}) ==
-                       version_comparison::worse);
+                       rollout_comparison::worse);
     }
 
     // With 40% of the replies of 60% of the targets lost, a version on two such targets loses
@@ -37,31 +37,31 @@
     void lost_replies_of_few_targets_are_no_fault_of_the_version()
     {
         CPPUNIT_ASSERT(compare({.answered = 100, .broken = 40},
-                               {.answered = 2000, .broken = 480}) == version_comparison::not_worse);
+                               {.answered = 2000, .broken = 480}) == rollout_comparison::not_worse);
     }
 
     void a_version_that_breaks_most_connections_is_worse_whatever_the_old_one_does()
     {
         CPPUNIT_ASSERT(compare({.answered = 50, .broken = 45}, {.answered = 1000, .broken = 300}) ==
-                       version_comparison::worse);
+                       rollout_comparison::worse);
     }
 
     void timeouts_count_although_the_old_version_is_slow()
     {
         CPPUNIT_ASSERT(compare({.answered = 100, .late = 95}, {.answered = 2000, .late = 1100}) ==
-                       version_comparison::worse);
+                       rollout_comparison::worse);
     }
 
     void few_failures_make_a_version_suspected()
     {
         CPPUNIT_ASSERT(compare({.answered = 25, .failed = 5}, {.answered = 1000, .failed = 4}) ==
-                       version_comparison::suspected);
+                       rollout_comparison::suspected);
     }
 
     void a_single_failure_makes_no_version_suspected()
     {
         CPPUNIT_ASSERT(compare({.answered = 10, .failed = 1}, {.answered = 200}) ==
-                       version_comparison::not_worse);
+                       rollout_comparison::not_worse);
     }
 
     void a_version_with_equal_or_lower_rates_is_not_worse()
@@ -78,7 +78,7 @@
                     .failed = *rc::gen::inRange<std::uint64_t>(0, failed + 1),
                     .broken = *rc::gen::inRange<std::uint64_t>(0, broken + 1)};
                 outcome_counts const old{.answered = answered, .failed = failed, .broken = broken};
-                RC_ASSERT(compare(lower, old) == version_comparison::not_worse);
+                RC_ASSERT(compare(lower, old) == rollout_comparison::not_worse);
             }));
     }
 
@@ -95,19 +95,19 @@
                                                               .failed = (answered - broken) / 2,
                                                               .broken = broken};
                                      outcome_counts const old{.answered = 1000, .broken = lost};
-                                     RC_ASSERT(compare(bad, old) == version_comparison::worse);
+                                     RC_ASSERT(compare(bad, old) == rollout_comparison::worse);
                                  }));
     }
 
 private:
-    static version_comparison compare(outcome_counts const& new_counts,
+    static rollout_comparison compare(outcome_counts const& new_counts,
                                       outcome_counts const& old_counts)
     {
         return compare_versions(new_counts, old_counts, comparison_limits{});
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(version_comparison_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(rollout_comparison_test);
 
 } // namespace
 
--- a/tests/control/steering/rollouts_test.cpp
+++ b/tests/control/steering/rollouts_test.cpp
@@ -5,7 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <utility>
+#include <algorithm>
 
 namespace mulberryrudder::control
 {
@@ -36,15 +36,12 @@
         return version == v2 ? new_slots : old_slots;
     }
     std::vector<instance_description> control_since(instant) const override { return {}; }
-    std::vector<messages::version_outcomes> take_outcomes() override
-    {
-        return std::exchange(outcomes, {});
-    }
+    std::vector<messages::entry_notice> entry_notices() const override { return {notice}; }
 
     std::vector<version_id> versions{v1, v2};
     slots old_slots{100};
     slots new_slots{100};
-    std::vector<messages::version_outcomes> outcomes;
+    messages::entry_notice notice; ///< Of the only entry.
 };
 
 component_registrar<fake_roster> const registrar{"fake_roster", component_order::roster};
@@ -213,6 +210,8 @@
 private:
     void start_rollout_to_v2()
     {
+        // Entries count outcomes only while a rollout runs.
+        replica_.service<fake_roster>().notice.outcomes.clear();
         replica_.commit<steering_answer>(rollout_order{desk, v2, seconds(10)});
     }
 
@@ -229,20 +228,34 @@
     void run(span duration, messages::version_outcomes new_outcomes,
              messages::version_outcomes old_outcomes)
     {
-        new_outcomes.service = old_outcomes.service = desk;
         new_outcomes.version = new_version_;
         old_outcomes.version = v1;
         for (span elapsed{0}; elapsed < duration; elapsed += milliseconds(100))
         {
-            auto& outcomes = replica_.service<fake_roster>().outcomes;
-            outcomes.push_back(new_outcomes);
-            outcomes.push_back(old_outcomes);
+            add(new_outcomes);
+            add(old_outcomes);
             replica_.tick(milliseconds(100));
             replica_.log().commit_all();
             replica_.tick(milliseconds(0));
         }
     }
 
+    /// Adds outcomes to the totals that the entry reports.
+    void add(messages::version_outcomes const& outcomes)
+    {
+        auto& all = replica_.service<fake_roster>().notice.outcomes;
+        auto const same = [&](messages::version_outcomes const& it)
+        { return it.rollout == new_version_ && it.version == outcomes.version; };
+        auto total = std::find_if(all.begin(), all.end(), same);
+        if (total == all.end())
+            total = all.insert(
+                all.end(), {.service = desk, .rollout = new_version_, .version = outcomes.version});
+        total->answered += outcomes.answered;
+        total->failed += outcomes.failed;
+        total->broken += outcomes.broken;
+        total->late += outcomes.late;
+    }
+
     service_versions versions()
     {
         return replica_.service<steering_view>().steering()->versions.at(desk);
--- a/tests/control/steering/steering_codec_test.cpp
+++ b/tests/control/steering/steering_codec_test.cpp
@@ -125,16 +125,17 @@
                              .sequence = sequence_id(3),
                              .ready = true,
                              .age = milliseconds(4),
-                             .demand = {{customer_id("c"), millitokens_per_second(5)}}}};
+                             .demand = {{customer_id("c"), millitokens_per_second(5)}},
+                             .outcomes = {{.service = service_id("s"),
+                                           .rollout = version_id("v2"),
+                                           .version = version_id("v1"),
+                                           .answered = 3,
+                                           .failed = 1,
+                                           .broken = 4,
+                                           .late = 2}}}};
         original.wants_targets = true;
         original.has_all_targets = true;
         original.intact = true;
-        original.outcomes = {{.service = service_id("s"),
-                              .version = version_id("v2"),
-                              .answered = 3,
-                              .failed = 1,
-                              .broken = 4,
-                              .late = 2}};
         auto const decoded = round_trip(original);
         CPPUNIT_ASSERT(decoded.who == original.who);
         CPPUNIT_ASSERT(decoded.operators == original.operators);
@@ -144,7 +145,6 @@
         CPPUNIT_ASSERT(decoded.has_all_targets);
         CPPUNIT_ASSERT(decoded.intact);
         CPPUNIT_ASSERT(decoded.entries == original.entries);
-        CPPUNIT_ASSERT(decoded.outcomes == original.outcomes);
     }
 
     void an_update_for_an_entry_omits_the_source_of_the_plan()
--- a/tests/control/voters/voter_keeper_test.cpp
+++ b/tests/control/voters/voter_keeper_test.cpp
@@ -28,7 +28,7 @@
 
     std::vector<version_id> versions_of(service_id const&) const override { return {}; }
     slots capacity_of(service_id const&, version_id const&) const override { return {}; }
-    std::vector<messages::version_outcomes> take_outcomes() override { return {}; }
+    std::vector<messages::entry_notice> entry_notices() const override { return {}; }
     std::vector<instance_description> control_since(instant) const override { return reachable; }
     group_membership const& membership() const override { return members; }
     bool begin_replacement(replacement const& change, instant) override
