Let a rollout wait for enough answers before it succeeds

Cause: a version with 23 answers, 2 of them bad, succeeded beside 1,217 answers of the old one: under six bad answers nothing spoke against it, and a hundredth of the old version's answers was enough. Fix: 40 answers, or a tenth of the old version's where requests are rare; two bad answers beyond the limit suffice to suspect a version. Test: few_answers_are_no_evidence; steering_tests OK (39).

--- a/plugins/control/rollouts/rollout_comparison.cpp
+++ b/plugins/control/rollouts/rollout_comparison.cpp
@@ -26,7 +26,9 @@
 constexpr double significance = 3;
 /// Minimum number of bad outcomes of a suspected version, as a fraction of those of a version
 /// that is rolled back.
-constexpr std::int64_t suspicion_divisor = 2;
+constexpr std::int64_t suspicion_divisor = 3;
+/// Part of the old version's answers that suffices where requests are rare.
+constexpr std::int64_t rare_requests_divisor = 10;
 
 double fraction(std::uint64_t count, std::uint64_t answered)
 {
@@ -92,8 +94,10 @@
 bool has_evidence(outcome_counts const& new_counts, outcome_counts const& old_counts,
                   comparison_limits const& limits)
 {
-    return static_cast<std::int64_t>(new_counts.answered) * 1000 >=
-           static_cast<std::int64_t>(old_counts.answered) * limits.min_answer_share.count();
+    auto const required =
+        std::min(limits.min_answers.count(),
+                 static_cast<std::int64_t>(old_counts.answered) / rare_requests_divisor);
+    return static_cast<std::int64_t>(new_counts.answered) >= required;
 }
 
 } // namespace mulberryrudder::control
--- a/plugins/control/rollouts/rollout_comparison.hpp
+++ b/plugins/control/rollouts/rollout_comparison.hpp
@@ -32,7 +32,7 @@
     per_mille max_late_excess{300};
     std::int64_t min_bad_factor = 4;
     requests min_bad{6};
-    per_mille min_answer_share{10};
+    requests min_answers{40};
 };
 
 /// Result of the comparison of a new version with the old one.
@@ -51,7 +51,8 @@
                                     outcome_counts const& old_counts,
                                     comparison_limits const& limits);
 
-/// Returns whether the new version gave enough answers to be compared with the old one.
+/// Returns whether the new version gave enough answers to be compared with the old one: the
+/// minimum, or a tenth of the old one's answers where requests are rare.
 bool has_evidence(outcome_counts const& new_counts, outcome_counts const& old_counts,
                   comparison_limits const& limits);
 
--- a/plugins/control/rollouts/rollouts.cpp
+++ b/plugins/control/rollouts/rollouts.cpp
@@ -24,7 +24,7 @@
     std::int64_t min_bad_factor = 4;
     per_mille max_late_excess{300};
     requests min_bad{6};
-    per_mille min_answers{10};
+    requests min_answers{40};
     per_mille min_capacity{700};
     milliseconds check_interval{200};
 };
@@ -63,9 +63,10 @@
             "least_bad", &rollout_settings::min_bad, {1, 1000},
             "Bad answers, or late ones, before a new version can be rolled back for them."),
         kernel::field(
-            "least_answers", &rollout_settings::min_answers, {0, 1000},
-            "Answers that the new version must have given to get all requests, in thousandths "
-            "of the old version's; the rollout waits for them, even beyond its duration."),
+            "least_answers", &rollout_settings::min_answers, {0, 100'000},
+            "Answers that the new version must have given to get all requests, or a tenth of "
+            "the old version's if that is less; the rollout waits for them, even beyond its "
+            "duration."),
         kernel::field(
             "least_room", &rollout_settings::min_capacity, {0, 1000},
             "Thousandths of the old version's slots that the new one must have to get all "
@@ -110,7 +111,7 @@
                   .max_late_excess = config_.max_late_excess,
                   .min_bad_factor = config_.min_bad_factor,
                   .min_bad = config_.min_bad,
-                  .min_answer_share = config_.min_answers}
+                  .min_answers = config_.min_answers}
     {
     }
 
--- a/tests/control/steering/rollout_comparison_test.cpp
+++ b/tests/control/steering/rollout_comparison_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(a_version_that_breaks_most_connections_is_worse_whatever_the_old_one_does);
     CPPUNIT_TEST(timeouts_count_although_the_old_version_is_slow);
     CPPUNIT_TEST(few_failures_make_a_version_suspected);
+    CPPUNIT_TEST(few_answers_are_no_evidence);
     CPPUNIT_TEST(a_single_failure_makes_no_version_suspected);
     CPPUNIT_TEST(a_version_with_equal_or_lower_rates_is_not_worse);
     CPPUNIT_TEST(a_version_that_fails_half_of_what_the_old_one_serves_is_worse);
@@ -58,6 +59,19 @@
                        rollout_comparison::suspected);
     }
 
+    // Guards against EXPOSURE as played: a version that fails under load only succeeded with 23
+    // answers, 2 of them bad, beside 1217 answers of the old one.
+    void few_answers_are_no_evidence()
+    {
+        outcome_counts const old{.answered = 1217, .broken = 243, .late = 56};
+        CPPUNIT_ASSERT(!has_evidence({.answered = 23, .failed = 2}, old, {}));
+        CPPUNIT_ASSERT(compare({.answered = 23, .failed = 2}, old) ==
+                       rollout_comparison::suspected);
+        CPPUNIT_ASSERT(has_evidence({.answered = 40}, old, {}));
+        CPPUNIT_ASSERT(has_evidence({.answered = 2}, {.answered = 20}, {}));
+        CPPUNIT_ASSERT(has_evidence({}, {}, {}));
+    }
+
     void a_single_failure_makes_no_version_suspected()
     {
         CPPUNIT_ASSERT(compare({.answered = 10, .failed = 1}, {.answered = 200}) ==
