Request tables of targets only while enough instances can be reached

Cause: an instance that heard too few of the others began its synchronization anew with each tick and requested the tables of those that it heard each time, since a table does not end it then. After a cut it repeated requests that were under way. Fix: request while a majority can be reached, and again after 500 ms only.

--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -348,6 +348,8 @@
             member_list_due_ = ctx.now + member_list_interval;
             common.control = controls_.instances_since(ctx.now - control_retention);
         }
+        // Tables that come while too few instances can be reached do not end the synchronization.
+        bool const wants_tables = is_majority_reachable(ctx.now);
         for (auto& [id, it] : controls_.rows())
         {
             auto out = common;
@@ -356,7 +358,7 @@
             out.wants_steering = it.generation > state->generation;
             if (std::exchange(it.wants_steering, false) && it.generation < state->generation)
                 out.steering = state;
-            out.wants_targets = sync_.wants_table_of(id);
+            out.wants_targets = wants_tables && sync_.request_table_of(id, ctx.now);
             if (std::exchange(it.wants_targets, false) && sync_.is_intact())
             {
                 out.targets = targets_.all(ctx.now);
--- a/plugins/control/roster/table_sync.cpp
+++ b/plugins/control/roster/table_sync.cpp
@@ -3,13 +3,32 @@
 namespace mulberryrudder::control
 {
 
+namespace
+{
+
+/// Time between two requests for the table of the same instance: more than a table takes
+/// between regions.
+constexpr milliseconds request_interval{500};
+
+} // namespace
+
 void table_sync::begin(instant deadline)
 {
     received_.clear();
+    next_requests_.clear();
     deadline_ = deadline;
     synchronized_ = false;
 }
 
+bool table_sync::request_table_of(instance_id id, instant now)
+{
+    auto& next_request = next_requests_[id];
+    if (synchronized_ || received_.contains(id) || now < next_request)
+        return false;
+    next_request = now + request_interval;
+    return true;
+}
+
 bool table_sync::finish(std::optional<std::size_t> instances, instant now)
 {
     auto const holders = received_.size() + (intact_ ? 1 : 0);
--- a/plugins/control/roster/table_sync.hpp
+++ b/plugins/control/roster/table_sync.hpp
@@ -5,6 +5,7 @@
 #include <mulberryrudder/core/time.hpp>
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <set>
 
@@ -38,13 +39,15 @@
     /// table counts for others.
     bool is_intact() const { return intact_; }
 
-    /// Returns whether the table of an instance is still to be requested.
-    bool wants_table_of(instance_id id) const { return !synchronized_ && !received_.contains(id); }
+    /// Returns whether the next message to an instance is to request its table. A request is
+    /// repeated after a while if no table came.
+    bool request_table_of(instance_id id, instant now);
 
     std::size_t received_count() const { return received_.size(); }
 
 private:
     std::set<instance_id> received_;
+    std::map<instance_id, instant> next_requests_; ///< When requests may be repeated.
     instant deadline_;
     bool synchronized_ = false;
     bool intact_ = false;
--- a/tests/roster_fleet/roster_fleet.cpp
+++ b/tests/roster_fleet/roster_fleet.cpp
@@ -231,6 +231,8 @@
         due = free_at + latency;
         sent_to_entries_ += byte_count(size);
     }
+    auto const* const exchange = message.body.get<messages::roster_exchange>();
+    tables_sent_ += exchange != nullptr && exchange->has_all_targets;
     if (!is_dropped(message))
         transfers_.push_back({due, message});
 }
--- a/tests/roster_fleet/roster_fleet.hpp
+++ b/tests/roster_fleet/roster_fleet.hpp
@@ -85,6 +85,9 @@
     /// Returns the size of all messages to entries so far.
     byte_count sent_to_entries() const { return sent_to_entries_; }
 
+    /// Returns how many messages between control instances contained a whole table of targets.
+    int tables_sent() const { return tables_sent_; }
+
     std::size_t entries() const { return entries_.size(); }
     instant now() const { return now_; }
 
@@ -138,6 +141,7 @@
     std::map<int, announcer> targets_; ///< Serving targets.
     std::map<control::operator_request_id, any_message> answers_;
     byte_count sent_to_entries_{0};
+    int tables_sent_ = 0;
     std::uint64_t last_ = 0;
     std::uint64_t starts_ = 0; ///< Of all instances; makes each start differ.
     instant now_{seconds(1000)};
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(entries_do_not_rely_on_what_a_restarted_control_instance_missed);
     CPPUNIT_TEST(a_control_instance_that_was_suspended_learns_what_it_missed);
     CPPUNIT_TEST(an_old_announcement_to_a_restarted_control_instance_restores_no_target);
+    CPPUNIT_TEST(a_partition_of_control_instances_ends_with_one_table_from_each);
     CPPUNIT_TEST(a_restart_of_all_control_instances_removes_no_target);
     CPPUNIT_TEST_SUITE_END();
 
@@ -163,6 +164,20 @@
         }
     }
 
+    // Guards against a waste of traffic between regions: instances that heard too few of the
+    // others requested the tables of those that they heard, over and over.
+    void a_partition_of_control_instances_ends_with_one_table_from_each()
+    {
+        auto const before = fleet_->tables_sent();
+        fleet_->partition({5, 6, 7, 8});
+        fleet_->run(seconds(5));
+        CPPUNIT_ASSERT_EQUAL(before, fleet_->tables_sent());
+        fleet_->partition({});
+        fleet_->run(seconds(2));
+        auto const sent = fleet_->tables_sent() - before;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(sent) + " tables", sent > 0 && sent <= 4 * 8);
+    }
+
     // Guards against the loss of all targets: after a restart of all control instances, none of
     // them knows a target before its next announcement.
     void a_restart_of_all_control_instances_removes_no_target()
