--- a/include/mulberryrudder/messages/roster.hpp
+++ b/include/mulberryrudder/messages/roster.hpp
@@ -27,7 +27,7 @@
     std::vector<target_notice> targets;
     bool wants_targets = false;        ///< It asks for all targets that the receiver knows.
     bool has_all_targets = false;      ///< `targets` are all that the sender knows.
-    bool intact = false;               ///< The sender missed no leave since its start.
+    bool intact = false;               ///< It held every leave at a time since its start.
     std::vector<entry_notice> entries; ///< Those that reported since the last message.
     /// Other control instances that are known; not in every message.
     std::vector<instance_description> control;
