Read the entries' notices only for rollouts that run

Control copied all notices of the entries five times a second, also without a rollout, and summed the outcomes of both versions twice in each evaluation.

--- a/plugins/control/rollouts/rollouts.cpp
+++ b/plugins/control/rollouts/rollouts.cpp
@@ -126,12 +126,11 @@
         if (!log.may_act(ctx.now))
             return;
         auto const state = services_.require<steering_view>().steering();
-        auto const notices = services_.require<roster_view>().entry_notices();
         propose_base_versions(*state, log);
         for (auto const& [service, versions] : state->versions)
         {
             if (versions.phase == rollout_phase::running)
-                evaluate(service, versions, notices, log, ctx);
+                evaluate(service, versions, log, ctx);
             else
                 running_.erase(service);
         }
@@ -178,12 +177,11 @@
         return rollout;
     }
 
-    void evaluate(service_id const& service, service_versions const& versions,
-                  std::vector<messages::entry_notice> const& notices, replicated_log& log,
+    void evaluate(service_id const& service, service_versions const& versions, replicated_log& log,
                   context& ctx)
     {
         auto& rollout = progress_of(service, versions, ctx.now);
-        for (auto const& it : notices)
+        for (auto const& it : services_.require<roster_view>().entry_notices())
             rollout.outcomes.update(it, service, versions.next);
         auto const new_counts = rollout.outcomes.of(versions.next);
         auto const old_counts = rollout.outcomes.of(versions.base);
@@ -205,7 +203,7 @@
         else if (ctx.now >= rollout.second_stage_start)
             step.share = std::max(versions.share, config_.second_stage_share);
         if (step.phase == rollout_phase::running && step.share == versions.share)
-            return report_suspicion(service, versions, rollout, ctx);
+            return report_suspicion(service, versions.next, new_counts, old_counts, rollout, ctx);
         ctx.events.record(
             judged_event,
             {{"service", service.value()},
@@ -225,11 +223,10 @@
 
     /// Records at intervals that a version fails more often than the old one, yet not clearly
     /// enough to be rolled back.
-    static void report_suspicion(service_id const& service, service_versions const& versions,
+    static void report_suspicion(service_id const& service, version_id const& version,
+                                 outcome_counts const& new_counts, outcome_counts const& old_counts,
                                  progress& rollout, context& ctx)
     {
-        auto const new_counts = rollout.outcomes.of(versions.next);
-        auto const old_counts = rollout.outcomes.of(versions.base);
         bool const is_suspected =
             new_counts.per_mille_of(new_counts.bad()) > old_counts.per_mille_of(old_counts.bad()) ||
             new_counts.per_mille_of(new_counts.late) > old_counts.per_mille_of(old_counts.late);
@@ -237,7 +234,7 @@
             return;
         rollout.next_suspected_report = ctx.now + suspected_interval;
         ctx.events.record(suspected_event, {{"service", service.value()},
-                                            {"version", versions.next.value()},
+                                            {"version", version.value()},
                                             {"answered", std::to_string(new_counts.answered)},
                                             {"failed", std::to_string(new_counts.failed)},
                                             {"broken", std::to_string(new_counts.broken)},
