Show by two tests that entries act by an old plan

What callers saw: requests handled by a version whose successor had been acknowledged more than ConfigApply before.

One test cuts off control instances in one direction: they hear the others, and cannot ask them for the newest state. The other one takes all control instances away for 4 s and returns five of nine.

The fixture stops announcements of targets while no control instance can be reached; its search for one did not end before.

--- a/tests/roster_fleet/roster_fleet.cpp
+++ b/tests/roster_fleet/roster_fleet.cpp
@@ -214,7 +214,9 @@
     if (isolated(message.from) || isolated(message.to) || disconnected(message.from) ||
         disconnected(message.to))
         return true;
-    return !is_entry(message.from) && !is_entry(message.to) &&
+    if (is_entry(message.from) || is_entry(message.to))
+        return false;
+    return muted_.contains(index_of(message.from)) ||
            partition_group_.contains(index_of(message.from)) !=
                partition_group_.contains(index_of(message.to));
 }
@@ -284,18 +286,20 @@
         if (it.next_announcement > now_)
             continue;
         it.next_announcement = now_ + announcement_interval;
+        auto const receiver = reachable_control(static_cast<std::size_t>(target));
+        if (!receiver)
+            continue;
         it.sequence = sequence_id(it.sequence.value() + 1);
-        request(reachable_control(static_cast<std::size_t>(target)),
-                any_message::of(control::target_announced{notice(target, it.sequence)}));
+        request(*receiver, any_message::of(control::target_announced{notice(target, it.sequence)}));
     }
 }
 
-std::size_t roster_fleet::reachable_control(std::size_t preferred) const
+std::optional<std::size_t> roster_fleet::reachable_control(std::size_t preferred) const
 {
-    auto out = preferred % controls_.size();
-    while (isolated_.contains(out))
-        out = (out + 1) % controls_.size();
-    return out;
+    for (std::size_t n = 0; n != controls_.size(); ++n)
+        if (auto const control = (preferred + n) % controls_.size(); !isolated_.contains(control))
+            return control;
+    return std::nullopt;
 }
 
 control::operator_request_id roster_fleet::leave(std::size_t control, int target)
@@ -339,6 +343,11 @@
     partition_group_ = group;
 }
 
+void roster_fleet::mute(std::set<std::size_t> const& controls)
+{
+    muted_ = controls;
+}
+
 void roster_fleet::isolate(std::set<std::size_t> const& controls)
 {
     isolated_ = controls;
--- a/tests/roster_fleet/roster_fleet.hpp
+++ b/tests/roster_fleet/roster_fleet.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -62,6 +63,9 @@
     /// Drops all messages between these control instances and the others. Entries still reach
     /// both groups. An empty set ends the partition.
     void partition(std::set<std::size_t> const& group);
+    /// Drops all messages from these control instances to the other ones, which they still
+    /// hear. Entries still reach all of them. An empty set ends it.
+    void mute(std::set<std::size_t> const& controls);
     /// Drops all messages from and to these control instances.
     void isolate(std::set<std::size_t> const& controls);
 
@@ -121,8 +125,8 @@
     void deliver();
     bool is_dropped(envelope const& message) const;
     void announce_targets();
-    /// Returns the first control instance from `preferred` on that is not isolated.
-    std::size_t reachable_control(std::size_t preferred) const;
+    /// Returns the first control instance from `preferred` on that is not isolated, if any.
+    std::optional<std::size_t> reachable_control(std::size_t preferred) const;
     entry::plan_view& view(std::size_t entry);
 
     options config_;
@@ -135,6 +139,7 @@
     std::vector<instant> link_free_at_; ///< When each entry's link has sent all queued messages.
     std::vector<transfer> transfers_;
     std::set<std::size_t> partition_group_;
+    std::set<std::size_t> muted_;
     std::set<std::size_t> isolated_;
     std::set<std::size_t> frozen_;
     std::set<std::size_t> disconnected_;
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -25,6 +25,9 @@
 /// an older state.
 constexpr milliseconds config_limit{2500};
 
+/// Limit of the time after which the loss of control instances excuses nothing any more.
+constexpr milliseconds contact{3000};
+
 class roster_fleet_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(roster_fleet_test);
@@ -32,6 +35,8 @@
     CPPUNIT_TEST(a_switch_of_control_instance_transfers_only_the_differences);
     CPPUNIT_TEST(an_order_is_acknowledged_quickly_without_faults);
     CPPUNIT_TEST(an_order_that_no_majority_holds_is_not_acknowledged);
+    CPPUNIT_TEST(entries_receive_an_order_that_their_control_instance_cannot_request);
+    CPPUNIT_TEST(entries_receive_an_order_after_most_control_instances_return);
     CPPUNIT_TEST(entries_do_not_rely_on_what_a_restarted_control_instance_missed);
     CPPUNIT_TEST(a_control_instance_that_was_suspended_learns_what_it_missed);
     CPPUNIT_TEST(an_old_announcement_to_a_restarted_control_instance_restores_no_target);
@@ -102,6 +107,43 @@
             CPPUNIT_ASSERT(fleet_->generation(n) == generation_id(2));
     }
 
+    // Guards against a violation of HOME and CONFIG: a control instance that is cut off in one
+    // direction hears the others, but its requests for the newest state are lost. It went on
+    // answering its entries as if they held that state, and they served keys that had been
+    // withdrawn and sent requests to regions that are no home any more.
+    void entries_receive_an_order_that_their_control_instance_cannot_request()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            start(small_total, seed);
+            fleet_->mute({4, 8});
+            fleet_->run(seconds(1));
+            acknowledge_evacuation();
+            fleet_->run(config_limit);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("entries with an older state", 0,
+                                         entries_before(generation_id(2)));
+        }
+    }
+
+    // Guards against a violation of HOME and CONFIG: entries that had lost their control
+    // instance tried the others one after the other, each for the longest timeout, and found
+    // one that answers only seconds after most of them were back.
+    void entries_receive_an_order_after_most_control_instances_return()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            start(small_total, seed);
+            fleet_->isolate({0, 1, 2, 3, 4, 5, 6, 7, 8});
+            fleet_->run(seconds(4));
+            fleet_->isolate({3, 5, 6, 8});
+            fleet_->run(contact - config_limit);
+            acknowledge_evacuation();
+            fleet_->run(config_limit);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("entries with an older state", 0,
+                                         entries_before(generation_id(2)));
+        }
+    }
+
     // Guards against a violation of DRAIN: a control instance that was down while a target
     // left knew nothing of that target after its start. Entries that had been cut off too got
     // their answers from that instance, and went on sending requests to the target.
@@ -240,6 +282,25 @@
         return answer != nullptr && answer->get<control::announcement_taken>()->held;
     }
 
+    /// Evacuates a failure domain; returns once that is acknowledged.
+    void acknowledge_evacuation()
+    {
+        auto const id = evacuate();
+        fleet_->commit({0, 1, 2});
+        auto const deadline = fleet_->now() + seconds(1);
+        while (!is_accepted(id) && fleet_->now() < deadline)
+            fleet_->run(milliseconds(10));
+        CPPUNIT_ASSERT_MESSAGE("the evacuation is acknowledged", is_accepted(id));
+    }
+
+    int entries_before(generation_id generation)
+    {
+        int out = 0;
+        for (std::size_t n = 0; n != fleet_->entries(); ++n)
+            out += fleet_->generation(n) < generation;
+        return out;
+    }
+
     int entries_serving(int target)
     {
         int out = 0;
