Tell as of when a control instance's steering state is confirmed

What callers saw: requests handled by an old plan, at entries whose control instance answered all the time. Cause: an instance counted as connected if it heard most of the others. One that is cut off in one direction hears them, knows that they hold a newer state, and cannot ask for it.

The leader's lease confirms its own state. Each exchange passes the age of the sender's confirmation on; it counts from when the receiver sent the newest message that the sender had received, so it needs a round trip. An instance whose confirmation is older than roster/confirmation_lifetime says so in its answers, the first time at once. Probes ask for the same.

Nothing acts on it yet.

Ruled out: the newest generation that most instances report. An instance that restarted reports an older one than it had acknowledged.

--- a/include/mulberryrudder/messages/roster.hpp
+++ b/include/mulberryrudder/messages/roster.hpp
@@ -25,9 +25,12 @@
     boot_id acknowledged_boot;   ///< Start of the receiver that `acknowledged` is of.
     sequence_id acknowledged;    ///< Newest number of the receiver that was taken in.
     std::vector<target_notice> targets;
-    bool wants_targets = false;        ///< It asks for all targets that the receiver knows.
-    bool has_all_targets = false;      ///< `targets` are all that the sender knows.
-    bool intact = false;               ///< It held every leave at a time since its start.
+    bool wants_targets = false;   ///< It asks for all targets that the receiver knows.
+    bool has_all_targets = false; ///< `targets` are all that the sender knows.
+    bool intact = false;          ///< It held every leave at a time since its start.
+    /// Time since the steering state of the sender was confirmed to contain every
+    /// acknowledged order; nothing if it never was.
+    std::optional<milliseconds> confirmed_age;
     std::vector<entry_notice> entries; ///< Those that reported since the last message.
     /// Other control instances that are known; not in every message.
     std::vector<instance_description> control;
@@ -44,6 +47,9 @@
     /// What it holds, told to an instance that did not answer the last report. Such a report
     /// is answered at once, with the parts of the roster that differ.
     std::optional<target_summary> held;
+    /// It searches for an instance whose state is confirmed; the receiver need not report at
+    /// once that its own is not.
+    bool searching = false;
 };
 
 /// The answer to a poll.
@@ -55,7 +61,11 @@
     /// Whether the control instance hears most of the others. One that does not may
     /// miss what they decide, so the entry is to ask another one.
     bool connected = true;
-    shared_steering steering; ///< Only if newer than what the poll named.
+    /// Whether the steering state of the control instance was confirmed recently. Otherwise it
+    /// may miss orders that were acknowledged since.
+    bool current = true;
+    std::optional<milliseconds> confirmed_age; ///< As in a roster_exchange.
+    shared_steering steering;                  ///< Only if newer than what the poll named.
     std::vector<target_notice> targets;
     std::vector<instance_description> control;
     std::uint32_t entries_in_domain = 1; ///< Ready ones in the asker's failure domain.
@@ -66,6 +76,23 @@
     std::map<customer_id, millitokens_per_second> demand;
 };
 
+/// An entry instance asks a control instance how current it is; answered at once.
+struct roster_probe
+{
+    instance_description who; ///< The sender, which the receiver may not know.
+    boot_id boot;             ///< Start of the sender.
+    sequence_id number;
+};
+
+/// The answer to a probe.
+struct roster_probe_reply
+{
+    sequence_id number;       ///< Of the probe that is answered.
+    generation_id generation; ///< Of the sender's steering state.
+    bool connected = false;   ///< As in a roster_update.
+    bool current = false;     ///< As in a roster_update.
+};
+
 } // namespace mulberryrudder::messages
 
 #endif
--- a/plugins/control/roster/control_table.cpp
+++ b/plugins/control/roster/control_table.cpp
@@ -75,6 +75,14 @@
     return is_majority(static_cast<std::size_t>(held + (own >= generation)));
 }
 
+generation_id control_table::newest_generation() const
+{
+    generation_id out;
+    for (auto const& [id, it] : rows_)
+        out = std::max(out, it.generation);
+    return out;
+}
+
 bool control_table::any_intact() const
 {
     return std::any_of(rows_.begin(), rows_.end(), [](auto const& it) { return it.second.intact; });
--- a/plugins/control/roster/control_table.hpp
+++ b/plugins/control/roster/control_table.hpp
@@ -69,6 +69,9 @@
     /// steering state of this generation or a newer one. `own` is this instance's generation.
     bool held_by_majority(generation_id generation, generation_id own) const;
 
+    /// Returns the newest generation of the steering state that another instance reported.
+    generation_id newest_generation() const;
+
     /// Returns whether another instance has a table of targets that counts for others.
     bool any_intact() const;
 
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -1,5 +1,6 @@
 #include "control_table.hpp"
 #include "entry_table.hpp"
+#include "state_confirmation.hpp"
 #include "table_sync.hpp"
 #include "target_table.hpp"
 
@@ -25,6 +26,7 @@
     milliseconds target_timeout{6000};
     milliseconds leave_timeout{900};
     milliseconds answer_lifetime{2000};
+    milliseconds confirmation_lifetime{1000};
 };
 
 constexpr kernel::limits time_limits{10, 600'000};
@@ -50,6 +52,11 @@
             "the answer sends the target to another instance. Below a target's own timeout."),
         kernel::field("answer_lifetime", &roster_settings::answer_lifetime, time_limits,
                       "Milliseconds for which callers may use the answer to a look-up."),
+        kernel::field(
+            "confirmation_lifetime", &roster_settings::confirmation_lifetime, time_limits,
+            "Milliseconds after which an entry searches for another control instance if the "
+            "steering state of its own was not confirmed again; several exchange intervals and "
+            "round trips between regions."),
     }};
 
 /// Time after its last message for which a control instance stays in the table.
@@ -101,6 +108,17 @@
      .action = "None. Without tables of half of the instances it waited for the targets' own "
                "announcements; check the connections to the others."}};
 
+kernel::event_kind const confirmation_event{
+    {.number = 724,
+     .name = "roster.confirmation_changed",
+     .level = kernel::severity::info,
+     .meaning =
+         "The steering state of this instance is confirmed to contain all acknowledged orders, "
+         "or is not any more; `age_ms` is the time since the last confirmation, -1 without one, "
+         "`newest` the newest generation that another instance reported.",
+     .action = "If it stays unconfirmed while there is a leader, check the connections to and "
+               "from the other control instances."}};
+
 /// Keeps the targets, the entries and the other control instances of the fleet: accepts
 /// announcements, replicates them to the other control instances, and answers entries' polls
 /// and callers' look-ups.
@@ -131,7 +149,8 @@
     void received(envelope const& message, context& ctx) override
     {
         initialize(ctx);
-        static std::array const table{on<&roster::handle_poll>(), on<&roster::handle_exchange>()};
+        static std::array const table{on<&roster::handle_poll>(), on<&roster::handle_probe>(),
+                                      on<&roster::handle_exchange>()};
         dispatch(*this, table, message.from, message.body, ctx);
     }
 
@@ -142,6 +161,7 @@
         if (!is_majority_reachable(ctx.now))
             begin_synchronization(ctx.now);
         finish_synchronization(ctx);
+        update_confirmation(ctx);
         // A new steering state is announced immediately, so that the other instances request
         // it or count this instance among its holders.
         bool const steering_changed = steering().steering()->generation != sent_generation_;
@@ -257,6 +277,43 @@
                                {"of", std::to_string(controls_.size())}});
     }
 
+    bool leads(instant now) const
+    {
+        auto const* const log = services_.find<replicated_log>();
+        return log != nullptr && log->may_act(now);
+    }
+
+    void update_confirmation(context& ctx)
+    {
+        if (leads(ctx.now))
+            confirmation_.record_lease(ctx.now);
+        confirmed_at_ = confirmation_.confirmed_at(steering().steering()->generation);
+        if (is_current(ctx.now) == std::exchange(was_current_, is_current(ctx.now)))
+            return;
+        auto const age = confirmed_age(ctx.now);
+        ctx.events.record(
+            confirmation_event,
+            {{"confirmed", was_current_ ? "true" : "false"},
+             {"age_ms", std::to_string(age ? age->count() : -1)},
+             {"generation", std::to_string(steering().steering()->generation.value())},
+             {"newest", std::to_string(controls_.newest_generation().value())}});
+    }
+
+    /// Returns the time since the steering state was confirmed, rounded up; nothing if it never
+    /// was.
+    std::optional<milliseconds> confirmed_age(instant now) const
+    {
+        if (!confirmed_at_)
+            return std::nullopt;
+        return std::chrono::ceil<milliseconds>(now - *confirmed_at_);
+    }
+
+    /// Returns whether entries may rely on the steering state of this instance.
+    bool is_current(instant now) const
+    {
+        return confirmed_at_ && now - *confirmed_at_ <= config_.confirmation_lifetime;
+    }
+
     // Targets.
 
     void handle_announcement(operator_request_id requester, target_announced const& announcement,
@@ -339,8 +396,10 @@
                                          .targets = targets_.take_unforwarded(ctx.now),
                                          .entries = {},
                                          .control = {}};
-        if (auto* const log = services_.find<replicated_log>())
-            common.leads = log->may_act(ctx.now);
+        common.leads = leads(ctx.now);
+        update_confirmation(ctx);
+        common.confirmed_age = confirmed_age(ctx.now);
+        confirmation_.record_sent(exchange_number_, ctx.now);
         common.intact = sync_.is_intact();
         common.entries = entries_.take_unforwarded(ctx.now);
         if (ctx.now >= member_list_due_)
@@ -376,6 +435,9 @@
             return;
         add_control(exchange.who, false, ctx);
         controls_.record_exchange(sender, exchange, boot_, ctx.now);
+        if (exchange.confirmed_age && exchange.acknowledged_boot == boot_)
+            confirmation_.record_report(exchange.acknowledged, exchange.generation,
+                                        *exchange.confirmed_age);
         for (auto const& instance : exchange.control)
             add_control(instance, false, ctx);
         if (!exchange.control.empty())
@@ -410,22 +472,32 @@
     void handle_poll(instance_id sender, messages::roster_poll const& poll, context& ctx)
     {
         ctx.counters.add(polls_counter);
-        update_entry_address(poll.self, ctx);
+        update_entry_address(poll.self.who, poll.self.boot, ctx);
         entries_.update_from_entry(poll.self, ctx.now);
         polls_[sender] = {poll, ctx.now + config_.poll_timeout};
         answer_polls(ctx);
     }
 
-    void update_entry_address(messages::entry_notice const& notice, context& ctx)
+    void handle_probe(instance_id sender, messages::roster_probe const& probe, context& ctx)
+    {
+        update_entry_address(probe.who, probe.boot, ctx);
+        ctx.send(sender,
+                 messages::roster_probe_reply{.number = probe.number,
+                                              .generation = steering().steering()->generation,
+                                              .connected = is_connected(ctx.now),
+                                              .current = is_current(ctx.now)});
+    }
+
+    void update_entry_address(instance_description const& entry, boot_id boot, context& ctx)
     {
-        auto const known_process = entry_processes_.find(notice.who.id);
+        auto const known_process = entry_processes_.find(entry.id);
         bool const is_known = known_process != entry_processes_.end();
-        if (is_known && known_process->second == entry_process{notice.who.peer, notice.boot})
+        if (is_known && known_process->second == entry_process{entry.peer, boot})
             return;
-        bool const restarted = is_known && known_process->second.boot != notice.boot;
-        entry_processes_[notice.who.id] = {notice.who.peer, notice.boot};
+        bool const restarted = is_known && known_process->second.boot != boot;
+        entry_processes_[entry.id] = {entry.peer, boot};
         ctx.out.emplace_back(
-            learn_instance{.id = notice.who.id, .peer = notice.who.peer, .restarted = restarted});
+            learn_instance{.id = entry.id, .peer = entry.peer, .restarted = restarted});
     }
 
     /// Returns whether entries may rely on this instance's answers: it hears the others and
@@ -437,8 +509,8 @@
 
     bool has_update(messages::roster_poll const& poll, instant now)
     {
-        return poll.held || !is_connected(now) || poll.known_boot != boot_ ||
-               poll.known < targets_.newest_change() ||
+        return poll.held || !is_connected(now) || (!poll.searching && !is_current(now)) ||
+               poll.known_boot != boot_ || poll.known < targets_.newest_change() ||
                poll.generation < steering().steering()->generation;
     }
 
@@ -465,6 +537,8 @@
             .boot = boot_,
             .newest = targets_.newest_change(),
             .connected = is_connected(ctx.now),
+            .current = is_current(ctx.now),
+            .confirmed_age = confirmed_age(ctx.now),
             .steering = state->generation > poll.generation ? state : nullptr,
             .targets = targets_.changed_since(since, poll.held, ctx.now),
             .control = controls_.instances_since(ctx.now - control_retention),
@@ -490,6 +564,9 @@
     entry_table entries_;
     control_table controls_;
     table_sync sync_;
+    state_confirmation confirmation_;
+    std::optional<instant> confirmed_at_; ///< Of the steering state, as of the last tick.
+    bool was_current_ = false;            ///< As of the last tick.
     std::map<instance_id, entry_process> entry_processes_;
     std::map<instance_id, held_poll> polls_;
     std::vector<pending_leave> pending_leaves_;
--- a/plugins/peer/codecs/roster_codec.cpp
+++ b/plugins/peer/codecs/roster_codec.cpp
@@ -128,6 +128,22 @@
 namespace
 {
 
+/// Sets the two fields of an age that may be missing.
+template <class Builder>
+void encode_confirmed_age(std::optional<milliseconds> const& from, Builder& to)
+{
+    to.setConfirmed(from.has_value());
+    to.setConfirmedAgeMs(from.value_or(milliseconds(0)).count());
+}
+
+template <class Reader>
+std::optional<milliseconds> decode_confirmed_age(Reader const& from)
+{
+    if (!from.getConfirmed())
+        return std::nullopt;
+    return milliseconds(from.getConfirmedAgeMs());
+}
+
 void encode_exchange(messages::roster_exchange const& from, Exchange::Builder to)
 {
     encode(from.who, to.initWho());
@@ -146,6 +162,7 @@
     to.setWantsTargets(from.wants_targets);
     to.setHasAllTargets(from.has_all_targets);
     to.setIntact(from.intact);
+    encode_confirmed_age(from.confirmed_age, to);
     encode_list(from.entries, to.initEntries(size_of(from.entries)));
     encode_list(from.control, to.initControl(size_of(from.control)));
 }
@@ -166,6 +183,7 @@
                                   .wants_targets = from.getWantsTargets(),
                                   .has_all_targets = from.getHasAllTargets(),
                                   .intact = from.getIntact(),
+                                  .confirmed_age = decode_confirmed_age(from),
                                   .entries = {},
                                   .control = {}};
     if (from.getHasSteering())
@@ -182,6 +200,7 @@
     to.setGeneration(from.generation.value());
     to.setKnownBoot(from.known_boot.value());
     to.setKnown(from.known.value());
+    to.setSearching(from.searching);
     if (!from.held)
         return;
     auto held = to.initHeld(messages::target_summary::parts);
@@ -207,7 +226,8 @@
                               .generation = generation_id(from.getGeneration()),
                               .known_boot = boot_id(from.getKnownBoot()),
                               .known = sequence_id(from.getKnown()),
-                              .held = decode_held(from.getHeld())};
+                              .held = decode_held(from.getHeld()),
+                              .searching = from.getSearching()};
     return out;
 }
 
@@ -217,6 +237,8 @@
     to.setBoot(from.boot.value());
     to.setNewest(from.newest.value());
     to.setConnected(from.connected);
+    to.setCurrent(from.current);
+    encode_confirmed_age(from.confirmed_age, to);
     to.setHasSteering(from.steering != nullptr);
     if (from.steering)
         encode_state(*from.steering, false, to.initSteering());
@@ -234,6 +256,8 @@
                                 .boot = boot_id(from.getBoot()),
                                 .newest = sequence_id(from.getNewest()),
                                 .connected = from.getConnected(),
+                                .current = from.getCurrent(),
+                                .confirmed_age = decode_confirmed_age(from),
                                 .steering = nullptr,
                                 .targets = {},
                                 .control = {},
@@ -250,11 +274,45 @@
     return out;
 }
 
+void encode_probe(messages::roster_probe const& from, Probe::Builder to)
+{
+    encode(from.who, to.initWho());
+    to.setBoot(from.boot.value());
+    to.setNumber(from.number.value());
+}
+
+messages::roster_probe decode_probe(Probe::Reader from)
+{
+    return {.who = decode(from.getWho()),
+            .boot = boot_id(from.getBoot()),
+            .number = sequence_id(from.getNumber())};
+}
+
+void encode_probe_reply(messages::roster_probe_reply const& from, ProbeReply::Builder to)
+{
+    to.setNumber(from.number.value());
+    to.setGeneration(from.generation.value());
+    to.setConnected(from.connected);
+    to.setCurrent(from.current);
+}
+
+messages::roster_probe_reply decode_probe_reply(ProbeReply::Reader from)
+{
+    return {.number = sequence_id(from.getNumber()),
+            .generation = generation_id(from.getGeneration()),
+            .connected = from.getConnected(),
+            .current = from.getCurrent()};
+}
+
 codec_registrar<messages::roster_exchange, Exchange, &encode_exchange, &decode_exchange> const
     exchange_entered{210};
 codec_registrar<messages::roster_poll, Poll, &encode_poll, &decode_poll> const poll_entered{211};
 codec_registrar<messages::roster_update, Update, &encode_update, &decode_update> const
     update_entered{212};
+codec_registrar<messages::roster_probe, Probe, &encode_probe, &decode_probe> const probe_entered{
+    213};
+codec_registrar<messages::roster_probe_reply, ProbeReply, &encode_probe_reply,
+                &decode_probe_reply> const probe_reply_entered{214};
 
 } // namespace
 
--- a/schemas/steering.capnp
+++ b/schemas/steering.capnp
@@ -170,6 +170,8 @@
   wantsTargets @15 :Bool;
   hasAllTargets @16 :Bool;
   intact @17 :Bool;
+  confirmed @18 :Bool;
+  confirmedAgeMs @19 :Int64;
 }
 
 struct Poll {
@@ -179,6 +181,7 @@
   known @3 :UInt64;
   unusedOutcomes @4 :List(Outcomes);  # Sent in entry notices.
   held @5 :List(UInt64);
+  searching @6 :Bool;
 }
 
 struct Update {
@@ -194,4 +197,20 @@
   shares @9 :List(CustomerNumber);
   demand @10 :List(CustomerNumber);
   connected @11 :Bool;
+  current @12 :Bool = true;
+  confirmed @13 :Bool;
+  confirmedAgeMs @14 :Int64;
+}
+
+struct Probe {
+  who @0 :Lease.InstanceDescription;
+  boot @1 :UInt64;
+  number @2 :UInt64;
+}
+
+struct ProbeReply {
+  number @0 :UInt64;
+  generation @1 :UInt64;
+  connected @2 :Bool;
+  current @3 :Bool;
 }
--- a/tests/control/steering/steering_codec_test.cpp
+++ b/tests/control/steering/steering_codec_test.cpp
@@ -90,6 +90,7 @@
     CPPUNIT_TEST(a_snapshot_round_trips);
     CPPUNIT_TEST(an_exchange_round_trips);
     CPPUNIT_TEST(an_update_for_an_entry_omits_the_source_of_the_plan);
+    CPPUNIT_TEST(a_probe_and_its_reply_round_trip);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -136,6 +137,7 @@
         original.wants_targets = true;
         original.has_all_targets = true;
         original.intact = true;
+        original.confirmed_age = milliseconds(7);
         auto const decoded = round_trip(original);
         CPPUNIT_ASSERT(decoded.who == original.who);
         CPPUNIT_ASSERT(decoded.operators == original.operators);
@@ -144,23 +146,47 @@
         CPPUNIT_ASSERT(decoded.wants_targets);
         CPPUNIT_ASSERT(decoded.has_all_targets);
         CPPUNIT_ASSERT(decoded.intact);
+        CPPUNIT_ASSERT(decoded.confirmed_age == milliseconds(7));
         CPPUNIT_ASSERT(decoded.entries == original.entries);
     }
 
     void an_update_for_an_entry_omits_the_source_of_the_plan()
     {
-        messages::roster_update original{
-            .newest = sequence_id(9), .connected = false, .steering = sample_state()};
+        messages::roster_update original{.newest = sequence_id(9),
+                                         .connected = false,
+                                         .current = false,
+                                         .confirmed_age = milliseconds(8),
+                                         .steering = sample_state()};
         original.targets = {sample_notice()};
         original.shares = {{customer_id("c"), per_mille(70)}};
         auto const decoded = round_trip(original);
         CPPUNIT_ASSERT(decoded.newest == original.newest);
         CPPUNIT_ASSERT(!decoded.connected);
+        CPPUNIT_ASSERT(!decoded.current);
+        CPPUNIT_ASSERT(decoded.confirmed_age == milliseconds(8));
         CPPUNIT_ASSERT(decoded.targets == original.targets);
         CPPUNIT_ASSERT(decoded.shares == original.shares);
         CPPUNIT_ASSERT(decoded.steering->plan->routes == original.steering->plan->routes);
         CPPUNIT_ASSERT(decoded.steering->plan->source.empty());
     }
+
+    void a_probe_and_its_reply_round_trip()
+    {
+        messages::roster_probe probe{.boot = boot_id(2), .number = sequence_id(3)};
+        probe.who.id = instance_id(1);
+        auto const decoded = round_trip(probe);
+        CPPUNIT_ASSERT(decoded.who == probe.who);
+        CPPUNIT_ASSERT(decoded.boot == probe.boot);
+        CPPUNIT_ASSERT(decoded.number == probe.number);
+        messages::roster_probe_reply const reply{.number = sequence_id(3),
+                                                 .generation = generation_id(4),
+                                                 .connected = true,
+                                                 .current = true};
+        auto const decoded_reply = round_trip(reply);
+        CPPUNIT_ASSERT(decoded_reply.number == reply.number);
+        CPPUNIT_ASSERT(decoded_reply.generation == reply.generation);
+        CPPUNIT_ASSERT(decoded_reply.connected && decoded_reply.current);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(steering_codec_test);
