Search all control instances at once for one that is current

What callers saw: requests handled by an old plan, more than ConfigApply after its successor was acknowledged. Two causes: an entry stayed with a control instance that could not get the newest state, and an entry whose control instance was gone asked the others one after the other, up to 1.3 s each, so that the search took as long as many of them were down.

An entry now searches as soon as its control instance does not answer, hears too few of the others or is not confirmed: it probes all instances every 0.5 s and turns to the first that is confirmed or holds a newer state.

--- a/plugins/entry/roster/control_choice.cpp
+++ b/plugins/entry/roster/control_choice.cpp
@@ -50,6 +50,14 @@
     return out;
 }
 
+std::vector<instance_id> control_choice::all() const
+{
+    std::vector<instance_id> out;
+    for (auto const& [id, it] : instances_)
+        out.push_back(id);
+    return out;
+}
+
 void control_choice::failed(instance_id id, instant now)
 {
     if (auto const it = instances_.find(id); it != instances_.end())
--- a/plugins/entry/roster/control_choice.hpp
+++ b/plugins/entry/roster/control_choice.hpp
@@ -26,6 +26,9 @@
     /// new or have a new address.
     std::vector<instance_description> update_group(std::vector<instance_description> const& group);
 
+    /// Returns all instances that are known.
+    std::vector<instance_id> all() const;
+
     /// Records that an instance did not answer; it is selected last for a limited time.
     void failed(instance_id id, instant now);
 
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -1,4 +1,5 @@
 #include "control_choice.hpp"
+#include "control_search.hpp"
 #include "listed_targets.hpp"
 
 #include <mulberryrudder/entry/plan_view.hpp>
@@ -80,6 +81,33 @@
                 "`targets` is the number of target notices in it.",
      .action = "If it persists, check the load of the network link to that instance."}};
 
+kernel::event_kind const search_begun_event{
+    {.number = 306,
+     .name = "control.search_begun",
+     .level = kernel::severity::warning,
+     .meaning = "This instance asks all control instances which of them is current. The field "
+                "`reason` is `unanswered`, `apart` or `unconfirmed`, `age_ms` the age of the last "
+                "confirmation that its own one reported, -1 without one.",
+     .action = "If it persists, check whether control has a leader, and the connections to it."}};
+
+kernel::event_kind const search_ended_event{
+    {.number = 307,
+     .name = "control.search_ended",
+     .level = kernel::severity::info,
+     .meaning = "A control instance answered whose steering state is confirmed.",
+     .action = "None."}};
+
+kernel::event_kind const control_chosen_event{
+    {.number = 308,
+     .name = "control.chosen",
+     .level = kernel::severity::info,
+     .meaning = "The next report goes to a control instance that replied to a probe: its state "
+                "is confirmed or newer than the one that this instance holds.",
+     .action = "None."}};
+
+kernel::histogram_kind const confirmation_age(
+    "control.confirmation_age",
+    "Age of the last confirmation of the steering state, as a control instance reported it.");
 kernel::histogram_kind const
     notice_age("targets.news_age", "Age of the news that a target leaves, as control told it.");
 kernel::counter_kind const reports_counter("roster.reports", "Reports sent to control.");
@@ -106,7 +134,8 @@
 
     void received(envelope const& message, context& ctx) override
     {
-        static std::array const table{on_message<&roster_stage::handle_update>()};
+        static std::array const table{on_message<&roster_stage::handle_update>(),
+                                      on_message<&roster_stage::handle_probe_reply>()};
         dispatch(*this, table, message, ctx);
     }
 
@@ -153,9 +182,13 @@
             current_control_.reset();
             ++consecutive_timeouts_;
             next_report_at_ = ctx.now;
+            // The next report may find an instance that answers at once.
+            begin_search("unanswered", std::nullopt, ctx.now + config_.first_answer_timeout, ctx);
         }
         if (!awaited_control_ && ctx.now >= next_report_at_)
             send_report(ctx);
+        if (search_.is_round_due(ctx.now))
+            send_probes(ctx);
     }
 
 private:
@@ -224,10 +257,13 @@
 
     void send_report(context& ctx)
     {
-        auto const recipient =
-            control_choice_.best(ctx.self.self, current_control_, ctx.now, ctx.random);
-        if (!recipient)
-            return;
+        if (auto const recipient =
+                control_choice_.best(ctx.self.self, current_control_, ctx.now, ctx.random))
+            send_report_to(*recipient, ctx);
+    }
+
+    void send_report_to(instance_id recipient, context& ctx)
+    {
         ctx.counters.add(reports_counter);
         // Starts at a random number, so that an answer to a report of an earlier start of this
         // instance does not match.
@@ -241,16 +277,17 @@
                                            .demand = {},
                                            .outcomes = {}},
                                   .generation = steering_->generation,
-                                  .known_boot = positions_[*recipient].boot,
-                                  .known = positions_[*recipient].known,
-                                  .held = std::nullopt};
+                                  .known_boot = positions_[recipient].boot,
+                                  .known = positions_[recipient].known,
+                                  .held = std::nullopt,
+                                  .searching = search_.is_active()};
         if (recipient != current_control_)
             out.held = listed_.summary(ctx.now);
         if (auto* const demand = services_.find<demand_view>())
             out.self.demand = demand->demand(ctx.now);
         out.self.outcomes = outcomes_;
-        ctx.send(*recipient, std::move(out));
-        pending_reports_[last_report_] = {*recipient, ctx.now};
+        ctx.send(recipient, std::move(out));
+        pending_reports_[last_report_] = {recipient, ctx.now};
         if (pending_reports_.size() > max_pending_reports)
             pending_reports_.erase(pending_reports_.begin());
         awaited_control_ = recipient;
@@ -280,11 +317,66 @@
         if (late)
             record_late_answer(sender, update, sent, ctx);
         positions_[sender] = {update.boot, update.newest};
-        if (!late || (!current_control_ && update.connected))
+        bool const attaches = !late || (!current_control_ && update.connected);
+        if (attaches)
             attach(sender, ctx);
         apply_update(update, ctx);
-        if (!late && !update.connected)
+        if (!attaches)
+            return;
+        if (!update.connected)
             detach(sender, ctx);
+        if (update.connected && update.current)
+            end_search(sender, ctx);
+        else
+            begin_search(update.connected ? "unconfirmed" : "apart", update.confirmed_age, ctx.now,
+                         ctx);
+    }
+
+    void begin_search(std::string const& reason, std::optional<milliseconds> age,
+                      instant first_round, context& ctx)
+    {
+        if (search_.begin(first_round))
+            ctx.events.record(
+                search_begun_event,
+                {{"reason", reason}, {"age_ms", std::to_string(age ? age->count() : -1)}});
+    }
+
+    void end_search(instance_id control, context& ctx)
+    {
+        if (search_.end())
+            ctx.events.record(search_ended_event, {{"control", std::to_string(control.value())}});
+    }
+
+    void send_probes(context& ctx)
+    {
+        // Starts at a random number, for the reason given for reports.
+        if (last_probe_ == sequence_id())
+            last_probe_ = sequence_id(ctx.random() >> 16U);
+        last_probe_ = sequence_id(last_probe_.value() + 1);
+        search_.start_round(last_probe_, ctx.now);
+        for (auto const id : control_choice_.all())
+            ctx.send(id, messages::roster_probe{
+                             .who = ctx.self.self, .boot = ctx.self.boot, .number = last_probe_});
+    }
+
+    void handle_probe_reply(instance_id sender, messages::roster_probe_reply const& reply,
+                            context& ctx)
+    {
+        bool const is_better = reply.current || reply.generation > steering_->generation;
+        bool const is_attached = sender == current_control_;
+        // An instance that is newer but not confirmed answers its entries' reports anyway.
+        if (!search_.awaits(reply.number) || !is_better || (is_attached && !reply.current))
+            return;
+        search_.choose();
+        if (is_attached)
+            return;
+        ctx.events.record(control_chosen_event,
+                          {{"control", std::to_string(sender.value())},
+                           {"generation", std::to_string(reply.generation.value())},
+                           {"current", reply.current ? "true" : "false"}});
+        if (current_control_)
+            control_choice_.failed(*current_control_, ctx.now);
+        send_report_to(sender, ctx);
     }
 
     static void record_late_answer(instance_id sender, messages::roster_update const& update,
@@ -306,6 +398,8 @@
             publish_change(changed, ctx);
         if (update.steering && update.steering->generation > steering_->generation)
             apply_steering(update.steering, ctx);
+        if (update.confirmed_age)
+            ctx.counters.observe(confirmation_age, *update.confirmed_age);
         if (update.poll < newest_answered_)
             return;
         newest_answered_ = update.poll;
@@ -382,6 +476,7 @@
     roster_settings const& config_;
     kernel::service_map& services_;
     control_choice control_choice_;
+    control_search search_;
     listed_targets listed_;
     shared_steering steering_ = std::make_shared<steering_state const>();
     shared_steering active_steering_; ///< The newest one that contains a plan.
@@ -391,6 +486,7 @@
     std::map<customer_id, millitokens_per_second> demand_;
     std::vector<messages::version_outcomes> outcomes_; ///< Of the rollouts that run.
     sequence_id last_report_;
+    sequence_id last_probe_;
     std::optional<instance_id> awaited_control_;
     std::optional<instance_id> current_control_;
     /// Last change received from each control instance.
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <set>
 
 namespace mulberryrudder::entry
@@ -12,6 +13,8 @@
 {
 
 using messages::roster_poll;
+using messages::roster_probe;
+using messages::roster_probe_reply;
 using messages::roster_update;
 
 /// Tests a decision core with the real roster stage and a simulated clock.
@@ -27,6 +30,11 @@
     CPPUNIT_TEST(several_timeouts_in_a_row_take_little_time);
     CPPUNIT_TEST(the_timeout_grows_on_a_slow_network);
     CPPUNIT_TEST(the_next_report_goes_to_another_instance_if_one_is_disconnected);
+    CPPUNIT_TEST(an_unconfirmed_instance_is_left_for_a_current_one);
+    CPPUNIT_TEST(an_unconfirmed_instance_is_kept_while_there_is_no_better_one);
+    CPPUNIT_TEST(a_newer_state_is_fetched_although_it_is_not_confirmed);
+    CPPUNIT_TEST(all_instances_are_probed_after_two_timeouts);
+    CPPUNIT_TEST(a_reply_to_an_earlier_probe_is_ignored);
     CPPUNIT_TEST(a_late_answer_is_accepted);
     CPPUNIT_TEST(an_answer_without_a_matching_report_is_ignored);
     CPPUNIT_TEST(a_report_to_another_instance_contains_the_target_summary);
@@ -152,6 +160,64 @@
         CPPUNIT_ASSERT(reported_to_ != first);
     }
 
+    void an_unconfirmed_instance_is_left_for_a_current_one()
+    {
+        auto const first = attach_to_unconfirmed();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("probes", std::size_t{2}, probes_.size());
+        reply(other(first), {.generation = generation_id(4), .connected = true, .current = true});
+        CPPUNIT_ASSERT(reported_to_ == other(first));
+        CPPUNIT_ASSERT(poll_.held.has_value());
+        answer({.boot = boot_id(8), .steering = state(5, true)});
+        tick();
+        CPPUNIT_ASSERT_MESSAGE("later reports", reported_to_ == other(first));
+        CPPUNIT_ASSERT(!poll_.searching);
+        probes_.clear();
+        tick(milliseconds(1000));
+        CPPUNIT_ASSERT_MESSAGE("the search has ended", probes_.empty());
+    }
+
+    // Guards against a loss of all news while control has no leader: no instance is confirmed
+    // then, and the one that answers is as good as the others.
+    void an_unconfirmed_instance_is_kept_while_there_is_no_better_one()
+    {
+        auto const first = attach_to_unconfirmed();
+        reply(other(first), {.generation = generation_id(4), .connected = true});
+        tick();
+        CPPUNIT_ASSERT(reported_to_ == first);
+        CPPUNIT_ASSERT_MESSAGE("it need not be told again", poll_.searching);
+        probes_.clear();
+        answer({.current = false});
+        tick(milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("probes of the next round", std::size_t{2}, probes_.size());
+    }
+
+    void a_newer_state_is_fetched_although_it_is_not_confirmed()
+    {
+        auto const first = attach_to_unconfirmed();
+        reply(other(first), {.generation = generation_id(5), .connected = true});
+        CPPUNIT_ASSERT(reported_to_ == other(first));
+    }
+
+    // Guards against a search that takes longer with each instance that is down.
+    void all_instances_are_probed_after_two_timeouts()
+    {
+        tick();
+        answer({.boot = boot_id(9), .steering = state(4, true)});
+        tick();
+        tick(milliseconds(1310));
+        tick(milliseconds(250));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, probes_.size());
+    }
+
+    void a_reply_to_an_earlier_probe_is_ignored()
+    {
+        auto const first = attach_to_unconfirmed();
+        auto const earlier = probes_.at(other(first));
+        tick(milliseconds(500));
+        reply_to(earlier, other(first), {.connected = true, .current = true});
+        CPPUNIT_ASSERT(reported_to_ == first);
+    }
+
     // Guards against fault DRAIN: an answer that arrived after its timeout was discarded, and
     // all of its contents were requested again from another instance.
     void a_late_answer_is_accepted()
@@ -235,6 +301,34 @@
         return std::make_shared<steering_state const>(out);
     }
 
+    static instance_id other(instance_id control)
+    {
+        return control == instance_id(1) ? instance_id(2) : instance_id(1);
+    }
+
+    /// Receives a plan from a control instance, and then that its state is not confirmed.
+    /// Returns that instance.
+    instance_id attach_to_unconfirmed()
+    {
+        tick();
+        answer({.boot = boot_id(9), .steering = state(4, true)});
+        tick();
+        answer({.boot = boot_id(9), .current = false, .confirmed_age = milliseconds(1100)});
+        tick();
+        return reported_to_;
+    }
+
+    void reply(instance_id sender, roster_probe_reply reply)
+    {
+        reply_to(probes_.at(sender), sender, reply);
+    }
+
+    void reply_to(sequence_id number, instance_id sender, roster_probe_reply reply)
+    {
+        reply.number = number;
+        deliver(sender, reply);
+    }
+
     sequence_id poll_number() const { return poll_.self.sequence; }
 
     plan_view& view() { return *core_->services().find<plan_view>(); }
@@ -254,11 +348,17 @@
     void answer_report(instance_id sender, sequence_id number, roster_update update)
     {
         update.poll = number;
+        deliver(sender, std::move(update));
+    }
+
+    template <class Message>
+    void deliver(instance_id sender, Message message)
+    {
         effects out;
         core_->handle(now_,
                       message_arrived{{.from = sender,
                                        .to = instance_id(50),
-                                       .body = any_message::of(std::move(update))}},
+                                       .body = any_message::of(std::move(message))}},
                       out);
         collect(out);
     }
@@ -276,6 +376,11 @@
             auto const* const sent = std::get_if<send_message>(&it);
             if (sent == nullptr)
                 continue;
+            if (auto const* const probe = sent->message.body.get<roster_probe>())
+            {
+                probes_[sent->message.to] = probe->number;
+                continue;
+            }
             reported_to_ = sent->message.to;
             poll_ = *sent->message.body.get<roster_poll>();
         }
@@ -288,6 +393,7 @@
     instant now_{seconds(1000)};
     instance_id reported_to_;
     roster_poll poll_;
+    std::map<instance_id, sequence_id> probes_; ///< Number of the newest probe by receiver.
     bool accepts_callers_ = false;
     int limit_updates_ = 0; ///< Changes of the caller limits.
     caller_limits caller_limits_;
