Give up connections to machines that lost power within a second

An entry's reports went into a connection to a control instance that had lost power and was back; it was kept until a message had been unanswered for 5 s. A connection attempt to a machine without power took 1 s, and what waited for it was dropped.

TCP gives up after a second without an acknowledgement. A shorter limit of the answers was ruled out: a message that takes longer on a slow link would be cut off each time. An attempt ends after 0.5 s, before TCP would repeat its first packet.

No test of its own: loopback connections of the tests do not go silent.

--- a/plugins/peer/link/outgoing.cpp
+++ b/plugins/peer/link/outgoing.cpp
@@ -4,6 +4,9 @@
 
 #include <kj/debug.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 namespace mulberryrudder::peer
 {
 
@@ -16,8 +19,12 @@
 constexpr std::size_t most_in_flight = 4096;
 /// How long a peer may leave a message untaken before its connection is given up.
 constexpr seconds answer_limit{5};
-/// How long a connection may take to come about.
-constexpr milliseconds connect_limit{1000};
+/// How long a connection may take to come about: less than the second after which TCP repeats
+/// its first packet, since an attempt that begins anew gets there earlier.
+constexpr milliseconds connect_limit{500};
+/// How long sent bytes may stay unacknowledged by the peer's machine. A message may take longer
+/// on a slow link, as long as some of it arrives.
+constexpr milliseconds acknowledgement_limit{1000};
 /// How long a failed connection is not tried again.
 constexpr milliseconds connect_pause{100};
 
@@ -37,6 +44,9 @@
 outgoing::connection::connection(kj::Own<kj::AsyncIoStream> opened)
     : stream(kj::mv(opened)), rpc(*stream), mailbox(rpc.bootstrap().castAs<schema::Mailbox>())
 {
+    // Without it, a connection to a machine that lost power stays open for minutes.
+    unsigned const limit_ms = acknowledgement_limit.count();
+    stream->setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof limit_ms);
 }
 
 outgoing::outgoing(kj::AsyncIoContext& io, endpoint where, kernel::counter_set& counters)
