Keep a voter that works until the one in its place has joined

Cause: a voter that had been silent for 4 s was to be replaced. When it was back, the leader removed it first, as always, while the third voter had just lost its disk. The two that remained needed the lost disk for each decision, also for taking it out.

A voter that works and leaves for another instance leaves after that one joined; until then the group bears as many losses as before. And no step is taken to a membership of which no majority works.

--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -22,25 +22,56 @@
     return peer.match_index >= commit_index_ && peer.match_index >= term_start_ && recent;
 }
 
+bool replica::is_working(voter const& it) const
+{
+    auto const peer = peers_.find(it.id);
+    return (it.id == self_.self.id && it.disk == state_.disk) ||
+           (peer != peers_.end() && peer->second.disk == it.disk && is_caught_up(peer->second));
+}
+
+bool replica::has_working_majority(group_membership const& candidate) const
+{
+    auto const working = std::count_if(candidate.voters.begin(), candidate.voters.end(),
+                                       [this](voter const& it) { return is_working(it); });
+    return static_cast<std::size_t>(working) >= majority(candidate);
+}
+
 std::optional<group_membership> replica::next_membership_step() const
 {
+    for (auto& step : membership_steps())
+        if (has_working_majority(step))
+            return std::move(step);
+    return std::nullopt;
+}
+
+std::vector<group_membership> replica::membership_steps() const
+{
+    std::vector<group_membership> out;
+    auto const add = [&out](std::optional<group_membership> step)
+    {
+        if (step)
+            out.push_back(std::move(*step));
+    };
     for (auto const& it : members().pending)
     {
         auto const peer = peers_.find(it.joining);
         auto const* const joined = members().find(it.joining);
+        auto const* const leaving = members().find(it.leaving);
+        bool const leaving_works =
+            it.leaving != it.joining && leaving != nullptr && is_working(*leaving);
         if (peer != peers_.end() && is_caught_up(peer->second))
-            return next_membership(members(), it, peer->second.disk);
-        if (joined != nullptr && it.leaving != it.joining)
-            return next_membership(members(), it, joined->disk);
+            add(next_membership(members(), it, peer->second.disk, leaving_works));
+        else if (joined != nullptr && it.leaving != it.joining)
+            add(next_membership(members(), it, joined->disk, leaving_works));
     }
     for (auto const& it : members().voters)
     {
         auto const peer = peers_.find(it.id);
         if (peer != peers_.end() && peer->second.disk != it.disk && is_caught_up(peer->second))
-            return next_membership(members(), {.leaving = it.id, .joining = it.id, .peer = it.peer},
-                                   peer->second.disk);
+            add(next_membership(members(), {.leaving = it.id, .joining = it.id, .peer = it.peer},
+                                peer->second.disk, false));
     }
-    return std::nullopt;
+    return out;
 }
 
 void replica::advance_membership_change()
--- a/plugins/control/replica/membership.cpp
+++ b/plugins/control/replica/membership.cpp
@@ -22,13 +22,15 @@
 } // namespace
 
 std::optional<group_membership> next_membership(group_membership const& current,
-                                                replacement const& change, disk_id disk)
+                                                replacement const& change, disk_id disk,
+                                                bool leaving_works)
 {
     auto next = current;
     auto const* const leaving = current.find(change.leaving);
     bool const joined = current.counts(change.joining, disk);
     bool const left = leaving == nullptr || (change.leaving == change.joining && joined);
-    if (!left && (joined || current.voters.size() > 1))
+    bool const joins_first = leaving_works || current.voters.size() == 1;
+    if (!left && (joined || !joins_first))
     {
         std::erase_if(next.voters, [&](voter const& it) { return it.id == change.leaving; });
         add_pending(next, change);
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -150,7 +150,14 @@
     void append_membership(group_membership next);
     /// Returns whether a replica holds all committed entries and replied recently.
     bool is_caught_up(progress const& peer) const;
+    /// Returns whether a voter is this replica or one that is caught up.
+    bool is_working(voter const& it) const;
+    /// Returns whether a majority of the candidate's voters works. A change to a
+    /// membership without one could not be committed, and would end this leadership.
+    bool has_working_majority(group_membership const& candidate) const;
     std::optional<group_membership> next_membership_step() const;
+    /// Returns the memberships that complete a change step by step, the most urgent first.
+    std::vector<group_membership> membership_steps() const;
     void handle_list_members(operator_request_id id, list_members const& req, context& ctx);
     void handle_replace_member(operator_request_id id, replace_member const& req, context& ctx);
     replace_refusal replacement_refusal(replace_member const& req) const;
--- a/tests/control/replica/replica_test.cpp
+++ b/tests/control/replica/replica_test.cpp
@@ -122,6 +122,7 @@
     CPPUNIT_TEST(one_command_replaces_an_instance);
     CPPUNIT_TEST(one_command_replaces_the_leader);
     CPPUNIT_TEST(a_repeated_replacement_gets_the_same_answer);
+    CPPUNIT_TEST(a_voter_is_kept_while_the_other_ones_form_no_majority);
     CPPUNIT_TEST(a_follower_redirects_a_replacement_to_the_leader);
     CPPUNIT_TEST(a_restart_keeps_five_hundred_changes);
     CPPUNIT_TEST_SUITE_END();
@@ -367,6 +368,31 @@
         CPPUNIT_ASSERT(group.members().settled);
     }
 
+    // Guards against the loss of the whole group: a silent voter that was to be replaced was
+    // back when the third one lost its disk. The leader removed the first one nevertheless, and
+    // the two that remained needed the lost disk for each decision, also for taking it out.
+    void a_voter_is_kept_while_the_other_ones_form_no_majority()
+    {
+        running_group group(3);
+        group.propose_many(5);
+        auto const leader = group.acting_leader();
+        auto const leaving = group.follower();
+        auto const third = 6 - leader - leaving;
+        auto const joining = group.add_instance();
+        auto const reply =
+            group.answer_to<member_replaced>(leader, replacement_of(leaving, joining));
+        CPPUNIT_ASSERT(replace_refusal::none == reply.refusal);
+        group.kill(third);
+        group.start(joining);
+        group.run_for(seconds(5));
+        CPPUNIT_ASSERT_MESSAGE("the group still has a leader", group.acting_leader() != 0);
+        group.replace_disk(third);
+        CPPUNIT_ASSERT(group.wait_for_vote(third));
+        CPPUNIT_ASSERT(group.wait_for_vote(joining));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, group.members().members.size());
+        CPPUNIT_ASSERT(group.has_value(third, 5) && group.has_value(joining, 5));
+    }
+
     void a_follower_redirects_a_replacement_to_the_leader()
     {
         running_group group(3);
