Accept any number of disk losses in voters/losses_borne

A platform that states 0 losses, or more than 3, found control's settings refused at the start (limits 1 to 3). The group keeps its founders at 0, and takes all control instances if there are fewer than twice the losses and one more.

--- a/plugins/control/voters/voter_keeper.cpp
+++ b/plugins/control/voters/voter_keeper.cpp
@@ -26,9 +26,10 @@
     "voters",
     {
         kernel::field(
-            "losses_borne", &voter_settings::tolerated_disk_losses, {1, 3},
+            "losses_borne", &voter_settings::tolerated_disk_losses, {0, 1000},
             "Number of control instances that may lose their disks at the same time without a "
-            "loss of accepted state. The group grows to twice this number of voters plus one."),
+            "loss of accepted state. The group grows to twice this number of voters plus one, "
+            "or to all control instances if there are fewer; it never shrinks."),
         kernel::field("replace_after", &voter_settings::silence_timeout, time_limits,
                       "Milliseconds without a message from a voter after which another control "
                       "instance replaces it."),
--- a/tests/control/support/replica.hpp
+++ b/tests/control/support/replica.hpp
@@ -33,8 +33,10 @@
 class replica
 {
 public:
-    explicit replica(instance_id id = instance_id(1))
-        : core_({.config = config_,
+    explicit replica(instance_id id = instance_id(1),
+                     kernel::settings config = kernel::settings::defaults())
+        : config_(std::move(config)),
+          core_({.config = config_,
                  .counters = counters_,
                  .events = events_,
                  .self = {.self = {.id = id}, .boot = boot_id(1), .initial_voters = {id}},
@@ -123,7 +125,7 @@
         effects_.clear();
     }
 
-    kernel::settings config_ = kernel::settings::defaults();
+    kernel::settings config_;
     kernel::counter_set counters_;
     text_event_sink events_;
     core core_;
--- a/tests/control/voters/voter_keeper_test.cpp
+++ b/tests/control/voters/voter_keeper_test.cpp
@@ -5,7 +5,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <memory>
 #include <set>
+#include <utility>
 
 namespace mulberryrudder::control
 {
@@ -62,6 +64,9 @@
     CPPUNIT_TEST(no_voter_is_replaced_without_a_candidate);
     CPPUNIT_TEST(a_follower_replaces_no_voter);
     CPPUNIT_TEST(the_group_grows_to_the_required_number_of_voters);
+    CPPUNIT_TEST(any_number_of_losses_is_accepted);
+    CPPUNIT_TEST(a_group_that_is_to_tolerate_no_loss_stays_as_it_is);
+    CPPUNIT_TEST(a_group_that_is_to_tolerate_many_losses_takes_all_instances);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -109,7 +114,7 @@
 
     void a_follower_replaces_no_voter()
     {
-        replica_.log().leads = false;
+        replica_->log().leads = false;
         make_silent(3);
         run_for(seconds(20));
         CPPUNIT_ASSERT(group().begun_replacements.empty());
@@ -128,8 +133,58 @@
                                change.joining == instance_id(3));
     }
 
+    // Guards against control instances that do not start, since the platform states a number of
+    // losses that the settings refuse.
+    void any_number_of_losses_is_accepted()
+    {
+        for (auto const losses : {0, 1, 4, 40, 1000})
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(losses), read_settings(losses).has_value());
+        CPPUNIT_ASSERT(!read_settings(-1).has_value());
+    }
+
+    void a_group_that_is_to_tolerate_no_loss_stays_as_it_is()
+    {
+        configure(0);
+        group().members.voters.resize(1);
+        run_for(seconds(10));
+        CPPUNIT_ASSERT(group().begun_replacements.empty());
+    }
+
+    void a_group_that_is_to_tolerate_many_losses_takes_all_instances()
+    {
+        configure(4);
+        std::set<instance_id> joined;
+        for (int n = 0; n != 10; ++n)
+        {
+            run_for(seconds(1));
+            for (auto const& it : std::exchange(group().begun_replacements, {}))
+            {
+                CPPUNIT_ASSERT_MESSAGE("no voter leaves", it.leaving == it.joining);
+                if (joined.insert(it.joining).second)
+                    group().members.voters.push_back({.id = it.joining});
+            }
+        }
+        CPPUNIT_ASSERT(joined == (std::set{instance_id(4), instance_id(5)}));
+    }
+
 private:
-    fake_voter_group& group() { return replica_.service<fake_voter_group>(); }
+    static result<kernel::settings> read_settings(int losses)
+    {
+        return kernel::parse_settings(
+            "{\"voters\": {\"losses_borne\": " + std::to_string(losses) + "}}", "test");
+    }
+
+    /// Starts a new instance and group with these settings.
+    void configure(int losses)
+    {
+        auto const members = group().members;
+        auto const reachable = group().reachable;
+        replica_ = std::make_unique<replica>(instance_id(1), read_settings(losses).value());
+        group().members = members;
+        group().reachable = reachable;
+    }
+
+    fake_voter_group& group() { return replica_->service<fake_voter_group>(); }
 
     void make_silent(std::uint32_t id)
     {
@@ -140,10 +195,10 @@
     void run_for(span duration)
     {
         for (span elapsed{0}; elapsed < duration; elapsed += milliseconds(100))
-            replica_.tick(milliseconds(100));
+            replica_->tick(milliseconds(100));
     }
 
-    replica replica_;
+    std::unique_ptr<replica> replica_ = std::make_unique<replica>();
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(voter_keeper_test);
