Choose no control instance that is connected to too few others

Found while reading the search: an instance that is confirmed but hears too few of the others misses leaves of targets.

--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -288,12 +288,13 @@
         if (leads(ctx.now))
             confirmation_.record_lease(ctx.now);
         confirmed_at_ = confirmation_.confirmed_at(steering().steering()->generation);
-        if (is_current(ctx.now) == std::exchange(was_current_, is_current(ctx.now)))
+        bool const current = is_current(ctx.now);
+        if (std::exchange(was_current_, current) == current)
             return;
         auto const age = confirmed_age(ctx.now);
         ctx.events.record(
             confirmation_event,
-            {{"confirmed", was_current_ ? "true" : "false"},
+            {{"confirmed", current ? "true" : "false"},
              {"age_ms", std::to_string(age ? age->count() : -1)},
              {"generation", std::to_string(steering().steering()->generation.value())},
              {"newest", std::to_string(controls_.newest_generation().value())}});
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -362,10 +362,11 @@
     void handle_probe_reply(instance_id sender, messages::roster_probe_reply const& reply,
                             context& ctx)
     {
-        bool const is_better = reply.current || reply.generation > steering_->generation;
+        bool const is_reliable = reply.connected && reply.current;
+        bool const is_newer = reply.generation > steering_->generation;
         bool const is_attached = sender == current_control_;
-        // An instance that is newer but not confirmed answers its entries' reports anyway.
-        if (!search_.awaits(reply.number) || !is_better || (is_attached && !reply.current))
+        // The current instance sends a newer state with its answer to the last report.
+        if (!search_.awaits(reply.number) || !(is_reliable || (is_newer && !is_attached)))
             return;
         search_.choose();
         if (is_attached)
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(an_unconfirmed_instance_is_left_for_a_current_one);
     CPPUNIT_TEST(an_unconfirmed_instance_is_kept_while_there_is_no_better_one);
     CPPUNIT_TEST(a_newer_state_is_fetched_although_it_is_not_confirmed);
+    CPPUNIT_TEST(an_instance_that_is_connected_to_too_few_is_not_chosen);
     CPPUNIT_TEST(all_instances_are_probed_after_two_timeouts);
     CPPUNIT_TEST(a_reply_to_an_earlier_probe_is_ignored);
     CPPUNIT_TEST(a_late_answer_is_accepted);
@@ -198,6 +199,15 @@
         CPPUNIT_ASSERT(reported_to_ == other(first));
     }
 
+    // Guards against a violation of DRAIN: an instance that hears too few of the others misses
+    // leaves of targets, although it may hear of the newest state.
+    void an_instance_that_is_connected_to_too_few_is_not_chosen()
+    {
+        auto const first = attach_to_unconfirmed();
+        reply(other(first), {.generation = generation_id(4), .current = true});
+        CPPUNIT_ASSERT(reported_to_ == first);
+    }
+
     // Guards against a search that takes longer with each instance that is down.
     void all_instances_are_probed_after_two_timeouts()
     {
