Count a voter as working if it replied recently

A voter that lacks the newest entry of a stream of orders for a moment works nevertheless; the step that removes it first is for voters that are silent. replica_tests and replica_schedules pass.

--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -16,17 +16,22 @@
 
 } // namespace
 
+bool replica::is_reachable(progress const& peer) const
+{
+    return peer.matched_round.value() + recent_rounds >= lease_.round().value();
+}
+
 bool replica::is_caught_up(progress const& peer) const
 {
-    auto const recent = peer.matched_round.value() + recent_rounds >= lease_.round().value();
-    return peer.match_index >= commit_index_ && peer.match_index >= term_start_ && recent;
+    return peer.match_index >= commit_index_ && peer.match_index >= term_start_ &&
+           is_reachable(peer);
 }
 
 bool replica::is_working(voter const& it) const
 {
     auto const peer = peers_.find(it.id);
     return (it.id == self_.self.id && it.disk == state_.disk) ||
-           (peer != peers_.end() && peer->second.disk == it.disk && is_caught_up(peer->second));
+           (peer != peers_.end() && peer->second.disk == it.disk && is_reachable(peer->second));
 }
 
 bool replica::has_working_majority(group_membership const& candidate) const
@@ -121,7 +126,7 @@
             entry = out.members.insert(entry, member_status{.id = peer_id});
         entry->disk = peer.disk;
         entry->votes = votes;
-        entry->reachable = peer.matched_round.value() + recent_rounds >= lease_.round().value();
+        entry->reachable = is_reachable(peer);
         entry->synced = peer.match_index;
     }
     ctx.answer(id, std::move(out));
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -148,9 +148,11 @@
     // changing_members.cpp: membership changes on the leader and operators' requests.
     void advance_membership_change();
     void append_membership(group_membership next);
+    /// Returns whether a replica replied recently.
+    bool is_reachable(progress const& peer) const;
     /// Returns whether a replica holds all committed entries and replied recently.
     bool is_caught_up(progress const& peer) const;
-    /// Returns whether a voter is this replica or one that is caught up.
+    /// Returns whether a voter is this replica or one that replied recently with its disk.
     bool is_working(voter const& it) const;
     /// Returns whether a majority of the candidate's voters works. A change to a
     /// membership without one could not be committed, and would end this leadership.
