--- a/plugins/peer/link/outgoing.cpp
+++ b/plugins/peer/link/outgoing.cpp
@@ -19,12 +19,11 @@
 constexpr std::size_t most_in_flight = 4096;
 /// How long a peer may leave a message untaken before its connection is given up.
 constexpr seconds answer_limit{5};
-/// How long a connection may take to come about: less than the second after which TCP repeats
-/// its first packet, since an attempt that begins anew gets there earlier.
-constexpr milliseconds connect_limit{500};
-/// How long sent bytes may stay unacknowledged by the peer's machine. A message may take longer
-/// on a slow link, as long as some of it arrives.
-constexpr milliseconds acknowledgement_limit{1000};
+/// How long a connection may take to come about.
+constexpr milliseconds connect_limit{1000};
+/// How long sent bytes may stay unacknowledged by the peer's machine: longer than packets wait
+/// on a full link. A message may take longer, as long as some of it arrives.
+constexpr milliseconds acknowledgement_limit{1500};
 /// How long a failed connection is not tried again.
 constexpr milliseconds connect_pause{100};
 
