Keep to the control instance that a search chose

Found by a review. A probe's reply that took longer than a round was ignored, so a search over long round trips did not end; an instance that is only newer used up the round for one that is confirmed; rounds went on while the chosen one answered; and the next reports went back to nearer instances, which may be down or unconfirmed.

Replies to all probes of a search count until one confirmed instance is chosen.

--- a/plugins/entry/roster/control_choice.cpp
+++ b/plugins/entry/roster/control_choice.cpp
@@ -11,6 +11,8 @@
 
 /// Time for which an instance that did not answer is selected last.
 constexpr seconds failure_backoff{5};
+/// Time for which an instance that was chosen in a search is selected first.
+constexpr seconds preference_lifetime{5};
 
 /// Returns 0 in the same failure domain, 1 in the same region, else 2.
 int distance(instance_description const& a, instance_description const& b)
@@ -62,6 +64,14 @@
 {
     if (auto const it = instances_.find(id); it != instances_.end())
         it->second.deprioritized_until = now + failure_backoff;
+    if (preferred_ == id)
+        preferred_.reset();
+}
+
+void control_choice::prefer(instance_id id, instant now)
+{
+    preferred_ = id;
+    preferred_until_ = now + preference_lifetime;
 }
 
 void control_choice::answered(instance_id id)
@@ -74,6 +84,8 @@
                                                 std::optional<instance_id> last_answered,
                                                 instant now, random_source& random) const
 {
+    if (preferred_ && now < preferred_until_ && instances_.contains(*preferred_))
+        return preferred_;
     std::optional<instance_id> out;
     std::tuple<instant, int, bool, std::uint64_t> lowest{};
     for (auto const& [id, it] : instances_)
--- a/plugins/entry/roster/control_choice.hpp
+++ b/plugins/entry/roster/control_choice.hpp
@@ -35,6 +35,9 @@
     /// Records that an instance answered; clears an earlier failure.
     void answered(instance_id id);
 
+    /// Lets an instance be selected before nearer ones for a limited time, unless it fails.
+    void prefer(instance_id id, instant now);
+
     /// Returns the best instance at this time; nothing if none is known. Among equally near
     /// instances it is `last_answered`, since that one knows the state of this entry.
     std::optional<instance_id> best(instance_description const& self,
@@ -50,6 +53,8 @@
     };
 
     std::map<instance_id, instance_state> instances_;
+    std::optional<instance_id> preferred_;
+    instant preferred_until_;
 };
 
 } // namespace mulberryrudder::entry
--- a/plugins/entry/roster/control_search.hpp
+++ b/plugins/entry/roster/control_search.hpp
@@ -27,19 +27,22 @@
     bool is_active() const { return next_round_.has_value(); }
     bool is_round_due(instant now) const { return next_round_ && *next_round_ <= now; }
 
-    /// Starts a round; its probes have the given number. Precondition: a search is active.
+    /// Starts a round; its probes have the given number, which is higher than those before.
+    /// Precondition: a search is active.
     void start_round(sequence_id number, instant now);
 
-    /// Returns whether a reply to the probe with this number belongs to the present round, and
-    /// no instance was chosen in it.
-    bool awaits(sequence_id number) const { return awaited_ == number; }
+    /// Returns whether a reply to the probe with this number may be the choice: the probe
+    /// belongs to this search, also to an earlier round, and was sent after the last choice.
+    bool awaits(sequence_id number) const;
 
-    /// Ignores the other replies of this round, since an instance was chosen.
-    void choose() { awaited_.reset(); }
+    /// Ignores the other replies to the probes so far, and gives the chosen instance time to
+    /// answer before the next round.
+    void choose(instant now);
 
 private:
     std::optional<instant> next_round_; ///< Nothing if no search is active.
-    std::optional<sequence_id> awaited_;
+    std::optional<sequence_id> first_awaited_;
+    sequence_id newest_;
 };
 
 } // namespace mulberryrudder::entry
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -368,8 +368,13 @@
         // The current instance sends a newer state with its answer to the last report.
         if (!search_.awaits(reply.number) || !(is_reliable || (is_newer && !is_attached)))
             return;
-        search_.choose();
-        if (is_attached)
+        // An instance that is only newer leaves the choice to one that is confirmed as well.
+        if (is_reliable)
+        {
+            search_.choose(ctx.now);
+            control_choice_.prefer(sender, ctx.now);
+        }
+        if (is_attached || (!is_reliable && awaited_control_ == sender))
             return;
         ctx.events.record(control_chosen_event,
                           {{"control", std::to_string(sender.value())},
