Count no voter as working that did not reply in this term

Found by a review: in the first three rounds of a term, voters without any reply passed for working, and a membership step may rely on them. No test shows it; the rounds begin at 0 in each term, by reading.

--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -18,7 +18,8 @@
 
 bool replica::is_reachable(progress const& peer) const
 {
-    return peer.matched_round.value() + recent_rounds >= lease_.round().value();
+    return peer.matched_round != messages::round_id() &&
+           peer.matched_round.value() + recent_rounds >= lease_.round().value();
 }
 
 bool replica::is_caught_up(progress const& peer) const
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -148,7 +148,7 @@
     // changing_members.cpp: membership changes on the leader and operators' requests.
     void advance_membership_change();
     void append_membership(group_membership next);
-    /// Returns whether a replica replied recently.
+    /// Returns whether a replica replied recently, and in this term.
     bool is_reachable(progress const& peer) const;
     /// Returns whether a replica holds all committed entries and replied recently.
     bool is_caught_up(progress const& peer) const;
