--- a/plugins/control/roster/table_sync.cpp
+++ b/plugins/control/roster/table_sync.cpp
@@ -12,14 +12,21 @@
 
 } // namespace
 
-void table_sync::begin(instant deadline)
+void table_sync::begin(instant deadline, sequence_id newest_sent)
 {
     received_.clear();
     next_requests_.clear();
     deadline_ = deadline;
+    newest_sent_ = newest_sent;
     synchronized_ = false;
 }
 
+void table_sync::record_table(instance_id sender, sequence_id acknowledged)
+{
+    if (acknowledged > newest_sent_)
+        received_.insert(sender);
+}
+
 bool table_sync::request_table_of(instance_id id, instant now)
 {
     auto& next_request = next_requests_[id];
--- a/plugins/control/roster/table_sync.hpp
+++ b/plugins/control/roster/table_sync.hpp
@@ -21,12 +21,15 @@
 class table_sync
 {
 public:
-    /// Starts to collect tables. After `deadline` the table counts as synchronized anyway, since
-    /// each target that serves has announced itself by then.
-    void begin(instant deadline);
+    /// Starts to collect tables. `newest_sent` is the newest message of this instance: tables
+    /// that answer it or an earlier one may be older than what was missed. After `deadline` the
+    /// table counts as synchronized anyway, since each target that serves has announced itself by
+    /// then.
+    void begin(instant deadline, sequence_id newest_sent);
 
-    /// Records that an instance sent its whole table.
-    void record_table(instance_id sender) { received_.insert(sender); }
+    /// Records that an instance sent its whole table, after it had received the message
+    /// `acknowledged` of this instance.
+    void record_table(instance_id sender, sequence_id acknowledged);
 
     /// Ends the synchronization if at least half of all `instances`, including this one, sent
     /// their tables or the deadline has passed. `instances` is empty while not all of them are
@@ -49,6 +52,7 @@
     std::set<instance_id> received_;
     std::map<instance_id, instant> next_requests_; ///< When requests may be repeated.
     instant deadline_;
+    sequence_id newest_sent_; ///< When the synchronization began.
     bool synchronized_ = false;
     bool intact_ = false;
 };
