Notice a pause with the first input after it

Messages that had waited were handled before, as if it had heard the others all the time, and a poll was answered as by a connected instance that missed nothing (DRAIN).

a_poll_that_waited_for_a_suspended_instance_is_answered_as_not_connected covers it.

--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -70,8 +70,8 @@
 /// Time between two messages that list the known control instances. The list seldom changes
 /// and is as long as the rest of the message.
 constexpr milliseconds member_list_interval{1000};
-/// A longer time between two ticks means that the process was not running.
-constexpr milliseconds max_tick_gap{1000};
+/// A longer time between two inputs means that the process was not running.
+constexpr milliseconds max_input_gap{1000};
 kernel::counter_kind const announced_counter{"roster.announcements",
                                              "Announcements that targets sent to this instance."};
 kernel::counter_kind const stale_counter{
@@ -140,7 +140,7 @@
 
     bool asked(operator_asked const& request, context& ctx) override
     {
-        initialize(ctx);
+        begin_input(ctx);
         static std::array const table{on<&roster::handle_announcement>(),
                                       on<&roster::handle_leave>(), on<&roster::handle_look_up>()};
         return dispatch(*this, table, request.id, request.body, ctx);
@@ -148,7 +148,7 @@
 
     void received(envelope const& message, context& ctx) override
     {
-        initialize(ctx);
+        begin_input(ctx);
         static std::array const table{on<&roster::handle_poll>(), on<&roster::handle_probe>(),
                                       on<&roster::handle_exchange>()};
         dispatch(*this, table, message.from, message.body, ctx);
@@ -156,8 +156,7 @@
 
     void tick(context& ctx) override
     {
-        initialize(ctx);
-        compensate_for_pause(ctx);
+        begin_input(ctx);
         if (!is_majority_reachable(ctx.now))
             begin_synchronization(ctx.now);
         finish_synchronization(ctx);
@@ -231,13 +230,21 @@
 
     steering_view& steering() { return services_.require<steering_view>(); }
 
+    /// Must come before all else for each input, since messages may wait for this process while
+    /// it is suspended, and be handled before the next tick.
+    void begin_input(context& ctx)
+    {
+        initialize(ctx);
+        compensate_for_pause(ctx);
+    }
+
     void initialize(context& ctx)
     {
         if (boot_ != boot_id())
             return;
         // Drawn at random, since two starts within a second have the same identity::boot.
         boot_ = boot_id(std::uniform_int_distribution<std::uint64_t>(1)(ctx.random));
-        last_tick_ = ctx.now;
+        last_input_ = ctx.now;
         begin_synchronization(ctx.now);
         for (auto const& [id, peer] : ctx.self.contacts)
             add_control({.id = id, .region = {}, .domain = {}, .peer = peer, .caller = {}}, true,
@@ -252,8 +259,8 @@
 
     void compensate_for_pause(context& ctx)
     {
-        auto const pause = ctx.now - std::exchange(last_tick_, ctx.now);
-        if (pause <= max_tick_gap)
+        auto const pause = ctx.now - std::exchange(last_input_, ctx.now);
+        if (pause <= max_input_gap)
             return;
         targets_.extend_expiry(pause);
         begin_synchronization(ctx.now);
@@ -267,7 +274,10 @@
         return controls_.is_majority_reachable(now - control_timeout);
     }
 
-    void begin_synchronization(instant now) { sync_.begin(now + config_.target_timeout); }
+    void begin_synchronization(instant now)
+    {
+        sync_.begin(now + config_.target_timeout, exchange_number_);
+    }
 
     void finish_synchronization(context& ctx)
     {
@@ -448,8 +458,8 @@
                 record_target_change(target, ctx);
         for (auto const& entry : exchange.entries)
             entries_.update_from_control(entry, ctx.now);
-        if (exchange.has_all_targets)
-            sync_.record_table(sender);
+        if (exchange.has_all_targets && exchange.acknowledged_boot == boot_)
+            sync_.record_table(sender, exchange.acknowledged);
         finish_synchronization(ctx);
         if (exchange.steering)
             steering().learn(exchange.steering);
@@ -575,7 +585,7 @@
     generation_id sent_generation_; ///< Of the last exchange sent.
     instant exchange_due_;
     instant member_list_due_;
-    instant last_tick_;
+    instant last_input_;
 };
 
 component_registrar<roster> const registrar{"roster", component_order::roster};
--- a/tests/control/roster/roster_schedules_test.cpp
+++ b/tests/control/roster/roster_schedules_test.cpp
@@ -59,7 +59,8 @@
             now_ += milliseconds(10);
             deliver();
             for (std::size_t n = 0; n != nodes_.size(); ++n)
-                step(n, [](core& it, instant now, effects& out) { it.tick(now, out); });
+                if (n != suspended_)
+                    step(n, [](core& it, instant now, effects& out) { it.tick(now, out); });
         }
     }
 
@@ -133,6 +134,16 @@
             isolated_.erase(id_of(n));
     }
 
+    /// Lets the time pass for all instances but this one. Messages to it wait, and are handled
+    /// before its next tick.
+    void suspend(std::size_t n, span duration)
+    {
+        suspended_ = n;
+        run(duration);
+        suspended_.reset();
+        deliver();
+    }
+
     double loss_rate = 0;
 
 private:
@@ -187,7 +198,7 @@
         auto all = std::exchange(transfers_, {});
         for (auto& it : all)
         {
-            if (it.due > now_)
+            if (it.due > now_ || (suspended_ && it.message.to == id_of(*suspended_)))
                 transfers_.push_back(it);
             else if (it.message.to.value() <= nodes_.size())
                 step(it.message.to.value() - 1, [&](core& receiver, instant now, effects& out)
@@ -202,6 +213,7 @@
     std::vector<std::unique_ptr<node>> nodes_;
     std::vector<transfer> transfers_;
     std::set<instance_id> isolated_;
+    std::optional<std::size_t> suspended_;
     std::map<operator_request_id, any_message> answers_;
     instant now_{seconds(1000)};
     std::uint64_t last_ = 0;
@@ -236,6 +248,7 @@
     CPPUNIT_TEST(the_steering_state_reaches_instances_that_do_not_replicate_the_log);
     CPPUNIT_TEST(followers_redirect_to_the_leader);
     CPPUNIT_TEST(an_isolated_instance_reports_that_it_is_not_connected);
+    CPPUNIT_TEST(a_poll_that_waited_for_a_suspended_instance_is_answered_as_not_connected);
     CPPUNIT_TEST(a_restarted_entry_is_reported_to_the_peer_link_once);
     CPPUNIT_TEST(all_instances_converge_on_the_same_targets_despite_message_loss);
     CPPUNIT_TEST_SUITE_END();
@@ -370,6 +383,17 @@
         CPPUNIT_ASSERT(fleet.update_of(3).connected);
     }
 
+    // Guards against a violation of DRAIN: messages that had waited for a suspended instance were
+    // handled before its next tick, as if it had heard the others and missed nothing.
+    void a_poll_that_waited_for_a_suspended_instance_is_answered_as_not_connected()
+    {
+        control_fleet fleet(6, 7);
+        fleet.run(seconds(2));
+        CPPUNIT_ASSERT(fleet.update_of(3).connected);
+        fleet.suspend(3, seconds(10));
+        CPPUNIT_ASSERT(!fleet.update_of(3).connected);
+    }
+
     void all_instances_converge_on_the_same_targets_despite_message_loss()
     {
         CPPUNIT_ASSERT(rc::check(
