Fetch an unconfirmed newer state from one instance a round

Found while reading the change: while control has no leader, every instance may hold a newer state that is not confirmed.

a_newer_state_is_fetched_from_one_instance failed before.

--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace mulberryrudder::entry
 {
@@ -368,13 +369,16 @@
         // The current instance sends a newer state with its answer to the last report.
         if (!search_.awaits(reply.number) || !(is_reliable || (is_newer && !is_attached)))
             return;
-        // An instance that is only newer leaves the choice to one that is confirmed as well.
         if (is_reliable)
         {
             search_.choose(ctx.now);
             control_choice_.prefer(sender, ctx.now);
         }
-        if (is_attached || (!is_reliable && awaited_control_ == sender))
+        // Instances that are only newer leave the choice open, and one of them is asked in a
+        // round, since each would send the same state.
+        else if (std::exchange(newest_fetch_, reply.number) == reply.number)
+            return;
+        if (is_attached)
             return;
         ctx.events.record(control_chosen_event,
                           {{"control", std::to_string(sender.value())},
@@ -493,6 +497,7 @@
     std::vector<messages::version_outcomes> outcomes_; ///< Of the rollouts that run.
     sequence_id last_report_;
     sequence_id last_probe_;
+    sequence_id newest_fetch_; ///< Probe after which an unconfirmed newer state was requested.
     std::optional<instance_id> awaited_control_;
     std::optional<instance_id> current_control_;
     /// Last change received from each control instance.
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(all_instances_are_probed_after_two_timeouts);
     CPPUNIT_TEST(a_reply_to_an_earlier_round_counts);
     CPPUNIT_TEST(a_confirmed_instance_is_chosen_after_one_that_is_only_newer);
+    CPPUNIT_TEST(a_newer_state_is_fetched_from_one_instance);
     CPPUNIT_TEST(replies_after_the_choice_are_ignored);
     CPPUNIT_TEST(the_chosen_instance_is_kept_for_later_reports);
     CPPUNIT_TEST(a_late_answer_is_accepted);
@@ -242,6 +243,17 @@
         CPPUNIT_ASSERT(reported_to_ == other(first));
     }
 
+    // Guards against a full link: while control has no leader, all instances may hold a newer
+    // state that is not confirmed.
+    void a_newer_state_is_fetched_from_one_instance()
+    {
+        auto const first = attach_to_unconfirmed();
+        reply(other(first), {.generation = generation_id(5), .connected = true});
+        auto const number = poll_number();
+        reply_to(probes_.at(first), instance_id(3), {.generation = generation_id(5)});
+        CPPUNIT_ASSERT(poll_number() == number && reported_to_ == other(first));
+    }
+
     void replies_after_the_choice_are_ignored()
     {
         auto const first = attach_to_unconfirmed();
