--- a/plugins/control/roster/entry_table.cpp
+++ b/plugins/control/roster/entry_table.cpp
@@ -15,9 +15,31 @@
 
 } // namespace
 
+void entry_table::set_row(row replacement)
+{
+    auto& known = rows_[replacement.notice.who.id];
+    subtract_demand(known.notice);
+    known = std::move(replacement);
+    for (auto const& [customer, demand] : known.notice.demand)
+        total_demand_[customer] += demand;
+}
+
+void entry_table::subtract_demand(messages::entry_notice const& notice)
+{
+    for (auto const& [customer, demand] : notice.demand)
+    {
+        auto const total = total_demand_.find(customer);
+        if (total == total_demand_.end())
+            continue;
+        total->second -= demand;
+        if (total->second == millitokens_per_second())
+            total_demand_.erase(total);
+    }
+}
+
 void entry_table::update_from_entry(messages::entry_notice const& notice, instant now)
 {
-    rows_[notice.who.id] = {.notice = notice, .last_update = now, .unforwarded = true};
+    set_row({.notice = notice, .last_update = now, .unforwarded = true});
 }
 
 void entry_table::update_from_control(messages::entry_notice const& notice, instant now)
@@ -25,12 +47,19 @@
     auto const update_time = now - notice.age;
     auto const known = rows_.find(notice.who.id);
     if (known == rows_.end() || known->second.last_update < update_time)
-        rows_[notice.who.id] = {.notice = notice, .last_update = update_time, .unforwarded = false};
+        set_row({.notice = notice, .last_update = update_time, .unforwarded = false});
 }
 
 void entry_table::expire(instant cutoff)
 {
-    std::erase_if(rows_, [cutoff](auto const& it) { return it.second.last_update < cutoff; });
+    std::erase_if(rows_,
+                  [&](auto const& it)
+                  {
+                      bool const expired = it.second.last_update < cutoff;
+                      if (expired)
+                          subtract_demand(it.second.notice);
+                      return expired;
+                  });
 }
 
 std::vector<messages::entry_notice> entry_table::take_unforwarded(instant now)
@@ -89,25 +118,15 @@
                       { return it.second.notice.ready && it.second.notice.who.domain == domain; }));
 }
 
-std::map<customer_id, millitokens_per_second> entry_table::demand() const
-{
-    std::map<customer_id, millitokens_per_second> out;
-    for (auto const& [id, it] : rows_)
-        for (auto const& [customer, demand] : it.notice.demand)
-            out[customer] += demand;
-    return out;
-}
-
 std::map<customer_id, per_mille> entry_table::shares_of(instance_id entry) const
 {
-    auto const sums = demand();
     std::map<customer_id, per_mille> out;
     auto const own = rows_.find(entry);
     if (own == rows_.end())
         return out;
     auto const base = base_demand.count();
     auto const total_base = base * static_cast<std::int64_t>(rows_.size());
-    for (auto const& [customer, sum] : sums)
+    for (auto const& [customer, sum] : total_demand_)
     {
         auto const found = own->second.notice.demand.find(customer);
         auto const own_demand =
--- a/plugins/control/roster/entry_table.hpp
+++ b/plugins/control/roster/entry_table.hpp
@@ -44,7 +44,7 @@
 
     /// Returns the demand of each customer, summed over all entries. Entries list only
     /// customers with a high demand.
-    std::map<customer_id, millitokens_per_second> demand() const;
+    std::map<customer_id, millitokens_per_second> const& demand() const { return total_demand_; }
 
 private:
     struct row
@@ -54,7 +54,13 @@
         bool unforwarded = false; ///< From the entry itself, and not forwarded yet.
     };
 
+    /// Replaces the row of an entry.
+    void set_row(row replacement);
+    /// Removes the demand of a notice from the sums.
+    void subtract_demand(messages::entry_notice const& notice);
+
     std::map<instance_id, row> rows_;
+    std::map<customer_id, millitokens_per_second> total_demand_;
 };
 
 } // namespace mulberryrudder::control
--- a/tests/control/roster/entry_table_test.cpp
+++ b/tests/control/roster/entry_table_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(an_older_forwarded_notice_is_ignored);
     CPPUNIT_TEST(each_notice_is_forwarded_once);
     CPPUNIT_TEST(rates_are_divided_in_proportion_to_demand);
+    CPPUNIT_TEST(demand_follows_the_newest_notices);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -100,6 +101,18 @@
         CPPUNIT_ASSERT(table_.shares_of(instance_id(3)).at(customer_id("c")) == per_mille(83));
     }
 
+    // Guards against rates divided by what entries asked for earlier.
+    void demand_follows_the_newest_notices()
+    {
+        customer_id const customer("c");
+        table_.update_from_entry(entry(1, "m", "m-a", 8000), now_);
+        table_.update_from_entry(entry(2, "m", "m-b", 1000), now_);
+        table_.update_from_entry(entry(2, "m", "m-b", 3000), now_);
+        CPPUNIT_ASSERT(table_.demand().at(customer) == millitokens_per_second(11000));
+        table_.expire(now_ + seconds(1));
+        CPPUNIT_ASSERT(table_.demand().empty());
+    }
+
 private:
     void expect_ready(std::string const& region, std::string const& domain,
                       std::vector<std::uint16_t> const& ports)
