--- a/plugins/control/roster/target_table.cpp
+++ b/plugins/control/roster/target_table.cpp
@@ -45,13 +45,32 @@
 {
     if (is_bare_end(notice))
         return false;
+    auto const neighbours = ids_at_.find(notice.where);
+    if (neighbours == ids_at_.end())
+        return false;
     // A later start at the same address implies that this one ended.
-    auto const supersedes = [&](auto const& each)
-    {
-        auto const& other = each.second.notice;
-        return other.id != notice.id && other.where == notice.where && other.start > notice.start;
-    };
-    return std::any_of(rows_.begin(), rows_.end(), supersedes);
+    auto const supersedes = [&](target_id const& id)
+    { return id != notice.id && rows_.at(id).notice.start > notice.start; };
+    return std::any_of(neighbours->second.begin(), neighbours->second.end(), supersedes);
+}
+
+void target_table::set_notice(row& it, target_notice const& notice)
+{
+    if (it.notice.where != notice.where)
+        forget_address(it.notice);
+    it.notice = notice;
+    if (!is_bare_end(notice))
+        ids_at_[notice.where].insert(notice.id);
+}
+
+void target_table::forget_address(target_notice const& notice)
+{
+    auto const neighbours = ids_at_.find(notice.where);
+    if (neighbours == ids_at_.end())
+        return;
+    neighbours->second.erase(notice.id);
+    if (neighbours->second.empty())
+        ids_at_.erase(neighbours);
 }
 
 bool target_table::update(target_notice const& notice, instant now)
@@ -79,7 +98,7 @@
     if (!added && is_bare_end(notice))
         end_start(known.notice, notice.start);
     else
-        known.notice = notice;
+        set_notice(known, notice);
     known.last_notice = added ? notice_time : std::max(known.last_notice, notice_time);
     unforwarded_.insert(notice.id);
     if (!changed)
@@ -126,10 +145,10 @@
 {
     if (is_bare_end(replacement))
         return;
-    for (auto& [id, it] : rows_)
+    for (auto const& id : ids_at_[replacement.where])
     {
-        bool const replaced = id != replacement.id && it.notice.where == replacement.where &&
-                              it.notice.start < replacement.start &&
+        auto& it = rows_.at(id);
+        bool const replaced = id != replacement.id && it.notice.start < replacement.start &&
                               it.notice.standing != target_standing::gone;
         if (replaced)
             set_standing(it, target_standing::gone, now);
@@ -145,8 +164,11 @@
                   [&](auto const& each)
                   {
                       auto const& it = each.second;
-                      return it.notice.standing == target_standing::gone &&
-                             it.last_notice + gone_retention < now;
+                      bool const obsolete = it.notice.standing == target_standing::gone &&
+                                            it.last_notice + gone_retention < now;
+                      if (obsolete)
+                          forget_address(it.notice);
+                      return obsolete;
                   });
 }
 
--- a/plugins/control/roster/target_table.hpp
+++ b/plugins/control/roster/target_table.hpp
@@ -67,6 +67,8 @@
         instant forward_until;     ///< Until when the notice is forwarded repeatedly.
     };
 
+    void set_notice(row& it, messages::target_notice const& notice);
+    void forget_address(messages::target_notice const& notice);
     void retire_replaced_targets(messages::target_notice const& replacement, instant now);
     bool is_superseded(messages::target_notice const& notice) const;
     static void end_start(messages::target_notice& notice, start_id start);
@@ -76,6 +78,7 @@
     messages::target_summary summary(instant now) const;
 
     std::map<target_id, row> rows_;
+    std::map<endpoint, std::set<target_id>> ids_at_; ///< Targets by the address of their notice.
     std::set<target_id> unforwarded_;
     sequence_id newest_change_;
 };
--- a/tests/control/roster/target_table_test.cpp
+++ b/tests/control/roster/target_table_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(a_leave_without_a_start_is_ignored_for_an_unknown_target);
     CPPUNIT_TEST(a_target_without_notices_is_gone_until_its_next_notice);
     CPPUNIT_TEST(a_leaving_target_is_forwarded_repeatedly);
+    CPPUNIT_TEST(a_target_that_moved_leaves_its_address_to_others);
     CPPUNIT_TEST(the_remaining_cold_time_decreases);
     CPPUNIT_TEST_SUITE_END();
 
@@ -151,6 +152,17 @@
         CPPUNIT_ASSERT(table_.take_unforwarded(now_).empty());
     }
 
+    // Guards against a target that is wrongly retired: its address was still counted as that of
+    // another one, which had moved.
+    void a_target_that_moved_leaves_its_address_to_others()
+    {
+        update(notice("a", 1, 1, 80));
+        update(notice("a", 5, 1, 81));
+        CPPUNIT_ASSERT(update(notice("b", 2, 1, 80)));
+        CPPUNIT_ASSERT(standing("a") == target_standing::serving);
+        CPPUNIT_ASSERT(standing("b") == target_standing::serving);
+    }
+
     void the_remaining_cold_time_decreases()
     {
         auto cold = notice("a", 1, 1);
