Forward a notice to another control instance once, a leave until it holds it

What control instances tell each other grew with the square of their number and with the square of the leaves: - each forwarded again what another one had forwarded to it. A leave is now part of each message to an instance until that one acknowledged a message with it, and leaves in series share a message every 40 ms. An acknowledgement counts only for the start of the receiver that got the message.

--- a/include/mulberryrudder/messages/roster.hpp
+++ b/include/mulberryrudder/messages/roster.hpp
@@ -34,6 +34,9 @@
     std::vector<entry_notice> entries; ///< Those that reported since the last message.
     /// Other control instances that are known; not in every message.
     std::vector<instance_description> control;
+    /// Control instances whose messages reached the sender recently. The receiver need not
+    /// forward what these send.
+    std::vector<instance_id> heard;
 };
 
 /// An entry instance reports and asks for news; the answer may be held back until
--- a/plugins/control/roster/control_table.cpp
+++ b/plugins/control/roster/control_table.cpp
@@ -19,9 +19,11 @@
 }
 
 void control_table::record_exchange(instance_id sender, messages::roster_exchange const& exchange,
-                                    boot_id own_boot, instant now)
+                                    boot_id own_boot, sequence_id newest_sent, instant now)
 {
     auto& known = rows_.at(sender);
+    if (known.boot != exchange.boot)
+        known.last_to_earlier_start = newest_sent;
     known.description = exchange.who;
     known.operator_address = exchange.operators;
     known.leads = exchange.leads;
@@ -29,12 +31,14 @@
     known.boot = exchange.boot;
     known.received = exchange.number;
     // An acknowledgement of messages of an earlier start does not apply to this start.
-    known.acknowledged =
-        exchange.acknowledged_boot == own_boot ? exchange.acknowledged : sequence_id();
+    bool const is_acknowledged = exchange.acknowledged_boot == own_boot &&
+                                 exchange.acknowledged > known.last_to_earlier_start;
+    known.acknowledged = is_acknowledged ? exchange.acknowledged : sequence_id();
     known.generation = exchange.generation;
     known.wants_steering = exchange.wants_steering;
     known.wants_targets = exchange.wants_targets;
     known.intact = exchange.intact;
+    known.heard = exchange.heard;
 }
 
 void control_table::expire(instant cutoff)
@@ -119,4 +123,13 @@
     return out;
 }
 
+std::vector<instance_id> control_table::heard_since(instant cutoff) const
+{
+    std::vector<instance_id> out;
+    for (auto const& [id, it] : rows_)
+        if (it.last_message >= cutoff)
+            out.push_back(id);
+    return out;
+}
+
 } // namespace mulberryrudder::control
--- a/plugins/control/roster/control_table.hpp
+++ b/plugins/control/roster/control_table.hpp
@@ -23,24 +23,29 @@
         instance_description description;
         endpoint operator_address; ///< Where it accepts operators' requests.
         bool leads = false;
-        bool is_contact = false;     ///< Named in the settings; never expires.
-        instant last_message;        ///< When its last message arrived.
-        boot_id boot;                ///< Start of that instance to which `received` belongs.
-        sequence_id received;        ///< Newest number of its messages that arrived here.
-        sequence_id acknowledged;    ///< Newest number of this instance's messages it received.
-        generation_id generation;    ///< Of its steering state.
-        bool wants_steering = false; ///< It requested the steering state.
-        bool wants_targets = false;  ///< It requested all targets.
-        bool intact = false;         ///< Its table of targets counts for others.
+        bool is_contact = false;        ///< Named in the settings; never expires.
+        instant last_message;           ///< When its last message arrived.
+        boot_id boot;                   ///< Start of that instance to which `received` belongs.
+        sequence_id received;           ///< Newest number of its messages that arrived here.
+        sequence_id acknowledged;       ///< Newest number of this instance's messages it received.
+        generation_id generation;       ///< Of its steering state.
+        bool wants_steering = false;    ///< It requested the steering state.
+        bool wants_targets = false;     ///< It requested all targets.
+        bool intact = false;            ///< Its table of targets counts for others.
+        std::vector<instance_id> heard; ///< Instances whose messages reach it.
+        /// Newest message to it when its start was noticed. It may acknowledge older ones
+        /// although only its earlier start knows their contents.
+        sequence_id last_to_earlier_start;
     };
 
     /// Adds an instance; returns whether its address is new.
     bool add(instance_description const& description, bool is_contact, instant now);
 
     /// Records the content of an instance's message. `own_boot` is the boot id of this
-    /// instance. Precondition: the sender was added.
+    /// instance, `newest_sent` the number of its newest message. Precondition: the sender was
+    /// added.
     void record_exchange(instance_id sender, messages::roster_exchange const& exchange,
-                         boot_id own_boot, instant now);
+                         boot_id own_boot, sequence_id newest_sent, instant now);
 
     /// Records that another instance sent its list of control instances. Until then, an
     /// instance that has just started knows too few instances to determine a majority.
@@ -86,6 +91,9 @@
     /// Returns the instances whose last message arrived at or after `cutoff`.
     std::vector<instance_description> instances_since(instant cutoff) const;
 
+    /// Returns the ids of the instances whose last message arrived at or after `cutoff`.
+    std::vector<instance_id> heard_since(instant cutoff) const;
+
 private:
     bool is_majority(std::size_t count) const;
 
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -70,6 +70,9 @@
 /// Time between two messages that list the known control instances. The list seldom changes
 /// and is as long as the rest of the message.
 constexpr milliseconds member_list_interval{1000};
+/// Least time between two messages to the other control instances that leaves of targets cause:
+/// leaves in series share a message.
+constexpr milliseconds leave_exchange_interval{40};
 /// A longer time between two inputs means that the process was not running.
 constexpr milliseconds max_input_gap{1000};
 kernel::counter_kind const announced_counter{"roster.announcements",
@@ -331,7 +334,7 @@
                              context& ctx)
     {
         ctx.counters.add(announced_counter);
-        bool const changed = targets_.update(announcement.what, ctx.now);
+        bool const changed = targets_.update(announcement.what, std::nullopt, ctx.now);
         if (changed)
             record_target_change(announcement.what, ctx);
         else
@@ -365,12 +368,15 @@
 
     void await_majority(operator_request_id requester, target_id const& target, context& ctx)
     {
-        send_exchanges(ctx);
+        exchange_due_ =
+            std::min(exchange_due_, std::max(last_exchange_ + leave_exchange_interval, ctx.now));
         pending_leaves_.push_back(
-            {requester, target, exchange_number_, ctx.now + config_.leave_timeout});
+            {requester, target, next_exchange_number(), ctx.now + config_.leave_timeout});
         answer_leaves(ctx);
     }
 
+    sequence_id next_exchange_number() const { return sequence_id(exchange_number_.value() + 1); }
+
     void answer_leaves(context& ctx)
     {
         std::erase_if(pending_leaves_,
@@ -395,7 +401,8 @@
     void send_exchanges(context& ctx)
     {
         exchange_due_ = ctx.now + config_.exchange_interval;
-        exchange_number_ = sequence_id(exchange_number_.value() + 1);
+        last_exchange_ = ctx.now;
+        exchange_number_ = next_exchange_number();
         auto const state = steering().steering();
         sent_generation_ = state->generation;
         messages::roster_exchange common{.who = ctx.self.self,
@@ -404,9 +411,10 @@
                                          .steering = nullptr,
                                          .boot = boot_,
                                          .number = exchange_number_,
-                                         .targets = targets_.take_unforwarded(ctx.now),
+                                         .targets = {},
                                          .entries = {},
-                                         .control = {}};
+                                         .control = {},
+                                         .heard = controls_.heard_since(ctx.now - control_timeout)};
         common.leads = leads(ctx.now);
         update_confirmation(ctx);
         common.confirmed_age = confirmed_age(ctx.now);
@@ -420,6 +428,7 @@
         }
         // Tables that come while too few instances can be reached do not end the synchronization.
         bool const wants_tables = is_majority_reachable(ctx.now);
+        auto const notices = targets_.take_unforwarded(exchange_number_, ctx.now);
         for (auto& [id, it] : controls_.rows())
         {
             auto out = common;
@@ -435,17 +444,36 @@
                 out.has_all_targets = true;
                 out.control = controls_.instances_since(ctx.now - control_retention);
             }
+            else
+                for (auto const& each : notices)
+                    if (needs(id, it, each))
+                        out.targets.push_back(each.notice);
             ctx.send(id, std::move(out));
         }
     }
 
+    /// Returns whether a notice is to be sent to another control instance. All instances forward
+    /// the end of a target until they know that the receiver holds it. Other notices are
+    /// forwarded by the instance that received them from the target, and to instances that do
+    /// not hear that one.
+    static bool needs(instance_id receiver, control_table::row const& known,
+                      outgoing_notice const& notice)
+    {
+        if (notice.first_exchange)
+            return known.acknowledged < *notice.first_exchange;
+        if (!notice.source)
+            return true;
+        return receiver != *notice.source && std::find(known.heard.begin(), known.heard.end(),
+                                                       *notice.source) == known.heard.end();
+    }
+
     void handle_exchange(instance_id sender, messages::roster_exchange const& exchange,
                          context& ctx)
     {
         if (exchange.who.id != sender)
             return;
         add_control(exchange.who, false, ctx);
-        controls_.record_exchange(sender, exchange, boot_, ctx.now);
+        controls_.record_exchange(sender, exchange, boot_, exchange_number_, ctx.now);
         if (exchange.confirmed_age && exchange.acknowledged_boot == boot_)
             confirmation_.record_report(exchange.acknowledged, exchange.generation,
                                         *exchange.confirmed_age);
@@ -454,7 +482,7 @@
         if (!exchange.control.empty())
             controls_.mark_members_received();
         for (auto const& target : exchange.targets)
-            if (targets_.update(target, ctx.now))
+            if (targets_.update(target, sender, ctx.now))
                 record_target_change(target, ctx);
         for (auto const& entry : exchange.entries)
             entries_.update_from_control(entry, ctx.now);
@@ -584,6 +612,7 @@
     sequence_id exchange_number_;
     generation_id sent_generation_; ///< Of the last exchange sent.
     instant exchange_due_;
+    instant last_exchange_;
     instant member_list_due_;
     instant last_input_;
 };
--- a/plugins/control/roster/target_table.cpp
+++ b/plugins/control/roster/target_table.cpp
@@ -73,7 +73,8 @@
         ids_at_.erase(neighbours);
 }
 
-bool target_table::update(target_notice const& notice, instant now)
+bool target_table::update(target_notice const& notice, std::optional<instance_id> source,
+                          instant now)
 {
     auto const notice_time = now - notice.age;
     if (is_superseded(notice))
@@ -99,6 +100,7 @@
         end_start(known.notice, notice.start);
     else
         set_notice(known, notice);
+    known.source = source;
     known.last_notice = added ? notice_time : std::max(known.last_notice, notice_time);
     unforwarded_.insert(notice.id);
     if (!changed)
@@ -120,9 +122,11 @@
         return &known.notice;
     end_start(known.notice, start.value_or(known.notice.start));
     known.last_notice = now;
+    known.source.reset();
     if (known.notice.standing != target_standing::gone)
         set_standing(known, target_standing::gone, now);
     known.forward_until = now + leave_forward_time;
+    known.first_exchange.reset();
     return &known.notice;
 }
 
@@ -137,6 +141,7 @@
     it.notice.standing = standing;
     newest_change_ = sequence_id(newest_change_.value() + 1);
     it.change_number = newest_change_;
+    it.first_exchange.reset();
     if (standing != target_standing::serving)
         it.forward_until = now + leave_forward_time;
 }
@@ -214,14 +219,19 @@
     return out;
 }
 
-std::vector<target_notice> target_table::take_unforwarded(instant now)
+std::vector<outgoing_notice> target_table::take_unforwarded(sequence_id exchange, instant now)
 {
-    std::vector<target_notice> out;
-    for (auto const& [id, it] : rows_)
+    std::vector<outgoing_notice> out;
+    for (auto& [id, it] : rows_)
     {
-        if (!unforwarded_.contains(id) && it.forward_until < now)
+        bool const is_ending = it.forward_until >= now;
+        if (!is_ending && !unforwarded_.contains(id))
             continue;
-        out.push_back(forwarded_notice(it, now));
+        if (is_ending && (!it.first_exchange || unforwarded_.contains(id)))
+            it.first_exchange = exchange;
+        out.push_back({.notice = forwarded_notice(it, now),
+                       .source = it.source,
+                       .first_exchange = is_ending ? it.first_exchange : std::nullopt});
     }
     unforwarded_.clear();
     return out;
--- a/plugins/control/roster/target_table.hpp
+++ b/plugins/control/roster/target_table.hpp
@@ -11,6 +11,17 @@
 namespace mulberryrudder::control
 {
 
+/// A notice to forward to other control instances.
+struct outgoing_notice
+{
+    messages::target_notice notice;
+    /// Instance that sent the notice; nothing if the target itself did.
+    std::optional<instance_id> source;
+    /// For the end of a target: the first exchange that contains it. It is forwarded to each
+    /// instance until that one acknowledges this exchange or a later one.
+    std::optional<sequence_id> first_exchange;
+};
+
 /// Newest notice of each target, and the number of the last change that entries must
 /// receive. The number increases with each such change.
 ///
@@ -20,7 +31,9 @@
 public:
     /// Applies a notice; returns whether entries must receive it. Ignores notices that are
     /// older than the known one, and those of a start whose address a later start uses.
-    bool update(messages::target_notice const& notice, instant now);
+    /// `source` is the control instance that sent it; nothing if the target itself did.
+    bool update(messages::target_notice const& notice, std::optional<instance_id> source,
+                instant now);
 
     /// Records that a start of a target ended, regardless of other notices of that start. A
     /// start that is unknown here is recorded too, since other instances may know it.
@@ -45,9 +58,9 @@
     changed_since(sequence_id since, std::optional<messages::target_summary> const& held,
                   instant now) const;
 
-    /// Returns the notices to forward to the other control instances: those that were
+    /// Returns the notices to forward with the exchange of this number: those that were
     /// updated since the last call, and those of targets that began to leave recently.
-    std::vector<messages::target_notice> take_unforwarded(instant now);
+    std::vector<outgoing_notice> take_unforwarded(sequence_id exchange, instant now);
 
     /// Returns all notices, also those of targets that are gone.
     std::vector<messages::target_notice> all(instant now) const;
@@ -65,6 +78,9 @@
         instant last_notice;
         sequence_id change_number; ///< Of the last change that entries must receive.
         instant forward_until;     ///< Until when the notice is forwarded repeatedly.
+        /// First exchange that contains the end of the target.
+        std::optional<sequence_id> first_exchange;
+        std::optional<instance_id> source; ///< Of the newest notice.
     };
 
     void set_notice(row& it, messages::target_notice const& notice);
--- a/plugins/peer/codecs/roster_codec.cpp
+++ b/plugins/peer/codecs/roster_codec.cpp
@@ -165,6 +165,7 @@
     encode_confirmed_age(from.confirmed_age, to);
     encode_list(from.entries, to.initEntries(size_of(from.entries)));
     encode_list(from.control, to.initControl(size_of(from.control)));
+    encode_ids(from.heard, to.initHeard(size_of(from.heard)));
 }
 
 messages::roster_exchange decode_exchange(Exchange::Reader from)
@@ -185,12 +186,14 @@
                                   .intact = from.getIntact(),
                                   .confirmed_age = decode_confirmed_age(from),
                                   .entries = {},
-                                  .control = {}};
+                                  .control = {},
+                                  .heard = {}};
     if (from.getHasSteering())
         out.steering = std::make_shared<steering_state const>(decode(from.getSteering()));
     decode_list(from.getTargets(), out.targets);
     decode_list(from.getEntries(), out.entries);
     decode_list(from.getControl(), out.control);
+    decode_ids(from.getHeard(), out.heard);
     return out;
 }
 
--- a/schemas/steering.capnp
+++ b/schemas/steering.capnp
@@ -172,6 +172,7 @@
   intact @17 :Bool;
   confirmed @18 :Bool;
   confirmedAgeMs @19 :Int64;
+  heard @20 :List(UInt32);
 }
 
 struct Poll {
--- a/tests/control/roster/target_table_test.cpp
+++ b/tests/control/roster/target_table_test.cpp
@@ -39,6 +39,8 @@
     CPPUNIT_TEST(a_leave_without_a_start_is_ignored_for_an_unknown_target);
     CPPUNIT_TEST(a_target_without_notices_is_gone_until_its_next_notice);
     CPPUNIT_TEST(a_leaving_target_is_forwarded_repeatedly);
+    CPPUNIT_TEST(each_notice_of_a_leaving_target_is_acknowledged_anew);
+    CPPUNIT_TEST(a_notice_names_the_instance_that_sent_it);
     CPPUNIT_TEST(a_target_that_moved_leaves_its_address_to_others);
     CPPUNIT_TEST(the_remaining_cold_time_decreases);
     CPPUNIT_TEST_SUITE_END();
@@ -103,10 +105,10 @@
     {
         target_table unaware;
         CPPUNIT_ASSERT(unaware.deregister(target_id("a"), start_id(1), now_) != nullptr);
-        auto const forwarded = unaware.take_unforwarded(now_);
+        auto const forwarded = unaware.take_unforwarded(exchange_, now_);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwarded.size());
         update(notice("a", 1, 7));
-        CPPUNIT_ASSERT(update(forwarded.front()));
+        CPPUNIT_ASSERT(update(forwarded.front().notice));
         CPPUNIT_ASSERT(standing("a") == target_standing::gone);
         CPPUNIT_ASSERT_MESSAGE("the leave does not apply to a new start",
                                update(notice("a", 2, 1)));
@@ -119,8 +121,8 @@
         target_table unaware;
         unaware.deregister(target_id("a"), start_id(1), now_);
         unaware.deregister(target_id("b"), start_id(2), now_);
-        for (auto const& it : unaware.take_unforwarded(now_))
-            update(it);
+        for (auto const& it : unaware.take_unforwarded(exchange_, now_))
+            update(it.notice);
         CPPUNIT_ASSERT(standing("a") == target_standing::gone);
         CPPUNIT_ASSERT(standing("b") == target_standing::gone);
     }
@@ -128,7 +130,7 @@
     void a_leave_without_a_start_is_ignored_for_an_unknown_target()
     {
         CPPUNIT_ASSERT(table_.deregister(target_id("a"), std::nullopt, now_) == nullptr);
-        CPPUNIT_ASSERT(table_.take_unforwarded(now_).empty());
+        CPPUNIT_ASSERT(table_.take_unforwarded(exchange_, now_).empty());
     }
 
     void a_target_without_notices_is_gone_until_its_next_notice()
@@ -147,9 +149,34 @@
         leaving.standing = target_standing::leaving;
         update(leaving);
         for (int n = 0; n != 5; ++n, now_ += milliseconds(500))
-            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table_.take_unforwarded(now_).size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table_.take_unforwarded(exchange_, now_).size());
         now_ += seconds(5);
-        CPPUNIT_ASSERT(table_.take_unforwarded(now_).empty());
+        CPPUNIT_ASSERT(table_.take_unforwarded(exchange_, now_).empty());
+    }
+
+    // Guards against the loss of a leave: an instance that acknowledged the first notice of a
+    // leaving target was not sent the notice of its deregistration.
+    void each_notice_of_a_leaving_target_is_acknowledged_anew()
+    {
+        auto leaving = notice("a", 1, 1);
+        leaving.standing = target_standing::leaving;
+        update(leaving);
+        CPPUNIT_ASSERT(first_exchange(sequence_id(7)) == sequence_id(7));
+        CPPUNIT_ASSERT(first_exchange(sequence_id(8)) == sequence_id(7));
+        leaving.sequence = sequence_id(2);
+        update(leaving);
+        CPPUNIT_ASSERT(first_exchange(sequence_id(9)) == sequence_id(9));
+        table_.deregister(target_id("a"), start_id(1), now_);
+        CPPUNIT_ASSERT(first_exchange(sequence_id(10)) == sequence_id(10));
+    }
+
+    void a_notice_names_the_instance_that_sent_it()
+    {
+        table_.update(notice("a", 1, 1), instance_id(3), now_);
+        update(notice("b", 1, 1, 81));
+        auto const forwarded = table_.take_unforwarded(exchange_, now_);
+        CPPUNIT_ASSERT(forwarded.at(0).source == instance_id(3));
+        CPPUNIT_ASSERT(forwarded.at(1).source == std::nullopt);
     }
 
     // Guards against a target that is wrongly retired: its address was still counted as that of
@@ -174,7 +201,13 @@
     }
 
 private:
-    bool update(target_notice const& notice) { return table_.update(notice, now_); }
+    /// Returns the first exchange that contains the end of the only target.
+    std::optional<sequence_id> first_exchange(sequence_id exchange)
+    {
+        return table_.take_unforwarded(exchange, now_).at(0).first_exchange;
+    }
+
+    bool update(target_notice const& notice) { return table_.update(notice, {}, now_); }
 
     target_standing standing(std::string const& id)
     {
@@ -186,6 +219,7 @@
     }
 
     target_table table_;
+    sequence_id exchange_{1};
     instant now_{seconds(1000)};
 };
 
--- a/tests/control/steering/steering_codec_test.cpp
+++ b/tests/control/steering/steering_codec_test.cpp
@@ -138,6 +138,7 @@
         original.has_all_targets = true;
         original.intact = true;
         original.confirmed_age = milliseconds(7);
+        original.heard = {instance_id(4), instance_id(9)};
         auto const decoded = round_trip(original);
         CPPUNIT_ASSERT(decoded.who == original.who);
         CPPUNIT_ASSERT(decoded.operators == original.operators);
@@ -147,6 +148,7 @@
         CPPUNIT_ASSERT(decoded.has_all_targets);
         CPPUNIT_ASSERT(decoded.intact);
         CPPUNIT_ASSERT(decoded.confirmed_age == milliseconds(7));
+        CPPUNIT_ASSERT(decoded.heard == original.heard);
         CPPUNIT_ASSERT(decoded.entries == original.entries);
     }
 
--- a/tests/roster_fleet/roster_fleet.cpp
+++ b/tests/roster_fleet/roster_fleet.cpp
@@ -217,6 +217,8 @@
     if (is_entry(message.from) || is_entry(message.to))
         return false;
     return muted_.contains(index_of(message.from)) ||
+           (cut_senders_.contains(index_of(message.from)) &&
+            cut_receivers_.contains(index_of(message.to))) ||
            partition_group_.contains(index_of(message.from)) !=
                partition_group_.contains(index_of(message.to));
 }
@@ -235,6 +237,7 @@
     }
     auto const* const exchange = message.body.get<messages::roster_exchange>();
     tables_sent_ += exchange != nullptr && exchange->has_all_targets;
+    notices_between_controls_ += exchange == nullptr ? 0 : exchange->targets.size();
     if (!is_dropped(message))
         transfers_.push_back({due, message});
 }
@@ -348,6 +351,12 @@
     muted_ = controls;
 }
 
+void roster_fleet::cut(std::set<std::size_t> const& senders, std::set<std::size_t> const& receivers)
+{
+    cut_senders_ = senders;
+    cut_receivers_ = receivers;
+}
+
 void roster_fleet::isolate(std::set<std::size_t> const& controls)
 {
     isolated_ = controls;
--- a/tests/roster_fleet/roster_fleet.hpp
+++ b/tests/roster_fleet/roster_fleet.hpp
@@ -66,6 +66,9 @@
     /// Drops all messages from these control instances to the other ones, which they still
     /// hear. Entries still reach all of them. An empty set ends it.
     void mute(std::set<std::size_t> const& controls);
+    /// Drops all messages from the control instances `senders` to the control instances
+    /// `receivers`, in addition to the effect of mute() and partition().
+    void cut(std::set<std::size_t> const& senders, std::set<std::size_t> const& receivers);
     /// Drops all messages from and to these control instances.
     void isolate(std::set<std::size_t> const& controls);
 
@@ -92,6 +95,9 @@
     /// Returns how many messages between control instances contained a whole table of targets.
     int tables_sent() const { return tables_sent_; }
 
+    /// Returns the number of notices of targets in all messages between control instances.
+    std::size_t notices_between_controls() const { return notices_between_controls_; }
+
     std::size_t entries() const { return entries_.size(); }
     instant now() const { return now_; }
 
@@ -140,6 +146,8 @@
     std::vector<transfer> transfers_;
     std::set<std::size_t> partition_group_;
     std::set<std::size_t> muted_;
+    std::set<std::size_t> cut_senders_;
+    std::set<std::size_t> cut_receivers_;
     std::set<std::size_t> isolated_;
     std::set<std::size_t> frozen_;
     std::set<std::size_t> disconnected_;
@@ -147,6 +155,7 @@
     std::map<control::operator_request_id, any_message> answers_;
     byte_count sent_to_entries_{0};
     int tables_sent_ = 0;
+    std::size_t notices_between_controls_ = 0;
     std::uint64_t last_ = 0;
     std::uint64_t starts_ = 0; ///< Of all instances; makes each start differ.
     instant now_{seconds(1000)};
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -17,6 +17,11 @@
 constexpr int small_total = 60;
 /// Fleets of each test in which the order of reports is random.
 constexpr std::uint64_t seeds = 6;
+/// Time between two announcements of a target.
+constexpr milliseconds announcement_interval{1500};
+/// Messages from one control instance to another until a leave in the first of them is
+/// acknowledged: an exchange interval and a round trip, with a message every 40 ms.
+constexpr std::size_t max_repeats = 7;
 /// Limit DRAIN: time after the acknowledgement of a leave for which requests may still reach
 /// the target.
 constexpr milliseconds drain_limit{2500};
@@ -42,6 +47,9 @@
     CPPUNIT_TEST(an_old_announcement_to_a_restarted_control_instance_restores_no_target);
     CPPUNIT_TEST(a_partition_of_control_instances_ends_with_one_table_from_each);
     CPPUNIT_TEST(a_restart_of_all_control_instances_removes_no_target);
+    CPPUNIT_TEST(an_announcement_reaches_each_control_instance_once);
+    CPPUNIT_TEST(a_leave_is_forwarded_until_it_is_acknowledged);
+    CPPUNIT_TEST(announcements_reach_control_instances_that_do_not_hear_their_recipient);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -234,6 +242,49 @@
         }
     }
 
+    // Guards against a violation of AckTimeout: each control instance forwarded the announcements
+    // that others had forwarded to it, and with many targets had no time left to decide orders.
+    void an_announcement_reaches_each_control_instance_once()
+    {
+        auto const before = fleet_->notices_between_controls();
+        fleet_->run(announcement_interval * 4);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4 * total_targets * 8},
+                             fleet_->notices_between_controls() - before);
+    }
+
+    // Guards against a violation of AckTimeout: each message between control instances contained
+    // all leaves of the last seconds, and each leave caused messages, so that control instances
+    // had no time left to decide orders while many targets left.
+    void a_leave_is_forwarded_until_it_is_acknowledged()
+    {
+        constexpr std::size_t leaves = 160;
+        auto const before = fleet_->notices_between_controls();
+        for (std::size_t n = 0; n != leaves; ++n)
+        {
+            fleet_->leave(n % 9, static_cast<int>(n));
+            fleet_->run(milliseconds(10));
+        }
+        fleet_->run(seconds(8) - milliseconds(10) * leaves);
+        auto const announcements = std::size_t{8 * 1000 / 1500 + 1} * total_targets * 8;
+        auto const notices = fleet_->notices_between_controls() - before - announcements;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(notices) + " notices",
+                               notices <= leaves * 9 * 8 * max_repeats);
+    }
+
+    // Guards against the loss of targets: a control instance that one other does not reach, in
+    // one direction, learns of the announcements to that one from the rest.
+    void announcements_reach_control_instances_that_do_not_hear_their_recipient()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            start(small_total, seed);
+            fleet_->cut({4, 8}, {2, 6});
+            fleet_->run(seconds(10));
+            for (std::size_t n = 0; n != fleet_->entries(); ++n)
+                CPPUNIT_ASSERT_EQUAL(std::size_t{small_total}, fleet_->serving_count(n));
+        }
+    }
+
 private:
     void start(int targets, std::uint64_t seed)
     {
