Replace a peer connection that does not answer

Callers saw, or may see, requests to targets that had left and orders without an acknowledgement: a connection between two instances whose far end takes bytes and answers nothing was used for five seconds. The kernels acknowledge the bytes, so TCP_USER_TIMEOUT does not help, and what was sent was lost.

After half a second without an answer another connection is opened and takes the new messages. The old one stays open for the messages on it, since a full link is as silent as a dead one, until it is half a second later than the new one.

--- a/plugins/peer/link/outgoing.cpp
+++ b/plugins/peer/link/outgoing.cpp
@@ -4,6 +4,7 @@
 
 #include <kj/debug.h>
 
+#include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -19,6 +20,10 @@
 constexpr std::size_t most_in_flight = 4096;
 /// How long a peer may leave a message untaken before its connection is given up.
 constexpr seconds answer_limit{5};
+/// How long a peer may leave a message untaken before another connection is opened. Messages
+/// between regions take a tenth of it; together with a connection attempt it is below the time
+/// within which a majority must hold a leave.
+constexpr milliseconds replace_limit{500};
 /// How long a connection may take to come about.
 constexpr milliseconds connect_limit{1000};
 /// How long sent bytes may stay unacknowledged by the peer's machine: longer than packets wait
@@ -37,17 +42,36 @@
                                     "Messages that this program has no codec for.");
 kernel::counter_kind const connections_lost("peer.connections_lost",
                                             "Connections to other instances that failed.");
+kernel::counter_kind const
+    connections_replaced("peer.connections_replaced",
+                         "Connections to other instances that were replaced by a new one since "
+                         "they did not answer.");
 
 } // namespace
 
-outgoing::connection::connection(kj::Own<kj::AsyncIoStream> opened)
-    : stream(kj::mv(opened)), rpc(*stream), mailbox(rpc.bootstrap().castAs<schema::Mailbox>())
+outgoing::connection::connection(kj::Own<kj::AsyncIoStream> opened, std::uint64_t connection_number)
+    : stream(kj::mv(opened)), rpc(*stream), mailbox(rpc.bootstrap().castAs<schema::Mailbox>()),
+      number(connection_number)
 {
     // Without it, a connection to a machine that lost power stays open for minutes.
     unsigned const limit_ms = acknowledgement_limit.count();
     stream->setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof limit_ms);
 }
 
+void outgoing::connection::await_answer(instant now)
+{
+    replace_at = now + replace_limit;
+    give_up_at = now + answer_limit;
+}
+
+void outgoing::connection::answered(instant now)
+{
+    if (--in_flight != 0)
+        return await_answer(now);
+    replace_at = never;
+    give_up_at = never;
+}
+
 outgoing::outgoing(kj::AsyncIoContext& io, endpoint where, kernel::counter_set& counters)
     : io_(io), where_(std::move(where)), counters_(counters), tasks_(*this)
 {
@@ -56,8 +80,7 @@
 void outgoing::send(envelope message)
 {
     auto const now = monotonic_now();
-    if (connection_ && (now >= oldest_deadline_ || in_flight_ >= most_in_flight))
-        lost();
+    check_connections(now);
     if (connection_)
         return transmit(message);
     if (waiting_.size() >= most_waiting)
@@ -66,43 +89,80 @@
         counters_.add(messages_dropped);
     }
     waiting_.push_back(std::move(message));
-    if (!connecting_ && now >= connect_again_)
-        connect();
+    connect(now);
+}
+
+void outgoing::check_connections(instant now)
+{
+    if (replaced_ && (replaced_->in_flight == 0 || now >= replaced_->give_up_at))
+        replaced_.reset();
+    if (!connection_)
+        return;
+    if (now >= connection_->give_up_at || connection_->in_flight >= most_in_flight)
+        lose_connection();
+    else if (now >= connection_->replace_at && !replaced_)
+        connect(now);
 }
 
 void outgoing::start_anew()
 {
+    replaced_.reset();
     if (connection_)
-        lost();
+        lose_connection();
     connect_again_ = monotonic_now();
 }
 
-void outgoing::connect()
+void outgoing::connect(instant now)
 {
+    if (connecting_ || now < connect_again_)
+        return;
     connecting_ = true;
+    auto const number = ++last_number_;
     auto opened = io_.provider->getNetwork()
                       .parseAddress(where_.address, where_.port)
                       .then([](kj::Own<kj::NetworkAddress>&& address)
                             { return address->connect().attach(kj::mv(address)); });
     auto& timer = io_.provider->getTimer();
     auto limited = timer.timeoutAfter(connect_limit.count() * kj::MILLISECONDS, kj::mv(opened));
-    tasks_.add(limited.then([this](kj::Own<kj::AsyncIoStream>&& it) { connected(kj::mv(it)); },
-                            [this](kj::Exception&&) { lost(); }));
+    tasks_.add(limited.then(
+        [this, number](kj::Own<kj::AsyncIoStream>&& it)
+        {
+            if (number == last_number_)
+                connected(kj::mv(it));
+        },
+        [this, number](kj::Exception&&)
+        {
+            if (number == last_number_)
+                connect_failed();
+        }));
 }
 
 void outgoing::connected(kj::Own<kj::AsyncIoStream> stream)
 {
     connecting_ = false;
-    connection_ = std::make_unique<connection>(kj::mv(stream));
-    ++epoch_;
-    in_flight_ = 0;
-    oldest_deadline_ = never;
+    if (connection_)
+    {
+        counters_.add(connections_replaced);
+        replaced_ = std::move(connection_);
+    }
+    connection_ = std::make_unique<connection>(kj::mv(stream), last_number_);
     auto messages = std::move(waiting_);
     waiting_.clear();
     for (auto const& it : messages)
         transmit(it);
 }
 
+void outgoing::connect_failed()
+{
+    connecting_ = false;
+    connect_again_ = monotonic_now() + connect_pause;
+    if (connection_)
+        return;
+    counters_.add(connections_lost);
+    counters_.add(messages_dropped, waiting_.size());
+    waiting_.clear();
+}
+
 void outgoing::transmit(envelope const& message)
 {
     auto request = connection_->mailbox.deliverRequest();
@@ -110,39 +170,52 @@
         return counters_.add(no_codec);
     counters_.add(messages_sent);
     counters_.add(bytes_sent, request.totalSize().wordCount * sizeof(capnp::word));
-    if (in_flight_++ == 0)
-        oldest_deadline_ = monotonic_now() + answer_limit;
-    auto const epoch = epoch_;
-    tasks_.add(request.send().then(
-        [this, epoch](auto&&)
-        {
-            if (epoch != epoch_)
-                return;
-            --in_flight_;
-            oldest_deadline_ = in_flight_ == 0 ? never : monotonic_now() + answer_limit;
-        },
-        [this, epoch](kj::Exception&&)
-        {
-            if (epoch == epoch_ && connection_)
-                tasks_.add(kj::evalLater(
-                    [this, epoch]
-                    {
-                        if (epoch == epoch_)
-                            lost();
-                    }));
-        }));
+    if (connection_->in_flight++ == 0)
+        connection_->await_answer(monotonic_now());
+    auto const number = connection_->number;
+    tasks_.add(request.send().then([this, number](auto&&) { handle_answer(number); },
+                                   [this, number](kj::Exception&&)
+                                   {
+                                       // A connection must not be closed within its own callback.
+                                       if (find(number) != nullptr)
+                                           tasks_.add(kj::evalLater([this, number]
+                                                                    { handle_failure(number); }));
+                                   }));
 }
 
-void outgoing::lost()
+outgoing::connection* outgoing::find(std::uint64_t number)
+{
+    if (connection_ && connection_->number == number)
+        return connection_.get();
+    return replaced_ && replaced_->number == number ? replaced_.get() : nullptr;
+}
+
+void outgoing::handle_answer(std::uint64_t number)
+{
+    auto* const answering = find(number);
+    if (answering == nullptr)
+        return;
+    auto const now = monotonic_now();
+    answering->answered(now);
+    // Messages on the older connection were sent earlier, so it is overdue.
+    if (replaced_ && answering != replaced_.get())
+        replaced_->give_up_at = std::min(replaced_->give_up_at, now + replace_limit);
+}
+
+void outgoing::handle_failure(std::uint64_t number)
+{
+    if (connection_ && connection_->number == number)
+        lose_connection();
+    else if (replaced_ && replaced_->number == number)
+        replaced_.reset();
+}
+
+void outgoing::lose_connection()
 {
     counters_.add(connections_lost);
-    counters_.add(messages_dropped, waiting_.size());
-    waiting_.clear();
     connection_.reset();
     connecting_ = false;
-    ++epoch_;
-    in_flight_ = 0;
-    oldest_deadline_ = never;
+    ++last_number_; // Ignores the result of a connection attempt.
     connect_again_ = monotonic_now() + connect_pause;
 }
 
--- a/plugins/peer/link/outgoing.hpp
+++ b/plugins/peer/link/outgoing.hpp
@@ -21,6 +21,9 @@
 /// keeps a bounded number of messages while it connects, and drops the rest,
 /// since delivery is at most once anyway.
 ///
+/// A connection that does not answer for a while is replaced by a new one. It stays open for
+/// some time, so that messages which a full link delays still arrive.
+///
 /// Thread safety: the peer link's thread.
 class outgoing final : private kj::TaskSet::ErrorHandler
 {
@@ -39,29 +42,43 @@
     /// One TCP connection with its RPC system.
     struct connection
     {
-        connection(kj::Own<kj::AsyncIoStream> opened);
+        connection(kj::Own<kj::AsyncIoStream> opened, std::uint64_t connection_number);
+
+        /// Sets the deadlines for the next answer.
+        void await_answer(instant now);
+        /// Records that the peer answered a message.
+        void answered(instant now);
 
         kj::Own<kj::AsyncIoStream> stream;
         capnp::TwoPartyClient rpc;
         schema::Mailbox::Client mailbox;
+        std::uint64_t number; ///< Differs for each connection, so that late answers are ignored.
+        std::size_t in_flight = 0;
+        instant replace_at = never; ///< When a connection in its place is opened.
+        instant give_up_at = never; ///< When the peer counts as not answering.
     };
 
-    void connect();
+    void connect(instant now);
     void connected(kj::Own<kj::AsyncIoStream> stream);
+    void connect_failed();
     void transmit(envelope const& message);
-    void lost();
+    void handle_answer(std::uint64_t number);
+    void handle_failure(std::uint64_t number);
+    /// Returns the open connection with this number, or null.
+    connection* find(std::uint64_t number);
+    void check_connections(instant now);
+    void lose_connection();
     void taskFailed(kj::Exception&& e) override;
 
     kj::AsyncIoContext& io_;
     endpoint where_;
     kernel::counter_set& counters_;
-    std::unique_ptr<connection> connection_;
+    std::unique_ptr<connection> connection_; ///< For new messages.
+    std::unique_ptr<connection> replaced_;   ///< May still deliver messages sent earlier.
     std::deque<envelope> waiting_;
-    std::size_t in_flight_ = 0;
-    instant oldest_deadline_ = never; ///< When the peer counts as not answering.
     bool connecting_ = false;
     instant connect_again_;
-    std::uint64_t epoch_ = 0; ///< Numbers connections, so that late answers are told apart.
+    std::uint64_t last_number_ = 0; ///< Of the newest connection or attempt.
     kj::TaskSet tasks_;
 };
 
