--- a/plugins/control/roster/target_table.cpp
+++ b/plugins/control/roster/target_table.cpp
@@ -45,16 +45,36 @@
 {
     if (is_bare_end(notice))
         return false;
+    auto const neighbours = ids_at_.find(notice.where);
+    if (neighbours == ids_at_.end())
+        return false;
     // A later start at the same address implies that this one ended.
-    auto const supersedes = [&](auto const& each)
-    {
-        auto const& other = each.second.notice;
-        return other.id != notice.id && other.where == notice.where && other.start > notice.start;
-    };
-    return std::any_of(rows_.begin(), rows_.end(), supersedes);
+    auto const supersedes = [&](target_id const& id)
+    { return id != notice.id && rows_.at(id).notice.start > notice.start; };
+    return std::any_of(neighbours->second.begin(), neighbours->second.end(), supersedes);
+}
+
+void target_table::set_notice(row& it, target_notice const& notice)
+{
+    if (it.notice.where != notice.where)
+        forget_address(it.notice);
+    it.notice = notice;
+    if (!is_bare_end(notice))
+        ids_at_[notice.where].insert(notice.id);
+}
+
+void target_table::forget_address(target_notice const& notice)
+{
+    auto const neighbours = ids_at_.find(notice.where);
+    if (neighbours == ids_at_.end())
+        return;
+    neighbours->second.erase(notice.id);
+    if (neighbours->second.empty())
+        ids_at_.erase(neighbours);
 }
 
-bool target_table::update(target_notice const& notice, instant now)
+bool target_table::update(target_notice const& notice, std::optional<instance_id> source,
+                          instant now)
 {
     auto const notice_time = now - notice.age;
     if (is_superseded(notice))
@@ -79,7 +99,8 @@
     if (!added && is_bare_end(notice))
         end_start(known.notice, notice.start);
     else
-        known.notice = notice;
+        set_notice(known, notice);
+    known.source = source;
     known.last_notice = added ? notice_time : std::max(known.last_notice, notice_time);
     unforwarded_.insert(notice.id);
     if (!changed)
@@ -101,9 +122,11 @@
         return &known.notice;
     end_start(known.notice, start.value_or(known.notice.start));
     known.last_notice = now;
+    known.source.reset();
     if (known.notice.standing != target_standing::gone)
         set_standing(known, target_standing::gone, now);
     known.forward_until = now + leave_forward_time;
+    known.first_exchange.reset();
     return &known.notice;
 }
 
@@ -118,6 +141,7 @@
     it.notice.standing = standing;
     newest_change_ = sequence_id(newest_change_.value() + 1);
     it.change_number = newest_change_;
+    it.first_exchange.reset();
     if (standing != target_standing::serving)
         it.forward_until = now + leave_forward_time;
 }
@@ -126,10 +150,10 @@
 {
     if (is_bare_end(replacement))
         return;
-    for (auto& [id, it] : rows_)
+    for (auto const& id : ids_at_[replacement.where])
     {
-        bool const replaced = id != replacement.id && it.notice.where == replacement.where &&
-                              it.notice.start < replacement.start &&
+        auto& it = rows_.at(id);
+        bool const replaced = id != replacement.id && it.notice.start < replacement.start &&
                               it.notice.standing != target_standing::gone;
         if (replaced)
             set_standing(it, target_standing::gone, now);
@@ -145,8 +169,11 @@
                   [&](auto const& each)
                   {
                       auto const& it = each.second;
-                      return it.notice.standing == target_standing::gone &&
-                             it.last_notice + gone_retention < now;
+                      bool const obsolete = it.notice.standing == target_standing::gone &&
+                                            it.last_notice + gone_retention < now;
+                      if (obsolete)
+                          forget_address(it.notice);
+                      return obsolete;
                   });
 }
 
@@ -192,14 +219,19 @@
     return out;
 }
 
-std::vector<target_notice> target_table::take_unforwarded(instant now)
+std::vector<outgoing_notice> target_table::take_unforwarded(sequence_id exchange, instant now)
 {
-    std::vector<target_notice> out;
-    for (auto const& [id, it] : rows_)
+    std::vector<outgoing_notice> out;
+    for (auto& [id, it] : rows_)
     {
-        if (!unforwarded_.contains(id) && it.forward_until < now)
+        bool const is_ending = it.forward_until >= now;
+        if (!is_ending && !unforwarded_.contains(id))
             continue;
-        out.push_back(forwarded_notice(it, now));
+        if (is_ending && (!it.first_exchange || unforwarded_.contains(id)))
+            it.first_exchange = exchange;
+        out.push_back({.notice = forwarded_notice(it, now),
+                       .source = it.source,
+                       .first_exchange = is_ending ? it.first_exchange : std::nullopt});
     }
     unforwarded_.clear();
     return out;
