Let messages wait for the connection that replaces a silent one

What callers may see: an entry whose report to a control instance was answered on a connection that had gone silent got no answer to the next one either: the message that finds out was sent on the old connection, and lost. It now waits for the new connection, or goes out on the old one if none comes about. The new test failed before.

--- a/plugins/peer/link/outgoing.cpp
+++ b/plugins/peer/link/outgoing.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <utility>
 
 namespace mulberryrudder::peer
 {
@@ -81,7 +82,7 @@
 {
     auto const now = monotonic_now();
     check_connections(now);
-    if (connection_)
+    if (connection_ && !connecting_)
         return transmit(message);
     if (waiting_.size() >= most_waiting)
     {
@@ -146,10 +147,7 @@
         replaced_ = std::move(connection_);
     }
     connection_ = std::make_unique<connection>(kj::mv(stream), last_number_);
-    auto messages = std::move(waiting_);
-    waiting_.clear();
-    for (auto const& it : messages)
-        transmit(it);
+    transmit_waiting();
 }
 
 void outgoing::connect_failed()
@@ -157,8 +155,20 @@
     connecting_ = false;
     connect_again_ = monotonic_now() + connect_pause;
     if (connection_)
-        return;
+        return transmit_waiting();
     counters_.add(connections_lost);
+    drop_waiting();
+}
+
+void outgoing::transmit_waiting()
+{
+    auto const messages = std::exchange(waiting_, {});
+    for (auto const& it : messages)
+        transmit(it);
+}
+
+void outgoing::drop_waiting()
+{
     counters_.add(messages_dropped, waiting_.size());
     waiting_.clear();
 }
@@ -213,6 +223,7 @@
 void outgoing::lose_connection()
 {
     counters_.add(connections_lost);
+    drop_waiting();
     connection_.reset();
     connecting_ = false;
     ++last_number_; // Ignores the result of a connection attempt.
--- a/plugins/peer/link/outgoing.hpp
+++ b/plugins/peer/link/outgoing.hpp
@@ -21,8 +21,9 @@
 /// keeps a bounded number of messages while it connects, and drops the rest,
 /// since delivery is at most once anyway.
 ///
-/// A connection that does not answer for a while is replaced by a new one. It stays open for
-/// some time, so that messages which a full link delays still arrive.
+/// A connection that does not answer for a while is replaced by a new one, for which further
+/// messages wait. It stays open for some time, so that messages which a full link delays still
+/// arrive.
 ///
 /// Thread safety: the peer link's thread.
 class outgoing final : private kj::TaskSet::ErrorHandler
@@ -62,6 +63,8 @@
     void connected(kj::Own<kj::AsyncIoStream> stream);
     void connect_failed();
     void transmit(envelope const& message);
+    void transmit_waiting();
+    void drop_waiting();
     void handle_answer(std::uint64_t number);
     void handle_failure(std::uint64_t number);
     /// Returns the open connection with this number, or null.
--- a/tests/peer/outgoing_test.cpp
+++ b/tests/peer/outgoing_test.cpp
@@ -134,6 +134,7 @@
     CPPUNIT_TEST(a_connection_is_given_up_with_messages_on_their_way);
     CPPUNIT_TEST(a_peer_that_does_not_listen_yet_is_tried_again);
     CPPUNIT_TEST(a_connection_that_goes_silent_is_replaced);
+    CPPUNIT_TEST(the_next_message_after_a_connection_went_silent_arrives);
     CPPUNIT_TEST(messages_on_a_slow_connection_arrive);
     CPPUNIT_TEST_SUITE_END();
 
@@ -219,6 +220,21 @@
         CPPUNIT_ASSERT_MESSAGE("arrives after the silence", taken_.back() > 1);
     }
 
+    // Guards against an entry that gets no answer: each of its reports to a control instance was
+    // answered on the connection that had gone silent.
+    void the_next_message_after_a_connection_went_silent_arrives()
+    {
+        start_relayed_peer();
+        send(1);
+        pass(milliseconds(100));
+        relay_->silence();
+        send(2);
+        pass(leave_limit);
+        send(3);
+        pass(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, taken_.back());
+    }
+
     // Guards against the loss of messages that a full link delays: they are late, and would be
     // late again.
     void messages_on_a_slow_connection_arrive()
