--- a/tests/control/replica/fake_group.cpp
+++ b/tests/control/replica/fake_group.cpp
@@ -56,6 +56,7 @@
     ++instance.start;
     identity self{.boot = boot_id(instance.start), .initial_voters = initial_voters_};
     self.self.id = instance.id;
+    self.operators = operator_address(id);
     self.may_found = may_found;
     if (seeds_by_address)
         for (auto const seed : initial_voters_)
@@ -113,9 +114,22 @@
     network = {};
 }
 
-void fake_group::send_operator_request(std::uint32_t id, any_message request)
+operator_request_id fake_group::send_operator_request(std::uint32_t id, any_message request)
 {
-    deliver(at(id), operator_asked{operator_request_id(++next_request_), std::move(request)});
+    operator_request_id const out(++next_request_);
+    deliver_when_running(id, at(id).start, operator_asked{out, std::move(request)});
+    return out;
+}
+
+any_message const* fake_group::answer_to(operator_request_id id) const
+{
+    auto const it = answer_by_request_.find(id);
+    return it == answer_by_request_.end() ? nullptr : &it->second;
+}
+
+endpoint fake_group::operator_address(std::uint32_t id)
+{
+    return {"10.0.0." + std::to_string(id), 8000};
 }
 
 void fake_group::run_for(span duration)
@@ -182,7 +196,10 @@
         if (auto const* const sent = std::get_if<send_message>(&it))
             transmit(sent->message);
         if (auto const* const answer = std::get_if<answer_operator>(&it))
+        {
             answers.push_back(answer->body);
+            answer_by_request_.emplace(answer->id, answer->body);
+        }
         if (auto const* const saved = std::get_if<persist_snapshot>(&it))
             write(instance, *saved);
         if (auto const* const saved = std::get_if<persist>(&it))
--- a/tests/control/replica/fake_group.hpp
+++ b/tests/control/replica/fake_group.hpp
@@ -78,7 +78,12 @@
     void set_link_cut(std::uint32_t sender, std::uint32_t receiver, bool cut);
     void isolate(std::uint32_t id);
     void heal();
-    void send_operator_request(std::uint32_t id, any_message request);
+    /// Sends a request of an operator to an instance that is up; returns its id, for answer_to().
+    operator_request_id send_operator_request(std::uint32_t id, any_message request);
+    /// Returns the answer to a request of an operator, or null.
+    any_message const* answer_to(operator_request_id id) const;
+    /// Returns where an instance accepts operators' requests.
+    static endpoint operator_address(std::uint32_t id);
 
     void run_for(span duration);
     /// Runs until `done` returns true or the timeout expires; returns the last result of `done`.
@@ -97,7 +102,7 @@
 
     instant now() const { return now_; }
     random_source& random() { return random_; }
-    std::vector<any_message> answers;
+    std::vector<any_message> answers; ///< All of them, the oldest first.
     network_options network;
     span sync_delay = milliseconds(2);
     bool seeds_by_address = false; ///< The settings give the seeds by address, without ids.
@@ -135,6 +140,7 @@
     std::priority_queue<event, std::vector<event>, std::greater<>> events_;
     std::uint64_t order_ = 0;
     std::uint64_t next_request_ = 0;
+    std::map<operator_request_id, any_message> answer_by_request_;
     std::set<std::pair<std::uint32_t, std::uint32_t>> cut_links_;
 
     std::map<term_id, instance_id> leaders_;
