Test that a leave outlives a restart of all control instances

Leaves are not on disk. The test restarts all control instances 400 ms after a leave, which is acknowledged and which no entry knows; the target goes on announcing that it leaves, as targets do until they end. All entries know of it within Contact.

--- a/tests/roster_fleet/roster_fleet.cpp
+++ b/tests/roster_fleet/roster_fleet.cpp
@@ -293,7 +293,9 @@
         if (!receiver)
             continue;
         it.sequence = sequence_id(it.sequence.value() + 1);
-        request(*receiver, any_message::of(control::target_announced{notice(target, it.sequence)}));
+        auto announcement = notice(target, it.sequence);
+        announcement.standing = it.standing;
+        request(*receiver, any_message::of(control::target_announced{announcement}));
     }
 }
 
@@ -313,6 +315,17 @@
     return request(control, any_message::of(control::target_announced{announcement}));
 }
 
+control::operator_request_id roster_fleet::leave_repeatedly(std::size_t control, int target)
+{
+    auto announcing = targets_.at(target);
+    auto const out = leave(control, target);
+    announcing.sequence = sequence_id(announcing.sequence.value() + 1);
+    announcing.standing = target_standing::leaving;
+    announcing.next_announcement = now_ + announcement_interval;
+    targets_[target] = announcing;
+    return out;
+}
+
 control::operator_request_id roster_fleet::deregister(std::size_t control, int target)
 {
     targets_.erase(target);
--- a/tests/roster_fleet/roster_fleet.hpp
+++ b/tests/roster_fleet/roster_fleet.hpp
@@ -44,6 +44,10 @@
     /// Announces that a target leaves; returns the id of the request, for answer().
     control::operator_request_id leave(std::size_t control, int target);
 
+    /// Announces that a target leaves, now at this control instance and then periodically at one
+    /// that is reachable, until the end.
+    control::operator_request_id leave_repeatedly(std::size_t control, int target);
+
     /// Deregisters a target, which never announced that it leaves; returns the id of the
     /// request, for answer().
     control::operator_request_id deregister(std::size_t control, int target);
@@ -113,6 +117,7 @@
     {
         sequence_id sequence;
         instant next_announcement;
+        messages::target_standing standing = messages::target_standing::serving;
     };
 
     std::unique_ptr<control::core> make_control(std::size_t n);
@@ -151,7 +156,7 @@
     std::set<std::size_t> isolated_;
     std::set<std::size_t> frozen_;
     std::set<std::size_t> disconnected_;
-    std::map<int, announcer> targets_; ///< Serving targets.
+    std::map<int, announcer> targets_; ///< Those that announce themselves.
     std::map<control::operator_request_id, any_message> answers_;
     byte_count sent_to_entries_{0};
     int tables_sent_ = 0;
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(an_old_announcement_to_a_restarted_control_instance_restores_no_target);
     CPPUNIT_TEST(a_partition_of_control_instances_ends_with_one_table_from_each);
     CPPUNIT_TEST(a_restart_of_all_control_instances_removes_no_target);
+    CPPUNIT_TEST(entries_learn_of_a_leave_that_all_control_instances_forgot);
     CPPUNIT_TEST(an_announcement_reaches_each_control_instance_once);
     CPPUNIT_TEST(a_leave_is_forwarded_until_it_is_acknowledged);
     CPPUNIT_TEST(announcements_reach_control_instances_that_do_not_hear_their_recipient);
@@ -244,6 +245,30 @@
         }
     }
 
+    // Guards against a violation of DRAIN: all control instances restart after the
+    // acknowledgement of a leave, which is not on their disks, before any entry learns of it. The
+    // target repeats that it leaves until it ends.
+    void entries_learn_of_a_leave_that_all_control_instances_forgot()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            start(small_total, seed);
+            std::set<std::size_t> all_entries;
+            for (std::size_t n = 0; n != fleet_->entries(); ++n)
+                all_entries.insert(n);
+            fleet_->disconnect(all_entries);
+            auto const id = fleet_->leave_repeatedly(7, 11);
+            fleet_->run(milliseconds(400));
+            CPPUNIT_ASSERT_MESSAGE("the leave is acknowledged", is_held(id));
+            for (std::size_t n = 0; n != 9; ++n)
+                fleet_->restart_control(n);
+            fleet_->disconnect({});
+            fleet_->run(contact);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("entries that still send requests", 0,
+                                         entries_serving(11));
+        }
+    }
+
     // Guards against a violation of AckTimeout: each control instance forwarded the announcements
     // that others had forwarded to it, and with many targets had no time left to decide orders.
     void an_announcement_reaches_each_control_instance_once()
