Forward a leave again that its target repeats

What callers may see: a request that reaches a target after its leave was acknowledged. A target repeats its leave until it ends. A repeat that came more than 5 s after the first leave was not forwarded, or once only, while the answer counted every instance that acknowledged the next message as a holder. After a cut of more than 5 s none of them had to hold it.

A repeat by the target is now forwarded like the first leave, for 5 s or until each instance acknowledged it.

--- a/plugins/control/roster/target_table.cpp
+++ b/plugins/control/roster/target_table.cpp
@@ -83,6 +83,13 @@
     auto& known = position->second;
     if (!added && notice_order(notice) < notice_order(known.notice))
         return false;
+    // The answer to the target counts acknowledgements of the next exchange, which must contain
+    // the leave.
+    if (!source && notice.standing != target_standing::serving)
+    {
+        known.forward_until = now + leave_forward_time;
+        known.first_exchange.reset();
+    }
     if (!added && notice_order(notice) == notice_order(known.notice) &&
         notice.standing <= known.notice.standing)
     {
--- a/tests/control/roster/target_table_test.cpp
+++ b/tests/control/roster/target_table_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(a_target_without_notices_is_gone_until_its_next_notice);
     CPPUNIT_TEST(a_leaving_target_is_forwarded_repeatedly);
     CPPUNIT_TEST(each_notice_of_a_leaving_target_is_acknowledged_anew);
+    CPPUNIT_TEST(a_leave_that_its_target_repeats_late_is_forwarded_until_it_is_acknowledged);
     CPPUNIT_TEST(a_notice_names_the_instance_that_sent_it);
     CPPUNIT_TEST(a_target_that_moved_leaves_its_address_to_others);
     CPPUNIT_TEST(the_remaining_cold_time_decreases);
@@ -170,6 +171,22 @@
         CPPUNIT_ASSERT(first_exchange(sequence_id(10)) == sequence_id(10));
     }
 
+    // Guards against a false acknowledgement of a leave: the target repeats it after the time for
+    // which leaves are forwarded. No message contains it, and yet it counts as held by each
+    // instance that acknowledges the next message.
+    void a_leave_that_its_target_repeats_late_is_forwarded_until_it_is_acknowledged()
+    {
+        auto leaving = notice("a", 1, 1);
+        leaving.standing = target_standing::leaving;
+        update(leaving);
+        first_exchange(sequence_id(7));
+        now_ += seconds(6);
+        update(leaving);
+        auto const forwarded = table_.take_unforwarded(sequence_id(8), now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwarded.size());
+        CPPUNIT_ASSERT(forwarded.front().first_exchange == sequence_id(8));
+    }
+
     void a_notice_names_the_instance_that_sent_it()
     {
         table_.update(notice("a", 1, 1), instance_id(3), now_);
