Send entries how a plan changed, and the figures of the fleet once a second

Callers saw: nothing by itself.

Cause: each answer to a report with an older generation held the whole plan, also when only a rollout's share had changed, and again after each timeout and from each instance that was asked. Each answer also named all control instances and two figures for each customer, at up to 25 answers a second and entry while targets change: by the encoding, over 4 KB with 86 customers.

An entry asks for the figures of the fleet if it did not receive them for a second. Entries and control of earlier builds get and send what they did before: the new fields of a report default to whole plans with all figures. Settings and events of the roster stage stand in files of their own, unchanged.

Evidence: a change of one of 61 routes and no customer takes less than a tenth of the bytes of the plan (a_change_of_one_route_is_sent_without_the_rest_of_the_plan; there was no difference before).

--- a/include/mulberryrudder/messages/roster.hpp
+++ b/include/mulberryrudder/messages/roster.hpp
@@ -1,6 +1,7 @@
 #ifndef MULBERRYRUDDER_MESSAGES_ROSTER_HPP
 #define MULBERRYRUDDER_MESSAGES_ROSTER_HPP
 
+#include <mulberryrudder/messages/steering_difference.hpp>
 #include <mulberryrudder/messages/target_summary.hpp>
 
 #include <cstdint>
@@ -53,6 +54,10 @@
     /// It searches for an instance whose state is confirmed; the receiver need not report at
     /// once that its own is not.
     bool searching = false;
+    /// It asks for the figures of the fleet, too: `control`, `entries`, `shares` and `demand`.
+    bool wants_fleet = true;
+    /// It can apply a difference to the steering state that it holds.
+    bool takes_difference = false;
 };
 
 /// The answer to a poll.
@@ -68,8 +73,13 @@
     /// may miss orders that were acknowledged since.
     bool current = true;
     std::optional<milliseconds> confirmed_age; ///< As in a roster_exchange.
-    shared_steering steering;                  ///< Only if newer than what the poll named.
+    milliseconds held_for{0}; ///< Time between the arrival of the poll and its answer.
+    /// A state that is newer than the one that the poll named: as a whole, or as the difference
+    /// from that one. At most one of the two is set.
+    shared_steering steering;
+    std::optional<steering_difference> difference;
     std::vector<target_notice> targets;
+    bool has_fleet = true; ///< The members below are set.
     std::vector<instance_description> control;
     std::uint32_t entries_in_domain = 1; ///< Ready ones in the asker's failure domain.
     std::uint32_t entries = 1;           ///< Ready ones in the fleet.
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -1,6 +1,7 @@
 #include "control_table.hpp"
 #include "entry_table.hpp"
 #include "state_confirmation.hpp"
+#include "state_history.hpp"
 #include "table_sync.hpp"
 #include "target_table.hpp"
 
@@ -166,6 +167,7 @@
         update_confirmation(ctx);
         // A new steering state is announced immediately, so that the other instances request
         // it or count this instance among its holders.
+        history_.add(steering().steering());
         bool const steering_changed = steering().steering()->generation != sent_generation_;
         if (steering_changed || ctx.now >= exchange_due_)
         {
@@ -220,6 +222,7 @@
     struct held_poll
     {
         messages::roster_poll poll;
+        instant received;
         instant deadline;
     };
     /// A leaving target that gets its answer once a majority knows that it leaves.
@@ -513,7 +516,7 @@
         ctx.counters.add(polls_counter);
         update_entry_address(poll.self.who, poll.self.boot, ctx);
         entries_.update_from_entry(poll.self, ctx.now);
-        polls_[sender] = {poll, ctx.now + config_.poll_timeout};
+        polls_[sender] = {poll, ctx.now, ctx.now + config_.poll_timeout};
         answer_polls(ctx);
     }
 
@@ -561,34 +564,57 @@
                           auto const& [id, it] = each;
                           if (ctx.now < it.deadline && !has_update(it.poll, ctx.now))
                               return false;
-                          answer_poll(id, it.poll, ctx);
+                          answer_poll(id, it, ctx);
                           return true;
                       });
     }
 
-    void answer_poll(instance_id receiver, messages::roster_poll const& poll, context& ctx)
+    void answer_poll(instance_id receiver, held_poll const& held, context& ctx)
     {
+        auto const& poll = held.poll;
         auto const state = steering().steering();
         auto const since = poll.known_boot == boot_ ? poll.known : sequence_id();
-        auto const& domain = poll.self.who.domain;
-        messages::roster_update out{
-            .poll = poll.self.sequence,
-            .boot = boot_,
-            .newest = targets_.newest_change(),
-            .connected = is_connected(ctx.now),
-            .current = is_current(ctx.now),
-            .confirmed_age = confirmed_age(ctx.now),
-            .steering = state->generation > poll.generation ? state : nullptr,
-            .targets = targets_.changed_since(since, poll.held, ctx.now),
-            .control = controls_.instances_since(ctx.now - control_retention),
-            .entries_in_domain = std::max(entries_.ready_count_in(domain), 1U),
-            .entries = std::max(entries_.ready_count(), 1U),
-            .shares = entries_.shares_of(receiver),
-            .demand = entries_.demand()};
-        out.control.push_back(ctx.self.self);
+        messages::roster_update out{.poll = poll.self.sequence,
+                                    .boot = boot_,
+                                    .newest = targets_.newest_change(),
+                                    .connected = is_connected(ctx.now),
+                                    .current = is_current(ctx.now),
+                                    .confirmed_age = confirmed_age(ctx.now),
+                                    .held_for =
+                                        std::chrono::floor<milliseconds>(ctx.now - held.received),
+                                    .targets = targets_.changed_since(since, poll.held, ctx.now),
+                                    .has_fleet = poll.wants_fleet};
+        if (state->generation > poll.generation)
+            add_state(poll, state, out);
+        if (poll.wants_fleet)
+            add_fleet(receiver, poll.self.who.domain, out, ctx);
         ctx.send(receiver, std::move(out));
     }
 
+    /// Adds a state that is newer than the one of a poll, as a difference where possible.
+    void add_state(messages::roster_poll const& poll, shared_steering const& state,
+                   messages::roster_update& out)
+    {
+        history_.add(state);
+        auto const* const difference =
+            poll.takes_difference ? history_.difference_from(poll.generation) : nullptr;
+        if (difference != nullptr)
+            out.difference = *difference;
+        else
+            out.steering = state;
+    }
+
+    void add_fleet(instance_id receiver, domain_id const& domain, messages::roster_update& out,
+                   context& ctx) const
+    {
+        out.control = controls_.instances_since(ctx.now - control_retention);
+        out.control.push_back(ctx.self.self);
+        out.entries_in_domain = std::max(entries_.ready_count_in(domain), 1U);
+        out.entries = std::max(entries_.ready_count(), 1U);
+        out.shares = entries_.shares_of(receiver);
+        out.demand = entries_.demand();
+    }
+
     void handle_look_up(operator_request_id requester, entry_question const& question, context& ctx)
     {
         ctx.answer(requester,
@@ -604,6 +630,7 @@
     control_table controls_;
     table_sync sync_;
     state_confirmation confirmation_;
+    state_history history_;
     std::optional<instant> confirmed_at_; ///< Of the steering state, as of the last tick.
     bool was_current_ = false;            ///< As of the last tick.
     std::map<instance_id, entry_process> entry_processes_;
--- /dev/null
+++ b/plugins/entry/roster/roster_events.cpp
@@ -0,0 +1,80 @@
+#include "roster_events.hpp"
+
+namespace mulberryrudder::entry
+{
+
+kernel::event_kind const target_learned_event{{.number = 300,
+                                               .name = "targets.learned",
+                                               .level = kernel::severity::info,
+                                               .meaning = "Control reported a change of a target.",
+                                               .action = "None."}};
+kernel::event_kind const steering_learned_event{
+    {.number = 301,
+     .name = "steering.learned",
+     .level = kernel::severity::info,
+     .meaning = "This instance applies a newer steering state.",
+     .action = "None."}};
+kernel::event_kind const control_unanswered_event{
+    {.number = 302,
+     .name = "control.unanswered",
+     .level = kernel::severity::warning,
+     .meaning =
+         "A control instance did not answer a report; the next one goes to another instance.",
+     .action = "If it persists, check that instance and the network path to it."}};
+kernel::event_kind const control_answered_event{
+    {.number = 303,
+     .name = "control.answered",
+     .level = kernel::severity::info,
+     .meaning = "A control instance answers that was not the current one; it receives the next "
+                "reports.",
+     .action = "None."}};
+
+kernel::event_kind const control_disconnected_event{
+    {.number = 304,
+     .name = "control.apart",
+     .level = kernel::severity::warning,
+     .meaning =
+         "A control instance is connected to too few others; the next report goes to another "
+         "instance.",
+     .action = "Check the connections between the control instances."}};
+
+kernel::event_kind const late_answer_event{
+    {.number = 305,
+     .name = "control.answered_late",
+     .level = kernel::severity::warning,
+     .meaning = "A control instance answered a report after its timeout; the answer is applied. "
+                "`targets` is the number of target notices in it.",
+     .action = "If it persists, check the load of the network link to that instance."}};
+
+kernel::event_kind const search_begun_event{
+    {.number = 306,
+     .name = "control.search_begun",
+     .level = kernel::severity::warning,
+     .meaning = "This instance asks all control instances which of them is current. The field "
+                "`reason` is `unanswered`, `apart` or `unconfirmed`, `age_ms` the age of the last "
+                "confirmation that its own one reported, -1 without one.",
+     .action = "If it persists, check whether control has a leader, and the connections to it."}};
+
+kernel::event_kind const search_ended_event{
+    {.number = 307,
+     .name = "control.search_ended",
+     .level = kernel::severity::info,
+     .meaning = "A control instance answered whose steering state is confirmed.",
+     .action = "None."}};
+
+kernel::event_kind const control_chosen_event{
+    {.number = 308,
+     .name = "control.chosen",
+     .level = kernel::severity::info,
+     .meaning = "The next report goes to a control instance that replied to a probe: its state "
+                "is confirmed or newer than the one that this instance holds.",
+     .action = "None."}};
+
+kernel::histogram_kind const confirmation_age(
+    "control.confirmation_age",
+    "Age of the last confirmation of the steering state, as a control instance reported it.");
+kernel::histogram_kind const
+    notice_age("targets.news_age", "Age of the news that a target leaves, as control told it.");
+kernel::counter_kind const reports_counter("roster.reports", "Reports sent to control.");
+
+} // namespace mulberryrudder::entry
--- /dev/null
+++ b/plugins/entry/roster/roster_settings.cpp
@@ -0,0 +1,22 @@
+#include "roster_settings.hpp"
+
+namespace mulberryrudder::entry
+{
+
+kernel::section<roster_settings> const roster_section{
+    "entry_roster",
+    {
+        kernel::field(
+            "answer_limit", &roster_settings::answer_timeout, {50, 60'000},
+            "Milliseconds without an answer after which the next report goes to another control "
+            "instance; must exceed the time for which control delays an answer."),
+        kernel::field("first_answer_limit", &roster_settings::first_answer_timeout, {10, 60'000},
+                      "The same for the first report to a control instance, which it answers "
+                      "without delay; doubles with each report that is not answered."),
+        kernel::field(
+            "least_pause", &roster_settings::min_report_interval, {1, 10'000},
+            "Minimum number of milliseconds between two reports; a series of changes is answered "
+            "together."),
+    }};
+
+} // namespace mulberryrudder::entry
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -1,9 +1,12 @@
 #include "control_choice.hpp"
 #include "control_search.hpp"
 #include "listed_targets.hpp"
+#include "roster_events.hpp"
+#include "roster_settings.hpp"
 
 #include <mulberryrudder/entry/plan_view.hpp>
 #include <mulberryrudder/entry/stage.hpp>
+#include <mulberryrudder/fleet/steering_difference.hpp>
 
 #include <algorithm>
 #include <array>
@@ -15,108 +18,13 @@
 namespace
 {
 
-struct roster_settings
-{
-    milliseconds answer_timeout{1300};
-    milliseconds first_answer_timeout{250};
-    milliseconds min_report_interval{40};
-    milliseconds disconnected_retry_delay{150};
-};
-
-kernel::section<roster_settings> const roster_section{
-    "entry_roster",
-    {
-        kernel::field(
-            "answer_limit", &roster_settings::answer_timeout, {50, 60'000},
-            "Milliseconds without an answer after which the next report goes to another control "
-            "instance; must exceed the time for which control delays an answer."),
-        kernel::field("first_answer_limit", &roster_settings::first_answer_timeout, {10, 60'000},
-                      "The same for the first report to a control instance, which it answers "
-                      "without delay; doubles with each report that is not answered."),
-        kernel::field(
-            "least_pause", &roster_settings::min_report_interval, {1, 10'000},
-            "Minimum number of milliseconds between two reports; a series of changes is answered "
-            "together."),
-    }};
-
-kernel::event_kind const target_learned_event{{.number = 300,
-                                               .name = "targets.learned",
-                                               .level = kernel::severity::info,
-                                               .meaning = "Control reported a change of a target.",
-                                               .action = "None."}};
-kernel::event_kind const steering_learned_event{
-    {.number = 301,
-     .name = "steering.learned",
-     .level = kernel::severity::info,
-     .meaning = "This instance applies a newer steering state.",
-     .action = "None."}};
-kernel::event_kind const control_unanswered_event{
-    {.number = 302,
-     .name = "control.unanswered",
-     .level = kernel::severity::warning,
-     .meaning =
-         "A control instance did not answer a report; the next one goes to another instance.",
-     .action = "If it persists, check that instance and the network path to it."}};
-kernel::event_kind const control_answered_event{
-    {.number = 303,
-     .name = "control.answered",
-     .level = kernel::severity::info,
-     .meaning = "A control instance answers that was not the current one; it receives the next "
-                "reports.",
-     .action = "None."}};
-
-kernel::event_kind const control_disconnected_event{
-    {.number = 304,
-     .name = "control.apart",
-     .level = kernel::severity::warning,
-     .meaning =
-         "A control instance is connected to too few others; the next report goes to another "
-         "instance.",
-     .action = "Check the connections between the control instances."}};
-
-kernel::event_kind const late_answer_event{
-    {.number = 305,
-     .name = "control.answered_late",
-     .level = kernel::severity::warning,
-     .meaning = "A control instance answered a report after its timeout; the answer is applied. "
-                "`targets` is the number of target notices in it.",
-     .action = "If it persists, check the load of the network link to that instance."}};
-
-kernel::event_kind const search_begun_event{
-    {.number = 306,
-     .name = "control.search_begun",
-     .level = kernel::severity::warning,
-     .meaning = "This instance asks all control instances which of them is current. The field "
-                "`reason` is `unanswered`, `apart` or `unconfirmed`, `age_ms` the age of the last "
-                "confirmation that its own one reported, -1 without one.",
-     .action = "If it persists, check whether control has a leader, and the connections to it."}};
-
-kernel::event_kind const search_ended_event{
-    {.number = 307,
-     .name = "control.search_ended",
-     .level = kernel::severity::info,
-     .meaning = "A control instance answered whose steering state is confirmed.",
-     .action = "None."}};
-
-kernel::event_kind const control_chosen_event{
-    {.number = 308,
-     .name = "control.chosen",
-     .level = kernel::severity::info,
-     .meaning = "The next report goes to a control instance that replied to a probe: its state "
-                "is confirmed or newer than the one that this instance holds.",
-     .action = "None."}};
-
-kernel::histogram_kind const confirmation_age(
-    "control.confirmation_age",
-    "Age of the last confirmation of the steering state, as a control instance reported it.");
-kernel::histogram_kind const
-    notice_age("targets.news_age", "Age of the news that a target leaves, as control told it.");
-kernel::counter_kind const reports_counter("roster.reports", "Reports sent to control.");
-
 /// Limit of the doublings of the timeout of a first answer.
 constexpr int max_doublings = 4;
 /// Number of latest reports whose answers are accepted, even after the timeout.
 constexpr std::size_t max_pending_reports = 32;
+/// Time between two reports that ask for the figures of the fleet, which are much longer than
+/// the rest of an answer.
+constexpr seconds fleet_interval{1};
 
 /// Reports to a control instance and receives the plan, the targets and the shares of the
 /// rates in its answers.
@@ -281,18 +189,23 @@
                                   .known_boot = positions_[recipient].boot,
                                   .known = positions_[recipient].known,
                                   .held = std::nullopt,
-                                  .searching = search_.is_active()};
+                                  .searching = search_.is_active(),
+                                  .wants_fleet = ctx.now >= fleet_due_,
+                                  .takes_difference = takes_difference_};
         if (recipient != current_control_)
             out.held = listed_.summary(ctx.now);
         if (auto* const demand = services_.find<demand_view>())
             out.self.demand = demand->demand(ctx.now);
         out.self.outcomes = outcomes_;
+        bool const wants_fleet = out.wants_fleet;
         ctx.send(recipient, std::move(out));
         pending_reports_[last_report_] = {recipient, ctx.now};
         if (pending_reports_.size() > max_pending_reports)
             pending_reports_.erase(pending_reports_.begin());
         awaited_control_ = recipient;
         answer_deadline_ = ctx.now + answer_timeout(recipient == current_control_);
+        if (wants_fleet)
+            fleet_due_ = answer_deadline_;
         next_report_at_ = ctx.now + config_.min_report_interval;
     }
 
@@ -402,16 +315,20 @@
     /// may arrive late and from several control instances.
     void apply_update(messages::roster_update const& update, context& ctx)
     {
-        for (auto const& each : control_choice_.update_group(update.control))
-            ctx.out.push_back(learn_instance{.id = each.id, .peer = each.peer});
+        if (update.has_fleet)
+            for (auto const& each : control_choice_.update_group(update.control))
+                ctx.out.push_back(learn_instance{.id = each.id, .peer = each.peer});
         for (auto const& changed : listed_.update(update.targets, ctx.now))
             publish_change(changed, ctx);
         if (update.steering && update.steering->generation > steering_->generation)
             apply_steering(update.steering, ctx);
+        else if (update.difference && update.difference->base == steering_->generation)
+            apply_difference(*update.difference, ctx);
         if (update.confirmed_age)
             ctx.counters.observe(confirmation_age, *update.confirmed_age);
-        if (update.poll < newest_answered_)
+        if (!update.has_fleet || update.poll < newest_answered_)
             return;
+        fleet_due_ = ctx.now + fleet_interval;
         newest_answered_ = update.poll;
         entries_ = std::max<std::int64_t>(update.entries, 1);
         entries_in_domain_ = std::max<std::int64_t>(update.entries_in_domain, 1);
@@ -443,9 +360,19 @@
         next_report_at_ = ctx.now + config_.disconnected_retry_delay;
     }
 
+    /// Applies a difference from the state that this instance holds. One that does not fit is
+    /// ignored, and the next report asks for the whole state.
+    void apply_difference(messages::steering_difference const& difference, context& ctx)
+    {
+        takes_difference_ = false;
+        if (auto changed = fleet::changed(*steering_, difference))
+            apply_steering(std::make_shared<steering_state const>(std::move(*changed)), ctx);
+    }
+
     void apply_steering(shared_steering const& state, context& ctx)
     {
         steering_ = state;
+        takes_difference_ = state->plan != nullptr;
         discard_outcomes();
         auto const plan = state->plan ? state->plan->number.value() : 0;
         ctx.events.record(steering_learned_event,
@@ -490,6 +417,8 @@
     listed_targets listed_;
     shared_steering steering_ = std::make_shared<steering_state const>();
     shared_steering active_steering_; ///< The newest one that contains a plan.
+    bool takes_difference_ = false;   ///< The next report asks for a difference from it.
+    instant fleet_due_;               ///< When a report asks for the figures of the fleet.
     std::int64_t entries_ = 1;
     std::int64_t entries_in_domain_ = 1;
     std::map<customer_id, per_mille> shares_;
--- a/plugins/peer/codecs/roster_codec.cpp
+++ b/plugins/peer/codecs/roster_codec.cpp
@@ -204,6 +204,8 @@
     to.setKnownBoot(from.known_boot.value());
     to.setKnown(from.known.value());
     to.setSearching(from.searching);
+    to.setWantsFleet(from.wants_fleet);
+    to.setTakesDifference(from.takes_difference);
     if (!from.held)
         return;
     auto held = to.initHeld(messages::target_summary::parts);
@@ -230,7 +232,9 @@
                               .known_boot = boot_id(from.getKnownBoot()),
                               .known = sequence_id(from.getKnown()),
                               .held = decode_held(from.getHeld()),
-                              .searching = from.getSearching()};
+                              .searching = from.getSearching(),
+                              .wants_fleet = from.getWantsFleet(),
+                              .takes_difference = from.getTakesDifference()};
     return out;
 }
 
@@ -245,7 +249,14 @@
     to.setHasSteering(from.steering != nullptr);
     if (from.steering)
         encode_state(*from.steering, false, to.initSteering());
+    to.setHeldForMs(from.held_for.count());
+    to.setHasDifference(from.difference.has_value());
+    if (from.difference)
+        encode(*from.difference, to.initDifference());
     encode_list(from.targets, to.initTargets(size_of(from.targets)));
+    to.setHasFleet(from.has_fleet);
+    if (!from.has_fleet)
+        return;
     encode_list(from.control, to.initControl(size_of(from.control)));
     to.setEntriesInDomain(from.entries_in_domain);
     to.setEntries(from.entries);
@@ -261,8 +272,11 @@
                                 .connected = from.getConnected(),
                                 .current = from.getCurrent(),
                                 .confirmed_age = decode_confirmed_age(from),
+                                .held_for = milliseconds(from.getHeldForMs()),
                                 .steering = nullptr,
+                                .difference = std::nullopt,
                                 .targets = {},
+                                .has_fleet = from.getHasFleet(),
                                 .control = {},
                                 .entries_in_domain = from.getEntriesInDomain(),
                                 .entries = from.getEntries(),
@@ -270,6 +284,8 @@
                                 .demand = {}};
     if (from.getHasSteering())
         out.steering = std::make_shared<steering_state const>(decode(from.getSteering()));
+    if (from.getHasDifference())
+        out.difference = decode(from.getDifference());
     decode_list(from.getTargets(), out.targets);
     decode_list(from.getControl(), out.control);
     decode_numbers(from.getShares(), out.shares);
--- a/plugins/peer/codecs/steering_parts_codec.cpp
+++ b/plugins/peer/codecs/steering_parts_codec.cpp
@@ -102,6 +102,25 @@
 namespace
 {
 
+/// Sets the four fields of the limits of a plan or a difference of plans.
+template <class Builder>
+void encode_limits(caller_limits const& from, Builder& to)
+{
+    to.setMostHeader(from.most_header.count());
+    to.setMostBody(from.most_body.count());
+    to.setHeaderLimitMs(from.header_limit.count());
+    to.setIdleLimitMs(from.idle_limit.count());
+}
+
+template <class Reader>
+caller_limits decode_limits(Reader const& from)
+{
+    return {.most_header = byte_count(from.getMostHeader()),
+            .most_body = byte_count(from.getMostBody()),
+            .header_limit = milliseconds(from.getHeaderLimitMs()),
+            .idle_limit = milliseconds(from.getIdleLimitMs())};
+}
+
 void encode_plan(traffic_plan const& from, bool whole, Plan::Builder to)
 {
     to.setNumber(from.number.value());
@@ -109,10 +128,7 @@
     encode_list(from.services, to.initServices(size_of(from.services)));
     encode_list(from.customers, to.initCustomers(size_of(from.customers)));
     to.setKeyed(from.keyed);
-    to.setMostHeader(from.limits.most_header.count());
-    to.setMostBody(from.limits.most_body.count());
-    to.setHeaderLimitMs(from.limits.header_limit.count());
-    to.setIdleLimitMs(from.limits.idle_limit.count());
+    encode_limits(from.limits, to);
     if (whole)
         to.setSource(from.source);
 }
@@ -131,10 +147,7 @@
                      .services = {},
                      .customers = {},
                      .keyed = from.getKeyed(),
-                     .limits = {.most_header = byte_count(from.getMostHeader()),
-                                .most_body = byte_count(from.getMostBody()),
-                                .header_limit = milliseconds(from.getHeaderLimitMs()),
-                                .idle_limit = milliseconds(from.getIdleLimitMs())},
+                     .limits = decode_limits(from),
                      .source = decode_text(from.getSource())};
     decode_list(from.getRoutes(), out.routes);
     decode_list(from.getServices(), out.services);
@@ -142,18 +155,16 @@
     return out;
 }
 
-void encode_state(steering_state const& from, bool whole, State::Builder to)
+namespace
+{
+
+void encode_versions(std::map<service_id, service_versions> const& from,
+                     capnp::List<Versions>::Builder to)
 {
-    to.setGeneration(from.generation.value());
-    to.setHasPlan(from.plan != nullptr);
-    if (from.plan)
-        encode_plan(*from.plan, whole, to.initPlan());
-    encode_ids(from.evacuated, to.initEvacuated(size_of(from.evacuated)));
-    auto versions = to.initVersions(size_of(from.versions));
     unsigned n = 0;
-    for (auto const& [service, it] : from.versions)
+    for (auto const& [service, it] : from)
     {
-        auto out = versions[n++];
+        auto out = to[n++];
         out.setService(service.value());
         out.setBase(it.base.value());
         out.setNext(it.next.value());
@@ -163,6 +174,30 @@
     }
 }
 
+void decode_versions(capnp::List<Versions>::Reader from,
+                     std::map<service_id, service_versions>& out)
+{
+    for (auto const it : from)
+        out.emplace(service_id(decode_text(it.getService())),
+                    service_versions{.base = version_id(decode_text(it.getBase())),
+                                     .next = version_id(decode_text(it.getNext())),
+                                     .share = per_mille(it.getShare()),
+                                     .phase = decode_phase(it.getPhase()),
+                                     .duration = milliseconds(it.getDurationMs())});
+}
+
+} // namespace
+
+void encode_state(steering_state const& from, bool whole, State::Builder to)
+{
+    to.setGeneration(from.generation.value());
+    to.setHasPlan(from.plan != nullptr);
+    if (from.plan)
+        encode_plan(*from.plan, whole, to.initPlan());
+    encode_ids(from.evacuated, to.initEvacuated(size_of(from.evacuated)));
+    encode_versions(from.versions, to.initVersions(size_of(from.versions)));
+}
+
 steering_state decode(State::Reader from)
 {
     steering_state out{.generation = generation_id(from.getGeneration()),
@@ -172,13 +207,74 @@
     if (from.getHasPlan())
         out.plan = std::make_shared<traffic_plan const>(decode(from.getPlan()));
     decode_ids(from.getEvacuated(), out.evacuated);
-    for (auto const it : from.getVersions())
-        out.versions.emplace(service_id(decode_text(it.getService())),
-                             service_versions{.base = version_id(decode_text(it.getBase())),
-                                              .next = version_id(decode_text(it.getNext())),
-                                              .share = per_mille(it.getShare()),
-                                              .phase = decode_phase(it.getPhase()),
-                                              .duration = milliseconds(it.getDurationMs())});
+    decode_versions(from.getVersions(), out.versions);
+    return out;
+}
+
+namespace
+{
+
+void encode_order(std::vector<std::int32_t> const& from, capnp::List<std::int32_t>::Builder to)
+{
+    unsigned n = 0;
+    for (auto const index : from)
+        to.set(n++, index);
+}
+
+void encode_plan_difference(messages::plan_difference const& from, PlanDifference::Builder to)
+{
+    to.setNumber(from.number.value());
+    encode_order(from.routes.order, to.initRouteOrder(size_of(from.routes.order)));
+    encode_list(from.routes.changed, to.initChangedRoutes(size_of(from.routes.changed)));
+    encode_order(from.customers.order, to.initCustomerOrder(size_of(from.customers.order)));
+    encode_list(from.customers.changed, to.initChangedCustomers(size_of(from.customers.changed)));
+    encode_list(from.services, to.initServices(size_of(from.services)));
+    to.setKeyed(from.keyed);
+    encode_limits(from.limits, to);
+}
+
+messages::plan_difference decode_plan_difference(PlanDifference::Reader from)
+{
+    messages::plan_difference out{.number = plan_number(from.getNumber()),
+                                  .routes = {},
+                                  .customers = {},
+                                  .services = {},
+                                  .keyed = from.getKeyed(),
+                                  .limits = decode_limits(from)};
+    for (auto const index : from.getRouteOrder())
+        out.routes.order.push_back(index);
+    decode_list(from.getChangedRoutes(), out.routes.changed);
+    for (auto const index : from.getCustomerOrder())
+        out.customers.order.push_back(index);
+    decode_list(from.getChangedCustomers(), out.customers.changed);
+    decode_list(from.getServices(), out.services);
+    return out;
+}
+
+} // namespace
+
+void encode(messages::steering_difference const& from, StateDifference::Builder to)
+{
+    to.setBase(from.base.value());
+    to.setGeneration(from.generation.value());
+    to.setHasPlan(from.plan.has_value());
+    if (from.plan)
+        encode_plan_difference(*from.plan, to.initPlan());
+    encode_ids(from.evacuated, to.initEvacuated(size_of(from.evacuated)));
+    encode_versions(from.versions, to.initVersions(size_of(from.versions)));
+}
+
+messages::steering_difference decode(StateDifference::Reader from)
+{
+    messages::steering_difference out{.base = generation_id(from.getBase()),
+                                      .generation = generation_id(from.getGeneration()),
+                                      .plan = std::nullopt,
+                                      .evacuated = {},
+                                      .versions = {}};
+    if (from.getHasPlan())
+        out.plan = decode_plan_difference(from.getPlan());
+    decode_ids(from.getEvacuated(), out.evacuated);
+    decode_versions(from.getVersions(), out.versions);
     return out;
 }
 
--- a/plugins/peer/codecs/steering_parts_codec.hpp
+++ b/plugins/peer/codecs/steering_parts_codec.hpp
@@ -1,7 +1,7 @@
 #ifndef MULBERRYRUDDER_PLUGINS_PEER_CODECS_STEERING_PARTS_CODEC_HPP
 #define MULBERRYRUDDER_PLUGINS_PEER_CODECS_STEERING_PARTS_CODEC_HPP
 
-#include <mulberryrudder/core/traffic_plan.hpp>
+#include <mulberryrudder/messages/steering_difference.hpp>
 
 #include <steering.capnp.h>
 
@@ -28,6 +28,10 @@
 void encode_state(steering_state const& from, bool whole, schema::steering::State::Builder to);
 steering_state decode(schema::steering::State::Reader from);
 
+void encode(messages::steering_difference const& from,
+            schema::steering::StateDifference::Builder to);
+messages::steering_difference decode(schema::steering::StateDifference::Reader from);
+
 /// Reads a rollout's phase. Throws std::invalid_argument for an unknown one.
 rollout_phase decode_phase(std::uint8_t from);
 
--- a/schemas/steering.capnp
+++ b/schemas/steering.capnp
@@ -79,6 +79,31 @@
   content @2 :Data;
 }
 
+struct PlanDifference {
+  number @0 :UInt64;
+  # For each element of the new list its index in the list of the base, or the bitwise complement
+  # of its index among the changed ones.
+  routeOrder @1 :List(Int32);
+  changedRoutes @2 :List(Route);
+  customerOrder @3 :List(Int32);
+  changedCustomers @4 :List(Customer);
+  services @5 :List(Service);
+  keyed @6 :Bool;
+  mostHeader @7 :Int64;
+  mostBody @8 :Int64;
+  headerLimitMs @9 :Int64;
+  idleLimitMs @10 :Int64;
+}
+
+struct StateDifference {
+  base @0 :UInt64;
+  generation @1 :UInt64;
+  hasPlan @2 :Bool;
+  plan @3 :PlanDifference;
+  evacuated @4 :List(Text);
+  versions @5 :List(Versions);
+}
+
 struct SetEvacuation {
   domain @0 :Text;
   evacuated @1 :Bool;
@@ -183,6 +208,8 @@
   unusedOutcomes @4 :List(Outcomes);  # Sent in entry notices.
   held @5 :List(UInt64);
   searching @6 :Bool;
+  wantsFleet @7 :Bool = true;
+  takesDifference @8 :Bool;
 }
 
 struct Update {
@@ -201,6 +228,10 @@
   current @12 :Bool = true;
   confirmed @13 :Bool;
   confirmedAgeMs @14 :Int64;
+  heldForMs @15 :Int64;
+  hasFleet @16 :Bool = true;
+  hasDifference @17 :Bool;
+  difference @18 :StateDifference;
 }
 
 struct Probe {
--- a/tests/control/steering/steering_codec_test.cpp
+++ b/tests/control/steering/steering_codec_test.cpp
@@ -1,4 +1,5 @@
 #include <mulberryrudder/control/steering.hpp>
+#include <mulberryrudder/fleet/steering_difference.hpp>
 #include <mulberryrudder/messages/roster.hpp>
 #include <mulberryrudder/wire/codec.hpp>
 
@@ -11,6 +12,16 @@
 namespace
 {
 
+/// Returns the encoded size of a message in bytes.
+template <class T>
+std::size_t encoded_size(T const& message)
+{
+    capnp::MallocMessageBuilder out;
+    find_codec(std::type_index(typeid(T)))
+        ->encode(any_message::of(message), out.initRoot<capnp::AnyPointer>());
+    return out.sizeInWords() * sizeof(capnp::word);
+}
+
 /// Encodes and decodes a message and returns the result.
 template <class T>
 T round_trip(T const& original)
@@ -90,6 +101,9 @@
     CPPUNIT_TEST(a_snapshot_round_trips);
     CPPUNIT_TEST(an_exchange_round_trips);
     CPPUNIT_TEST(an_update_for_an_entry_omits_the_source_of_the_plan);
+    CPPUNIT_TEST(a_difference_for_an_entry_round_trips);
+    CPPUNIT_TEST(an_update_without_the_fleet_omits_its_figures);
+    CPPUNIT_TEST(a_change_of_one_route_is_sent_without_the_rest_of_the_plan);
     CPPUNIT_TEST(a_probe_and_its_reply_round_trip);
     CPPUNIT_TEST_SUITE_END();
 
@@ -172,6 +186,52 @@
         CPPUNIT_ASSERT(decoded.steering->plan->source.empty());
     }
 
+    void a_difference_for_an_entry_round_trips()
+    {
+        auto newer = *sample_state();
+        auto plan = sample_plan();
+        plan.routes.insert(plan.routes.begin(), plan.routes.front());
+        plan.routes.front().id = route_id("new");
+        newer.plan = std::make_shared<traffic_plan const>(plan);
+        messages::roster_update original{.held_for = milliseconds(650)};
+        original.difference = fleet::difference(*sample_state(), newer);
+        auto const decoded = round_trip(original);
+        CPPUNIT_ASSERT(decoded.held_for == milliseconds(650));
+        CPPUNIT_ASSERT(decoded.difference == original.difference);
+    }
+
+    void an_update_without_the_fleet_omits_its_figures()
+    {
+        messages::roster_update const original{.has_fleet = false,
+                                               .shares = {{customer_id("c"), per_mille(70)}}};
+        auto const decoded = round_trip(original);
+        CPPUNIT_ASSERT(!decoded.has_fleet);
+        CPPUNIT_ASSERT(decoded.shares.empty());
+    }
+
+    // Guards against old plans at entries with a full link: each change of the plan sent the
+    // whole of it to each entry, and again after each timeout.
+    void a_change_of_one_route_is_sent_without_the_rest_of_the_plan()
+    {
+        auto plan = sample_plan();
+        for (int n = 0; n != 60; ++n)
+        {
+            plan.routes.push_back(plan.routes.front());
+            plan.routes.back().id = route_id("route-" + std::to_string(n));
+            plan.customers.push_back(plan.customers.front());
+            plan.customers.back().id = customer_id("customer-" + std::to_string(n));
+        }
+        steering_state const base{.generation = generation_id(1),
+                                  .plan = std::make_shared<traffic_plan const>(plan)};
+        plan.routes.at(30).homes = {region_id("e")};
+        steering_state const newer{.generation = generation_id(2),
+                                   .plan = std::make_shared<traffic_plan const>(plan)};
+        messages::roster_update const whole{.steering =
+                                                std::make_shared<steering_state const>(newer)};
+        messages::roster_update const part{.difference = fleet::difference(base, newer)};
+        CPPUNIT_ASSERT(encoded_size(part) * 10 < encoded_size(whole));
+    }
+
     void a_probe_and_its_reply_round_trip()
     {
         messages::roster_probe probe{.boot = boot_id(2), .number = sequence_id(3)};
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -41,6 +41,10 @@
     CPPUNIT_TEST(replies_after_the_choice_are_ignored);
     CPPUNIT_TEST(the_chosen_instance_is_kept_for_later_reports);
     CPPUNIT_TEST(a_late_answer_is_accepted);
+    CPPUNIT_TEST(a_difference_is_applied_to_the_state_that_is_held);
+    CPPUNIT_TEST(a_difference_from_another_state_is_ignored);
+    CPPUNIT_TEST(the_figures_of_the_fleet_are_requested_once_a_second);
+    CPPUNIT_TEST(an_answer_without_the_figures_of_the_fleet_changes_none);
     CPPUNIT_TEST(an_answer_without_a_matching_report_is_ignored);
     CPPUNIT_TEST(a_report_to_another_instance_contains_the_target_summary);
     CPPUNIT_TEST(reports_request_changes_after_the_last_known_one);
@@ -295,6 +299,58 @@
         CPPUNIT_ASSERT(poll_.known == sequence_id(4) && !poll_.held);
     }
 
+    void a_difference_is_applied_to_the_state_that_is_held()
+    {
+        tick();
+        CPPUNIT_ASSERT(!poll_.takes_difference);
+        answer({.boot = boot_id(9), .steering = state(4, true)});
+        tick();
+        CPPUNIT_ASSERT(poll_.takes_difference);
+        answer({.boot = boot_id(9), .difference = difference(4, 6)});
+        CPPUNIT_ASSERT(view().steering()->generation == generation_id(6));
+        CPPUNIT_ASSERT(view().steering()->evacuated.contains(domain_id("x")));
+        CPPUNIT_ASSERT(view().steering()->plan != nullptr);
+    }
+
+    void a_difference_from_another_state_is_ignored()
+    {
+        tick();
+        answer({.boot = boot_id(9), .steering = state(4, true)});
+        tick();
+        answer({.boot = boot_id(9),
+                .confirmed_age = milliseconds(100),
+                .difference = difference(3, 6)});
+        CPPUNIT_ASSERT(view().steering()->generation == generation_id(4));
+        tick();
+        CPPUNIT_ASSERT(poll_.generation == generation_id(4) && poll_.takes_difference);
+    }
+
+    // Guards against a full link: each answer contained two figures for each customer and all
+    // control instances, at up to 25 answers a second while targets change.
+    void the_figures_of_the_fleet_are_requested_once_a_second()
+    {
+        tick();
+        int requested = poll_.wants_fleet;
+        CPPUNIT_ASSERT_EQUAL(1, requested);
+        for (int n = 0; n != 40; ++n)
+        {
+            answer({.boot = boot_id(9), .has_fleet = poll_.wants_fleet});
+            tick();
+            requested += poll_.wants_fleet;
+        }
+        CPPUNIT_ASSERT_EQUAL(3, requested);
+    }
+
+    void an_answer_without_the_figures_of_the_fleet_changes_none()
+    {
+        tick();
+        answer({.boot = boot_id(9), .steering = state(4, true), .entries = 7});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, view().entries());
+        tick();
+        answer({.boot = boot_id(9), .has_fleet = false});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, view().entries());
+    }
+
     void an_answer_without_a_matching_report_is_ignored()
     {
         tick();
@@ -361,6 +417,15 @@
         return std::make_shared<steering_state const>(out);
     }
 
+    static messages::steering_difference difference(std::uint64_t base, std::uint64_t generation)
+    {
+        return {.base = generation_id(base),
+                .generation = generation_id(generation),
+                .plan = std::nullopt,
+                .evacuated = {domain_id("x")},
+                .versions = {}};
+    }
+
     static instance_id other(instance_id control)
     {
         return control == instance_id(1) ? instance_id(2) : instance_id(1);
