Refuse requests while control confirms the plan late; do not take late answers for fresh

Cause: an answer that says "connected and current" made its sender the current instance and ended the search, however long it had been on its way, and nothing at an entry asked how old its knowledge of the plan was.

Change: an answer carries the time for which control held the report. The plan was the newest at the time at which the report was sent, plus that time, less the age of the confirmation. If this is over 2 s ago (max_plan_age), and the newest answer was on its way for over 0.5 s (max_round_trip), requests are refused with 503, and not repeated. An entry that does not hear control at all is cut off and goes on with what it holds, as before: its callers have nobody else, and silence gives no sign of a newer plan. A late answer ends no search.

Observability: the histograms plan.age, for each request that is sent, and control.round_trip; the event plan.outdated.

Evidence: without the check of the age, a_late_answer_does_not_end_a_search fails: no probe after an answer that took 8 s. The other tests name functions that did not exist before.

--- a/include/mulberryrudder/entry/plan_view.hpp
+++ b/include/mulberryrudder/entry/plan_view.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace mulberryrudder::entry
 {
@@ -29,6 +30,14 @@
     /// Returns the newest steering state; null before the first.
     virtual shared_steering const& steering() const = 0;
 
+    /// Returns the time since the steering state was known to be the newest; nothing if it never
+    /// was.
+    virtual std::optional<span> plan_age(instant now) const = 0;
+
+    /// Returns whether requests must not be sent by the steering state: it is too old, and
+    /// control is heard, but late.
+    virtual bool is_plan_outdated(instant now) const = 0;
+
     /// Returns the targets that are not gone.
     virtual std::map<target_id, listed_target> const& targets() const = 0;
 
--- a/plugins/entry/plan_routes/plan_routes_stage.cpp
+++ b/plugins/entry/plan_routes/plan_routes_stage.cpp
@@ -23,11 +23,24 @@
                  .status = 401,
                  .meaning = "The route needs a key, and no customer holds this one."});
 
+refusal_kind const
+    plan_outdated({.name = "plan_outdated",
+                   .counter_name = "refused.plan_outdated",
+                   .status = 503,
+                   .meaning = "This instance receives the configuration with too long a delay."});
+kernel::histogram_kind const plan_age("plan.age",
+                                      "Time since the plan by which a request is sent to a target "
+                                      "was known to be the newest.");
+
 /// How long a caller is asked to stay away from an instance that starts.
 constexpr milliseconds start_pause{500};
+/// Retry delay of callers that are refused for an outdated plan: some round trips of the full
+/// link that causes it, with a random addition.
+constexpr milliseconds min_outdated_pause{600};
+constexpr milliseconds outdated_pause_spread{800};
 
 /// Finds each request's route and customer in the newest plan, and ends its time at
-/// the route's timeout.
+/// the route's timeout. Refuses requests while the plan is outdated.
 ///
 /// Thread safety: as stage.
 class plan_routes_stage final : public stage
@@ -40,6 +53,8 @@
         auto const& newest = services_.require<plan_view>().steering();
         if (!newest)
             return refuse(no_plan, start_pause);
+        if (services_.require<plan_view>().is_plan_outdated(with.now))
+            return refuse_as_outdated(with);
         refresh(newest);
         auto const* const route = index_.find(what.host, what.content->path);
         if (route == nullptr)
@@ -59,7 +74,31 @@
         return proceed{};
     }
 
+    step recheck(request const& req, context& ctx) override
+    {
+        if (req.planned == nullptr)
+            return proceed{};
+        auto const& view = services_.require<plan_view>();
+        if (view.is_plan_outdated(ctx.now))
+            return refuse_as_outdated(ctx);
+        return proceed{};
+    }
+
+    void attempt_started(request const& req, attempt const&, context& ctx) override
+    {
+        if (req.planned == nullptr)
+            return;
+        if (auto const age = services_.require<plan_view>().plan_age(ctx.now))
+            ctx.counters.observe(plan_age, *age);
+    }
+
 private:
+    static step refuse_as_outdated(context& ctx)
+    {
+        std::uniform_int_distribution<std::int64_t> spread(0, outdated_pause_spread.count());
+        return refuse(plan_outdated, min_outdated_pause + milliseconds(spread(ctx.random)));
+    }
+
     void refresh(shared_steering const& newest)
     {
         if (indexed_ == newest->plan)
--- /dev/null
+++ b/plugins/entry/roster/plan_currency.cpp
@@ -0,0 +1,48 @@
+#include "plan_currency.hpp"
+
+#include <algorithm>
+
+namespace mulberryrudder::entry
+{
+
+namespace
+{
+
+/// Time without an answer of any control instance after which this instance is cut off.
+constexpr seconds max_silence{5};
+
+} // namespace
+
+span plan_currency::answer::round_trip(instant now) const
+{
+    return std::max(now - sent - held, span(0));
+}
+
+std::optional<instant> plan_currency::answer::confirmed_at() const
+{
+    if (!confirmed_age)
+        return std::nullopt;
+    return sent + held - *confirmed_age;
+}
+
+void plan_currency::record(answer const& arrived, instant now)
+{
+    bool const is_slow = arrived.round_trip(now) > limits_.max_round_trip;
+    slow_until_ = is_slow ? now + max_silence : now;
+    if (auto const confirmed_at = arrived.confirmed_at())
+        confirmed_at_ = std::max(confirmed_at_.value_or(*confirmed_at), *confirmed_at);
+}
+
+std::optional<span> plan_currency::age(instant now) const
+{
+    if (!confirmed_at_)
+        return std::nullopt;
+    return now - *confirmed_at_;
+}
+
+bool plan_currency::is_outdated(instant now) const
+{
+    return confirmed_at_ && now > *confirmed_at_ + limits_.max_age && now < slow_until_;
+}
+
+} // namespace mulberryrudder::entry
--- /dev/null
+++ b/plugins/entry/roster/plan_currency.hpp
@@ -0,0 +1,64 @@
+#ifndef MULBERRYRUDDER_PLUGINS_ENTRY_ROSTER_PLAN_CURRENCY_HPP
+#define MULBERRYRUDDER_PLUGINS_ENTRY_ROSTER_PLAN_CURRENCY_HPP
+
+#include <mulberryrudder/core/time.hpp>
+
+#include <optional>
+
+namespace mulberryrudder::entry
+{
+
+/// Determines as of when the steering state that this instance holds was the newest, from the
+/// answers of control instances, which may arrive late.
+///
+/// An answer says that the state was confirmed some time before it was sent. The clocks of two
+/// instances cannot be compared, so that time counts from when this instance sent the report,
+/// plus the time for which the control instance held it. How long the answer was on its way adds
+/// to its age.
+///
+/// Thread safety: one owner.
+class plan_currency
+{
+public:
+    struct options
+    {
+        milliseconds max_age{0};        ///< Age from which on a state is outdated.
+        milliseconds max_round_trip{0}; ///< Of a report and its answer, without the time held.
+    };
+
+    explicit plan_currency(options const& limits) : limits_(limits) {}
+
+    /// What is known of an answer.
+    struct answer
+    {
+        instant sent;         ///< When the report was sent that it answers.
+        milliseconds held{0}; ///< For which the control instance held the report.
+        /// Time before the answer at which the state was confirmed; nothing if it never was.
+        std::optional<milliseconds> confirmed_age;
+
+        /// Returns the time for which the report and the answer were on their way.
+        span round_trip(instant now) const;
+        /// Returns as of when the state is confirmed, if it is.
+        std::optional<instant> confirmed_at() const;
+    };
+
+    /// Records that an answer arrived, after its contents were applied.
+    void record(answer const& arrived, instant now);
+
+    /// Returns the time since the state was the newest; nothing if that was never confirmed.
+    std::optional<span> age(instant now) const;
+
+    /// Returns whether requests must not be sent by the state: it is too old, and control was
+    /// heard lately over a way that takes long. Without a word from control this instance is cut
+    /// off, and goes on with the state that it holds.
+    bool is_outdated(instant now) const;
+
+private:
+    options limits_;
+    std::optional<instant> confirmed_at_;
+    instant slow_until_; ///< Until when the way to control counts as long.
+};
+
+} // namespace mulberryrudder::entry
+
+#endif
--- a/plugins/entry/roster/roster_events.cpp
+++ b/plugins/entry/roster/roster_events.cpp
@@ -77,4 +77,16 @@
     notice_age("targets.news_age", "Age of the news that a target leaves, as control told it.");
 kernel::counter_kind const reports_counter("roster.reports", "Reports sent to control.");
 
+kernel::event_kind const plan_outdated_event{
+    {.number = 309,
+     .name = "plan.outdated",
+     .level = kernel::severity::warning,
+     .meaning = "This instance begins or ends to refuse requests since its plan is outdated: it "
+                "was confirmed `age_ms` ago, and answers of control take long. `outdated` is "
+                "whether it begins.",
+     .action = "Check the load of this instance's network link; see `control.round_trip`."}};
+kernel::histogram_kind const
+    round_trips("control.round_trip",
+                "Time that a report and the answer of control were on their way.");
+
 } // namespace mulberryrudder::entry
--- a/plugins/entry/roster/roster_events.hpp
+++ b/plugins/entry/roster/roster_events.hpp
@@ -20,6 +20,8 @@
 extern kernel::histogram_kind const confirmation_age;
 extern kernel::histogram_kind const notice_age;
 extern kernel::counter_kind const reports_counter;
+extern kernel::event_kind const plan_outdated_event;
+extern kernel::histogram_kind const round_trips;
 
 } // namespace mulberryrudder::entry
 
--- a/plugins/entry/roster/roster_settings.cpp
+++ b/plugins/entry/roster/roster_settings.cpp
@@ -17,6 +17,13 @@
             "least_pause", &roster_settings::min_report_interval, {1, 10'000},
             "Minimum number of milliseconds between two reports; a series of changes is answered "
             "together."),
+        kernel::field("max_plan_age", &roster_settings::max_plan_age, {100, 600'000},
+                      "Milliseconds since its plan was the newest after which this instance "
+                      "refuses requests, if control is heard with a delay; below the time within "
+                      "which an acknowledged plan must be in force."),
+        kernel::field("max_round_trip", &roster_settings::max_round_trip, {10, 60'000},
+                      "Milliseconds that a report and its answer may be on their way; beyond it "
+                      "control counts as heard with a delay."),
     }};
 
 } // namespace mulberryrudder::entry
--- a/plugins/entry/roster/roster_settings.hpp
+++ b/plugins/entry/roster/roster_settings.hpp
@@ -13,6 +13,8 @@
     milliseconds first_answer_timeout{250};
     milliseconds min_report_interval{40};
     milliseconds disconnected_retry_delay{150};
+    milliseconds max_plan_age{2000};
+    milliseconds max_round_trip{500};
 };
 
 extern kernel::section<roster_settings> const roster_section;
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -1,6 +1,7 @@
 #include "control_choice.hpp"
 #include "control_search.hpp"
 #include "listed_targets.hpp"
+#include "plan_currency.hpp"
 #include "roster_events.hpp"
 #include "roster_settings.hpp"
 
@@ -34,7 +35,8 @@
 {
 public:
     explicit roster_stage(stage_parts const& parts)
-        : config_(parts.config.get(roster_section)), services_(parts.services)
+        : config_(parts.config.get(roster_section)), services_(parts.services),
+          currency_({.max_age = config_.max_plan_age, .max_round_trip = config_.max_round_trip})
     {
         for (auto const id : parts.self.control)
             control_choice_.add_contact(id);
@@ -98,6 +100,7 @@
             send_report(ctx);
         if (search_.is_round_due(ctx.now))
             send_probes(ctx);
+        record_outdated_change(ctx);
     }
 
 private:
@@ -123,6 +126,8 @@
     }
 
     shared_steering const& steering() const override { return active_steering_; }
+    std::optional<span> plan_age(instant now) const override { return currency_.age(now); }
+    bool is_plan_outdated(instant now) const override { return currency_.is_outdated(now); }
     std::map<target_id, listed_target> const& targets() const override { return listed_.all(); }
     std::int64_t entries() const override { return entries_; }
     std::int64_t entries_in_domain() const override { return entries_in_domain_; }
@@ -225,27 +230,60 @@
         auto const pending = pending_reports_.find(update.poll);
         if (pending == pending_reports_.end() || pending->second.recipient != sender)
             return;
-        auto const sent = pending->second.sent;
+        plan_currency::answer answer{.sent = pending->second.sent,
+                                     .held = update.held_for,
+                                     .confirmed_age = update.confirmed_age};
         pending_reports_.erase(pending);
         bool const late = sender != awaited_control_ || update.poll != last_report_;
         if (late)
-            record_late_answer(sender, update, sent, ctx);
+            record_late_answer(sender, update, answer.sent, ctx);
         positions_[sender] = {update.boot, update.newest};
         bool const attaches = !late || (!current_control_ && update.connected);
         if (attaches)
             attach(sender, ctx);
         apply_update(update, ctx);
+        // A difference that did not fit leaves an older state than the confirmed one.
+        if (generation_of(update) > steering_->generation)
+            answer.confirmed_age.reset();
+        ctx.counters.observe(round_trips, answer.round_trip(ctx.now));
+        currency_.record(answer, ctx.now);
+        record_outdated_change(ctx);
         if (!attaches)
             return;
         if (!update.connected)
             detach(sender, ctx);
-        if (update.connected && update.current)
+        // A late answer tells what held when it was sent.
+        if (update.connected && update.current && is_recent(answer, ctx.now))
             end_search(sender, ctx);
-        else
+        else if (!update.connected || !update.current)
             begin_search(update.connected ? "unconfirmed" : "apart", update.confirmed_age, ctx.now,
                          ctx);
     }
 
+    /// Returns the generation of the state in an update; the lowest without one.
+    static generation_id generation_of(messages::roster_update const& update)
+    {
+        if (update.steering)
+            return update.steering->generation;
+        return update.difference ? update.difference->generation : generation_id();
+    }
+
+    bool is_recent(plan_currency::answer const& answer, instant now) const
+    {
+        return answer.confirmed_at().value_or(answer.sent) + config_.max_plan_age >= now;
+    }
+
+    void record_outdated_change(context& ctx)
+    {
+        bool const outdated = currency_.is_outdated(ctx.now);
+        if (std::exchange(was_outdated_, outdated) == outdated)
+            return;
+        auto const age = currency_.age(ctx.now).value_or(span(0));
+        auto const age_ms = std::chrono::duration_cast<milliseconds>(age).count();
+        ctx.events.record(plan_outdated_event, {{"outdated", outdated ? "true" : "false"},
+                                                {"age_ms", std::to_string(age_ms)}});
+    }
+
     void begin_search(std::string const& reason, std::optional<milliseconds> age,
                       instant first_round, context& ctx)
     {
@@ -415,6 +453,8 @@
     control_choice control_choice_;
     control_search search_;
     listed_targets listed_;
+    plan_currency currency_;
+    bool was_outdated_ = false; ///< As of the last input that could change it.
     shared_steering steering_ = std::make_shared<steering_state const>();
     shared_steering active_steering_; ///< The newest one that contains a plan.
     bool takes_difference_ = false;   ///< The next report asks for a difference from it.
--- a/tests/entry/plan_stages/plan_bench.hpp
+++ b/tests/entry/plan_stages/plan_bench.hpp
@@ -20,6 +20,8 @@
     }
 
     shared_steering const& steering() const override { return current; }
+    std::optional<span> plan_age(instant) const override { return span(0); }
+    bool is_plan_outdated(instant) const override { return is_outdated; }
     std::map<target_id, listed_target> const& targets() const override { return target_list; }
     std::int64_t entries() const override { return entry_count; }
     std::int64_t entries_in_domain() const override { return domain_entry_count; }
@@ -27,6 +29,7 @@
     millitokens_per_second fleet_demand(customer_id const&) const override { return demand; }
 
     shared_steering current;
+    bool is_outdated = false;
     std::map<target_id, listed_target> target_list;
     std::int64_t entry_count = 1;
     std::int64_t domain_entry_count = 1;
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -41,6 +41,10 @@
     CPPUNIT_TEST(replies_after_the_choice_are_ignored);
     CPPUNIT_TEST(the_chosen_instance_is_kept_for_later_reports);
     CPPUNIT_TEST(a_late_answer_is_accepted);
+    CPPUNIT_TEST(a_late_answer_does_not_end_a_search);
+    CPPUNIT_TEST(a_plan_that_control_confirms_late_is_outdated);
+    CPPUNIT_TEST(a_plan_is_not_outdated_while_control_is_silent);
+    CPPUNIT_TEST(the_time_for_which_control_held_a_report_is_not_part_of_the_plans_age);
     CPPUNIT_TEST(a_difference_is_applied_to_the_state_that_is_held);
     CPPUNIT_TEST(a_difference_from_another_state_is_ignored);
     CPPUNIT_TEST(the_figures_of_the_fleet_are_requested_once_a_second);
@@ -299,6 +303,74 @@
         CPPUNIT_ASSERT(poll_.known == sequence_id(4) && !poll_.held);
     }
 
+    // Guards against a violation of HOME and CONFIG: an answer that took 8 s on a full link said
+    // that its sender's state was confirmed, which was so 8 s before. The entry took it for the
+    // newest state and ended its search.
+    void a_late_answer_does_not_end_a_search()
+    {
+        tick();
+        answer({.boot = boot_id(9), .steering = state(4, true)});
+        tick();
+        auto const first = reported_to_;
+        auto const number = poll_number();
+        tick(milliseconds(1310));
+        tick(milliseconds(250));
+        CPPUNIT_ASSERT_MESSAGE("a search began", !probes_.empty());
+        for (int n = 0; n != 130; ++n)
+            tick();
+        answer_report(first, number, {.boot = boot_id(9), .confirmed_age = milliseconds(100)});
+        probes_.clear();
+        tick(milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, probes_.size());
+    }
+
+    // Guards against a violation of HOME and CONFIG: entries whose link was full sent requests by
+    // plans that had been replaced up to 10 s before.
+    void a_plan_that_control_confirms_late_is_outdated()
+    {
+        tick();
+        answer(
+            {.boot = boot_id(9), .confirmed_age = milliseconds(100), .steering = state(4, true)});
+        auto const number = poll_number(); // The first plan is followed by a report at once.
+        auto const first = reported_to_;
+        for (int n = 0; n != 60; ++n)
+            tick();
+        answer_report(first, number, {.boot = boot_id(9), .confirmed_age = milliseconds(100)});
+        CPPUNIT_ASSERT(view().plan_age(now_) == milliseconds(3100));
+        CPPUNIT_ASSERT(view().is_plan_outdated(now_));
+        tick();
+        answer({.boot = boot_id(9), .confirmed_age = milliseconds(100)});
+        CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
+    }
+
+    // Guards against an outage of a failure domain that is cut off from control, which has to go
+    // on serving.
+    void a_plan_is_not_outdated_while_control_is_silent()
+    {
+        tick();
+        answer(
+            {.boot = boot_id(9), .confirmed_age = milliseconds(100), .steering = state(4, true)});
+        for (int n = 0; n != 400; ++n)
+        {
+            tick();
+            CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
+        }
+    }
+
+    void the_time_for_which_control_held_a_report_is_not_part_of_the_plans_age()
+    {
+        tick();
+        answer({.boot = boot_id(9), .steering = state(4, true)});
+        CPPUNIT_ASSERT(!view().plan_age(now_));
+        auto const number = poll_number();
+        tick(milliseconds(700));
+        CPPUNIT_ASSERT(number == poll_number());
+        answer({.boot = boot_id(9),
+                .confirmed_age = milliseconds(100),
+                .held_for = milliseconds(640)});
+        CPPUNIT_ASSERT(view().plan_age(now_) == milliseconds(160));
+    }
+
     void a_difference_is_applied_to_the_state_that_is_held()
     {
         tick();
@@ -321,6 +393,7 @@
                 .confirmed_age = milliseconds(100),
                 .difference = difference(3, 6)});
         CPPUNIT_ASSERT(view().steering()->generation == generation_id(4));
+        CPPUNIT_ASSERT_MESSAGE("the state that is held is not confirmed", !view().plan_age(now_));
         tick();
         CPPUNIT_ASSERT(poll_.generation == generation_id(4) && poll_.takes_difference);
     }
