Do not repeat a request that the newest plan handles in another way

Cause: route, customer and homes of a request were set once, at its admission. Each attempt went by them.

Change: right before each attempt the newest plan is asked, if it is not the one of the admission. If it selects another route, another customer or other homes, or its route does not name the service, the request is refused with 503 and a short pause: it comes back and is handled by the new plan.

--- a/plugins/entry/plan_routes/plan_routes_stage.cpp
+++ b/plugins/entry/plan_routes/plan_routes_stage.cpp
@@ -3,6 +3,8 @@
 #include <mulberryrudder/entry/plan_view.hpp>
 #include <mulberryrudder/entry/stage.hpp>
 
+#include <algorithm>
+
 namespace mulberryrudder::entry
 {
 
@@ -28,6 +30,12 @@
                    .counter_name = "refused.plan_outdated",
                    .status = 503,
                    .meaning = "This instance receives the configuration with too long a delay."});
+refusal_kind const
+    plan_changed({.name = "plan_changed",
+                  .counter_name = "refused.plan_changed",
+                  .status = 503,
+                  .meaning = "A newer configuration handles the request in another way."});
+
 kernel::histogram_kind const plan_age("plan.age",
                                       "Time since the plan by which a request is sent to a target "
                                       "was known to be the newest.");
@@ -38,9 +46,12 @@
 /// link that causes it, with a random addition.
 constexpr milliseconds min_outdated_pause{600};
 constexpr milliseconds outdated_pause_spread{800};
+/// Retry delay of callers whose request a newer plan handles in another way.
+constexpr milliseconds changed_pause{50};
 
 /// Finds each request's route and customer in the newest plan, and ends its time at
-/// the route's timeout. Refuses requests while the plan is outdated.
+/// the route's timeout. Refuses requests while the plan is outdated, and further attempts of
+/// requests that the newest plan handles in another way than the one of their admission.
 ///
 /// Thread safety: as stage.
 class plan_routes_stage final : public stage
@@ -81,6 +92,11 @@
         auto const& view = services_.require<plan_view>();
         if (view.is_plan_outdated(ctx.now))
             return refuse_as_outdated(ctx);
+        if (view.steering()->plan == req.steering->plan)
+            return proceed{};
+        refresh(view.steering());
+        if (!is_handled_alike(req))
+            return refuse(plan_changed, changed_pause);
         return proceed{};
     }
 
@@ -99,6 +115,23 @@
         return refuse(plan_outdated, min_outdated_pause + milliseconds(spread(ctx.random)));
     }
 
+    /// Returns whether the indexed plan lets a request that another plan admitted go to the same
+    /// service, for the same customer and in the same regions.
+    bool is_handled_alike(request const& req) const
+    {
+        auto const* const route = index_.find(req.host, req.content->path);
+        if (route == nullptr || route->id != req.route || route->homes != req.planned->homes ||
+            route->open != req.planned->open)
+            return false;
+        auto const same = [&](service_share const& it) { return it.service == req.service; };
+        if (std::none_of(route->services.begin(), route->services.end(), same))
+            return false;
+        if (req.payer == nullptr)
+            return route->open || !indexed_->keyed;
+        auto const* const payer = index_.find(*req.key);
+        return payer != nullptr && payer->id == req.payer->id && payer->homes == req.payer->homes;
+    }
+
     void refresh(shared_steering const& newest)
     {
         if (indexed_ == newest->plan)
