Test the age of the plan at entries whose link is slow but alive

The bound: an entry sends no request by a state that was replaced, with an acknowledgement, over 2.5 s (ConfigApply) before, while answers of control arrive late by up to 8 s and the delay grows by 0.2 to 1 s a second.

--- a/tests/roster_fleet/roster_fleet.cpp
+++ b/tests/roster_fleet/roster_fleet.cpp
@@ -128,6 +128,19 @@
     entries_.at(entry) = make_entry(entry);
 }
 
+void roster_fleet::fill_entry_links(per_mille growth, milliseconds max_wait)
+{
+    link_wait_growth_ = growth;
+    max_link_wait_ = max_wait;
+    links_filled_at_ = now_;
+}
+
+span roster_fleet::link_wait() const
+{
+    auto const grown = (now_ - links_filled_at_) * link_wait_growth_.count() / 1000;
+    return std::min<span>(grown, max_link_wait_);
+}
+
 void roster_fleet::freeze(std::set<std::size_t> const& controls)
 {
     frozen_ = controls;
@@ -232,7 +245,7 @@
         auto const size = encoded_size(message);
         auto& free_at = link_free_at_.at(index_of(message.to));
         free_at = std::max(free_at, now_) + milliseconds(size / config_.entry_link.count());
-        due = free_at + latency;
+        due = free_at + latency + link_wait();
         sent_to_entries_ += byte_count(size);
     }
     auto const* const exchange = message.body.get<messages::roster_exchange>();
@@ -395,6 +408,11 @@
     return it != all.end() && it->second.what.standing == target_standing::serving;
 }
 
+bool roster_fleet::is_refusing(std::size_t entry)
+{
+    return view(entry).is_plan_outdated(now_);
+}
+
 generation_id roster_fleet::generation(std::size_t entry)
 {
     return view(entry).steering()->generation;
--- a/tests/roster_fleet/roster_fleet.hpp
+++ b/tests/roster_fleet/roster_fleet.hpp
@@ -78,6 +78,9 @@
 
     /// Suspends these control instances; their messages are lost. An empty set resumes them.
     void freeze(std::set<std::size_t> const& controls);
+    /// Lets other traffic fill the links of all entries from now on: the time for which messages
+    /// wait on them grows by `growth` thousandths of the time, up to `max_wait`.
+    void fill_entry_links(per_mille growth, milliseconds max_wait);
     /// Drops all messages from and to these entries.
     void disconnect(std::set<std::size_t> const& entries);
 
@@ -92,6 +95,8 @@
     std::size_t serving_count(std::size_t entry);
     bool is_serving(std::size_t entry, int target);
     generation_id generation(std::size_t entry);
+    /// Returns whether an entry refuses requests because its plan is outdated.
+    bool is_refusing(std::size_t entry);
 
     /// Returns the size of all messages to entries so far.
     byte_count sent_to_entries() const { return sent_to_entries_; }
@@ -135,6 +140,8 @@
     void transmit(envelope const& message);
     void deliver();
     bool is_dropped(envelope const& message) const;
+    /// Returns how long other traffic lets a message to an entry wait.
+    span link_wait() const;
     void announce_targets();
     /// Returns the first control instance from `preferred` on that is not isolated, if any.
     std::optional<std::size_t> reachable_control(std::size_t preferred) const;
@@ -148,6 +155,9 @@
     std::vector<std::unique_ptr<control::core>> controls_;
     std::vector<std::unique_ptr<entry::core>> entries_;
     std::vector<instant> link_free_at_; ///< When each entry's link has sent all queued messages.
+    per_mille link_wait_growth_;
+    milliseconds max_link_wait_{0};
+    instant links_filled_at_; ///< From when on they fill.
     std::vector<transfer> transfers_;
     std::set<std::size_t> partition_group_;
     std::set<std::size_t> muted_;
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -44,6 +44,8 @@
     CPPUNIT_TEST(an_order_that_no_majority_holds_is_not_acknowledged);
     CPPUNIT_TEST(entries_receive_an_order_that_their_control_instance_cannot_request);
     CPPUNIT_TEST(entries_receive_an_order_after_most_control_instances_return);
+    CPPUNIT_TEST(entries_with_a_slow_link_do_not_send_requests_by_an_old_plan);
+    CPPUNIT_TEST(entries_serve_again_once_their_link_is_free);
     CPPUNIT_TEST(entries_do_not_rely_on_what_a_restarted_control_instance_missed);
     CPPUNIT_TEST(a_control_instance_that_was_suspended_learns_what_it_missed);
     CPPUNIT_TEST(an_old_announcement_to_a_restarted_control_instance_restores_no_target);
@@ -155,6 +157,36 @@
         }
     }
 
+    // Guards against a violation of HOME and CONFIG: on a link that other traffic fills, the
+    // answers of control are late by seconds. Entries took them for fresh, and served by plans
+    // that had been replaced.
+    void entries_with_a_slow_link_do_not_send_requests_by_an_old_plan()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            start(small_total, seed);
+            fleet_->fill_entry_links(per_mille(200 * static_cast<std::int64_t>(seed)), seconds(8));
+            for (int n = 0; n != 8; ++n)
+            {
+                acknowledge_evacuation(n % 2 == 0);
+                auto const acknowledged = generation_id(static_cast<std::uint64_t>(n) + 2);
+                fleet_->run(config_limit);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE("entries that serve by an older state", 0,
+                                             entries_serving_before(acknowledged));
+            }
+        }
+    }
+
+    void entries_serve_again_once_their_link_is_free()
+    {
+        fleet_->fill_entry_links(per_mille(1000), seconds(4));
+        fleet_->run(seconds(10));
+        fleet_->fill_entry_links(per_mille(0), seconds(0));
+        fleet_->run(contact);
+        for (std::size_t n = 0; n != fleet_->entries(); ++n)
+            CPPUNIT_ASSERT(!fleet_->is_refusing(n));
+    }
+
     // Guards against a violation of DRAIN: a control instance that was down while a target
     // left knew nothing of that target after its start. Entries that had been cut off too got
     // their answers from that instance, and went on sending requests to the target.
@@ -342,10 +374,10 @@
         CPPUNIT_ASSERT_MESSAGE("the leave is acknowledged", is_held(id));
     }
 
-    control::operator_request_id evacuate()
+    control::operator_request_id evacuate(bool begins = true)
     {
         return fleet_->request(0,
-                               any_message::of(control::evacuation_order{domain_id("d7"), true}));
+                               any_message::of(control::evacuation_order{domain_id("d7"), begins}));
     }
 
     bool is_accepted(control::operator_request_id id) const
@@ -362,10 +394,10 @@
         return answer != nullptr && answer->get<control::announcement_taken>()->held;
     }
 
-    /// Evacuates a failure domain; returns once that is acknowledged.
-    void acknowledge_evacuation()
+    /// Evacuates a failure domain, or ends that; returns once it is acknowledged.
+    void acknowledge_evacuation(bool begins = true)
     {
-        auto const id = evacuate();
+        auto const id = evacuate(begins);
         fleet_->commit({0, 1, 2});
         auto const deadline = fleet_->now() + seconds(1);
         while (!is_accepted(id) && fleet_->now() < deadline)
@@ -381,6 +413,14 @@
         return out;
     }
 
+    int entries_serving_before(generation_id generation)
+    {
+        int out = 0;
+        for (std::size_t n = 0; n != fleet_->entries(); ++n)
+            out += fleet_->generation(n) < generation && !fleet_->is_refusing(n);
+        return out;
+    }
+
     int entries_serving(int target)
     {
         int out = 0;
