--- a/plugins/entry/regions/link_budget.cpp
+++ b/entry/link_budget.cpp
@@ -1,4 +1,4 @@
-#include "link_budget.hpp"
+#include <mulberryrudder/entry/link_budget.hpp>
 
 #include <algorithm>
 
