Refuse requests after a pause until control confirms the plan

Callers saw: a process that was suspended served the requests that had waited for it by the plan of before its pause, until control answered its next report. What homes forbid, they forbid such a process, too.

Cause: nothing at an entry took note that it had not run.

Change: a gap of over a second between two ticks makes the plan outdated if it is over 2 s old, until an answer of control confirms it, or for 5 s without one. While answers are slow, reports ask control to answer at once.

Evidence: without the check of the gap, a_plan_is_outdated_after_a_pause_until_control_answers fails.

--- a/plugins/entry/roster/plan_currency.cpp
+++ b/plugins/entry/roster/plan_currency.cpp
@@ -10,6 +10,8 @@
 
 /// Time without an answer of any control instance after which this instance is cut off.
 constexpr seconds max_silence{5};
+/// A longer time between two ticks means that the process was not running.
+constexpr seconds max_tick_gap{1};
 
 } // namespace
 
@@ -33,6 +35,13 @@
         confirmed_at_ = std::max(confirmed_at_.value_or(*confirmed_at), *confirmed_at);
 }
 
+void plan_currency::tick(instant now)
+{
+    if (was_paused(now))
+        slow_until_ = now + max_silence;
+    last_tick_ = now;
+}
+
 std::optional<span> plan_currency::age(instant now) const
 {
     if (!confirmed_at_)
@@ -40,9 +49,19 @@
     return now - *confirmed_at_;
 }
 
+bool plan_currency::is_slow(instant now) const
+{
+    return now < slow_until_ || was_paused(now);
+}
+
 bool plan_currency::is_outdated(instant now) const
 {
-    return confirmed_at_ && now > *confirmed_at_ + limits_.max_age && now < slow_until_;
+    return confirmed_at_ && now > *confirmed_at_ + limits_.max_age && is_slow(now);
+}
+
+bool plan_currency::was_paused(instant now) const
+{
+    return last_tick_ && now > *last_tick_ + max_tick_gap;
 }
 
 } // namespace mulberryrudder::entry
--- a/plugins/entry/roster/plan_currency.hpp
+++ b/plugins/entry/roster/plan_currency.hpp
@@ -45,18 +45,29 @@
     /// Records that an answer arrived, after its contents were applied.
     void record(answer const& arrived, instant now);
 
+    /// Takes note that this process runs. Precondition: called at least every few hundred
+    /// milliseconds while it does, so that a longer time in between is a pause.
+    void tick(instant now);
+
     /// Returns the time since the state was the newest; nothing if that was never confirmed.
     std::optional<span> age(instant now) const;
 
-    /// Returns whether requests must not be sent by the state: it is too old, and control was
-    /// heard lately over a way that takes long. Without a word from control this instance is cut
-    /// off, and goes on with the state that it holds.
+    /// Returns whether answers of control lately took long, or may have waited for this process
+    /// while it did not run.
+    bool is_slow(instant now) const;
+
+    /// Returns whether requests must not be sent by the state: it is too old, and answers of
+    /// control take long. Without a word from control this instance is cut off, and goes on with
+    /// the state that it holds.
     bool is_outdated(instant now) const;
 
 private:
+    bool was_paused(instant now) const;
+
     options limits_;
     std::optional<instant> confirmed_at_;
-    instant slow_until_; ///< Until when the way to control counts as long.
+    instant slow_until_; ///< Until when answers of control count as slow.
+    std::optional<instant> last_tick_;
 };
 
 } // namespace mulberryrudder::entry
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -84,6 +84,7 @@
 
     void tick(context& ctx) override
     {
+        currency_.tick(ctx.now);
         if (awaited_control_ && ctx.now >= answer_deadline_)
         {
             ctx.events.record(control_unanswered_event,
@@ -197,7 +198,8 @@
                                   .searching = search_.is_active(),
                                   .wants_fleet = ctx.now >= fleet_due_,
                                   .takes_difference = takes_difference_};
-        if (recipient != current_control_)
+        // Control answers a report with a summary at once, so that the plan is confirmed sooner.
+        if (recipient != current_control_ || currency_.is_slow(ctx.now))
             out.held = listed_.summary(ctx.now);
         if (auto* const demand = services_.find<demand_view>())
             out.self.demand = demand->demand(ctx.now);
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -44,6 +44,8 @@
     CPPUNIT_TEST(a_late_answer_does_not_end_a_search);
     CPPUNIT_TEST(a_plan_that_control_confirms_late_is_outdated);
     CPPUNIT_TEST(a_plan_is_not_outdated_while_control_is_silent);
+    CPPUNIT_TEST(a_plan_is_outdated_after_a_pause_until_control_answers);
+    CPPUNIT_TEST(reports_are_answered_at_once_while_control_is_slow);
     CPPUNIT_TEST(the_time_for_which_control_held_a_report_is_not_part_of_the_plans_age);
     CPPUNIT_TEST(a_difference_is_applied_to_the_state_that_is_held);
     CPPUNIT_TEST(a_difference_from_another_state_is_ignored);
@@ -357,6 +359,38 @@
         }
     }
 
+    // Guards against a violation of HOME: a process that was suspended served the requests that
+    // had waited for it by the plan of before its pause.
+    void a_plan_is_outdated_after_a_pause_until_control_answers()
+    {
+        tick();
+        answer(
+            {.boot = boot_id(9), .confirmed_age = milliseconds(100), .steering = state(4, true)});
+        tick();
+        now_ += seconds(4);
+        CPPUNIT_ASSERT_MESSAGE("before the first tick", view().is_plan_outdated(now_));
+        tick();
+        CPPUNIT_ASSERT(view().is_plan_outdated(now_));
+        answer({.boot = boot_id(9), .confirmed_age = milliseconds(100)});
+        CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
+    }
+
+    // Guards against needless refusals: control holds a report for longer than an answer takes on
+    // a full link, and the plan counts as older by that time.
+    void reports_are_answered_at_once_while_control_is_slow()
+    {
+        tick();
+        answer(
+            {.boot = boot_id(9), .confirmed_age = milliseconds(100), .steering = state(4, true)});
+        tick(milliseconds(600));
+        answer({.boot = boot_id(9), .confirmed_age = milliseconds(100)});
+        tick();
+        CPPUNIT_ASSERT(poll_.held.has_value());
+        answer({.boot = boot_id(9), .confirmed_age = milliseconds(100)});
+        tick();
+        CPPUNIT_ASSERT(!poll_.held);
+    }
+
     void the_time_for_which_control_held_a_report_is_not_part_of_the_plans_age()
     {
         tick();
