Revert "Refuse requests whose replies the network link has no room for"

Why: callers that are refused at once come back at once, with their bodies, on other connections. The stage also took the place of the refusals over a customer's rate, whose callers come back later. What helps has to hold the callers' bytes back: reading slower, small receive windows, a bound of open connections. That is open.

--- a/include/mulberryrudder/entry/stage.hpp
+++ b/include/mulberryrudder/entry/stage.hpp
@@ -142,7 +142,6 @@
 // do the same work for fleets with release notes.
 inline constexpr int roster = lease;
 inline constexpr int plan_routes = keys;
-inline constexpr int link_load = 450;
 inline constexpr int quota = rate;
 inline constexpr int placement = choice;
 inline constexpr int repeats = retries;
--- a/entry/link_budget.cpp
+++ b/plugins/entry/regions/link_budget.cpp
@@ -1,4 +1,4 @@
-#include <mulberryrudder/entry/link_budget.hpp>
+#include "link_budget.hpp"
 
 #include <algorithm>
 
--- a/include/mulberryrudder/entry/link_budget.hpp
+++ b/plugins/entry/regions/link_budget.hpp
@@ -1,5 +1,5 @@
-#ifndef MULBERRYRUDDER_ENTRY_LINK_BUDGET_HPP
-#define MULBERRYRUDDER_ENTRY_LINK_BUDGET_HPP
+#ifndef MULBERRYRUDDER_PLUGINS_ENTRY_REGIONS_LINK_BUDGET_HPP
+#define MULBERRYRUDDER_PLUGINS_ENTRY_REGIONS_LINK_BUDGET_HPP
 
 #include <mulberryrudder/core/time.hpp>
 #include <mulberryrudder/core/units.hpp>
@@ -7,7 +7,7 @@
 namespace mulberryrudder::entry
 {
 
-/// Counts this instance's bytes on a link against its part of the link's capacity, by a
+/// Counts this instance's bytes on a link against its part of the link's cap, by a
 /// token bucket. Replies may overdraw it, as their size is not known beforehand; then
 /// nothing new is sent until the debt is paid.
 ///
@@ -15,9 +15,6 @@
 class link_budget
 {
 public:
-    /// Time for which a link may be used at once after it was idle.
-    static constexpr milliseconds burst{100};
-
     /// Returns whether `size` may be sent now.
     bool has_room(byte_count size, bytes_per_second rate, instant now)
     {
@@ -32,6 +29,9 @@
     }
 
 private:
+    /// Time for which a link may be used at once after it was idle.
+    static constexpr milliseconds burst{100};
+
     void refill(bytes_per_second rate, instant now);
 
     byte_count saved_;
--- a/plugins/entry/regions/regions_stage.hpp
+++ b/plugins/entry/regions/regions_stage.hpp
@@ -1,9 +1,10 @@
 #ifndef MULBERRYRUDDER_PLUGINS_ENTRY_REGIONS_REGIONS_STAGE_HPP
 #define MULBERRYRUDDER_PLUGINS_ENTRY_REGIONS_REGIONS_STAGE_HPP
 
+#include "link_budget.hpp"
+
 #include <mulberryrudder/entry/fleet_view.hpp>
 #include <mulberryrudder/entry/lease_shares.hpp>
-#include <mulberryrudder/entry/link_budget.hpp>
 #include <mulberryrudder/entry/queue_view.hpp>
 #include <mulberryrudder/entry/spill_view.hpp>
 #include <mulberryrudder/entry/stage.hpp>
