Use answers of the site's size in the case of channels that are reset

Cause: the answers of 200 kB were longer than any of the site. Change: 30 kB, the site's largest, over a link with a window of 4 kB.

--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -11,7 +11,7 @@
 {
 
 constexpr int clients = 8;
-constexpr std::size_t answer_size = 200'000;
+constexpr std::size_t answer_size = 30'000;
 constexpr auto deadline = 8000ms;
 /// How long a server works on a request.
 constexpr auto work_time = 80ms;
@@ -34,7 +34,7 @@
         {.listen = {net + ".41", 8668},
          .to = entry,
          .delay = 8ms,
-         .to_client = {.receive_buffer = 16384, .segment = 1460, .bytes_per_s = 500'000}});
+         .to_client = {.receive_buffer = 4096, .segment = 1460, .bytes_per_s = 500'000}});
 
     std::string const long_body(answer_size, 'x');
     auto const work = [&](message const& asked) -> server::reply
