Reopen a disk that failed, and let its replica vote again

Cause: the role 'stopped' had no way out, and the disk duty ran no step after its first failure, while the process went on running. Two voters of three that were stopped in turn are a lost majority.

Change: the replica asks for the disk to be reopened; the disk duty tries until a probe can be written, cuts off what a failed sync left and begins a new segment; the replica writes its whole state from memory and takes part again once that is synced. A folder that can't be read at the start is read again too, and the replica takes no blank identity meanwhile.

Why it works: the memory holds all that was acknowledged, and nothing that a failed sync wrote is used again.

--- a/control/core.cpp
+++ b/control/core.cpp
@@ -73,6 +73,12 @@
         component->disk_lost(it, context_);
 }
 
+void core::take(disk_reopened const& it)
+{
+    for (auto& component : components_)
+        component->reopened(it, context_);
+}
+
 void core::take(stop_requested const&)
 {
     for (auto& component : components_)
--- a/include/mulberryrudder/control/component.hpp
+++ b/include/mulberryrudder/control/component.hpp
@@ -100,6 +100,7 @@
     virtual void recovered(disk_recovered const&, context&) {}
     virtual void synced(disk_synced const&, context&) {}
     virtual void disk_lost(disk_failed const&, context&) {}
+    virtual void reopened(disk_reopened const&, context&) {}
 
     /// Takes a message; each component picks out its own types.
     virtual void received(envelope const&, context&) {}
--- a/include/mulberryrudder/control/inputs.hpp
+++ b/include/mulberryrudder/control/inputs.hpp
@@ -35,6 +35,8 @@
 /// What the disk held when the process started; always the first input.
 struct disk_recovered
 {
+    /// Nothing could be read. disk_failed follows, and another disk_recovered once it could.
+    bool failed = false;
     bool blank = true; ///< There was no state at all: a new or replaced disk.
     /// The state was copied to this disk, so it may be older than what was lost.
     bool copied = false;
@@ -49,12 +51,18 @@
     disk_ticket ticket;
 };
 
-/// The disk cannot be written; the replica must neither vote nor lead from now on.
+/// The disk cannot be written. Writes are ignored, and the replica must neither vote nor lead,
+/// until reopen_disk was asked for and disk_reopened told.
 struct disk_failed
 {
     std::string cause;
 };
 
+/// The disk can be written again. What was not synced before it failed is lost.
+struct disk_reopened
+{
+};
+
 /// The operating system asked for a planned stop.
 struct stop_requested
 {
@@ -62,7 +70,7 @@
 
 /// All that the control's decision core is told.
 using input = std::variant<message_arrived, operator_asked, disk_recovered, disk_synced,
-                           disk_failed, stop_requested>;
+                           disk_failed, disk_reopened, stop_requested>;
 
 /// Writes to the disk in this order: state, then cut the log from an index on,
 /// then append entries; then sync and tell disk_synced with the ticket.
@@ -81,6 +89,11 @@
     snapshot base;
 };
 
+/// Asks for a disk that failed to be opened again. Writes asked for earlier are ignored.
+struct reopen_disk
+{
+};
+
 /// Answers an operator's request.
 struct answer_operator
 {
@@ -108,7 +121,7 @@
 };
 
 /// All that the control's decision core can ask for.
-using effect = std::variant<persist, persist_snapshot, answer_operator, send_message,
+using effect = std::variant<persist, persist_snapshot, reopen_disk, answer_operator, send_message,
                             learn_instance, stop_completed>;
 using effects = std::vector<effect>;
 
--- a/plugins/control/replica/replica.cpp
+++ b/plugins/control/replica/replica.cpp
@@ -6,6 +6,7 @@
 #include <mulberryrudder/messages/roster.hpp>
 
 #include <array>
+#include <limits>
 
 namespace mulberryrudder::control
 {
@@ -27,6 +28,10 @@
 void replica::recovered(disk_recovered const& recovery, context& ctx)
 {
     ctx_ = &ctx;
+    if (recovery.failed)
+        return role_.disk_failed();
+    if (is_stopped())
+        role_.disk_restored();
     state_ = recovery.state;
     init_disk_identity(recovery);
     if (recovery.base)
@@ -71,7 +76,11 @@
 {
     ctx_ = &ctx;
     if (is_stopped())
+    {
+        if (restoring_ticket_ && sync.ticket >= *restoring_ticket_)
+            resume();
         return;
+    }
     for (auto& held : sync_queue_.synced(sync.ticket))
         ctx.out.push_back(send_message{std::move(held)});
     if (role_.current() == role::candidate && sync_queue_.synced_ticket() >= own_vote_ticket_)
@@ -83,12 +92,37 @@
 void replica::disk_lost(disk_failed const& failure, context& ctx)
 {
     ctx_ = &ctx;
-    if (is_stopped())
-        return;
     ctx.events.record(replica_events::disk_failed, {{"cause", failure.cause}});
-    step_down();
+    if (!is_stopped())
+        step_down();
     sync_queue_.discard_held();
+    incoming_snapshot_.reset();
+    restoring_ticket_.reset();
     role_.disk_failed();
+    ctx.out.push_back(reopen_disk{});
+}
+
+void replica::reopened(disk_reopened const&, context& ctx)
+{
+    ctx_ = &ctx;
+    check_invariant(is_stopped(), "only a failed disk is reopened");
+    // The memory holds all that was acknowledged, while the end of the log on the disk is unknown.
+    persist_state();
+    if (snapshot_)
+        ctx.out.push_back(
+            persist_snapshot{.ticket = sync_queue_.issue(log_.last().index), .base = *snapshot_});
+    auto const first = index_after(log_.base().index);
+    persist_log(first, log_.slice(first, std::numeric_limits<std::size_t>::max()));
+    restoring_ticket_ = sync_queue_.newest_ticket();
+}
+
+void replica::resume()
+{
+    sync_queue_.synced(*restoring_ticket_);
+    restoring_ticket_.reset();
+    role_.disk_restored();
+    reset_election_timer();
+    ctx_->events.record(replica_events::disk_restored, {});
 }
 
 void replica::received(envelope const& message, context& ctx)
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -46,6 +46,7 @@
     void recovered(disk_recovered const& recovery, context& ctx) override;
     void synced(disk_synced const& sync, context& ctx) override;
     void disk_lost(disk_failed const& failure, context& ctx) override;
+    void reopened(disk_reopened const& reopening, context& ctx) override;
     void received(envelope const& message, context& ctx) override;
     bool asked(operator_asked const& req, context& ctx) override;
     void tick(context& ctx) override;
@@ -73,6 +74,8 @@
     void record_own_start();
     void persist_state();
     void persist_log(std::optional<log_index> cut_from, std::vector<log_entry> entries);
+    /// Takes part in the group again, after a failure of the disk.
+    void resume();
     void append_entry(log_entry const& entry);
     void report_peer_addresses();
     std::uint64_t random_nonzero();
@@ -200,6 +203,8 @@
     membership_history memberships_;
     std::optional<snapshot> snapshot_;
     sync_queue sync_queue_;
+    /// After a failure of the disk: it holds the whole state once this write is synced.
+    std::optional<disk_ticket> restoring_ticket_;
     log_index commit_index_;
     log_index applied_index_;
     bool applying_ = false;
--- a/plugins/control/replica/replica_events.cpp
+++ b/plugins/control/replica/replica_events.cpp
@@ -29,8 +29,8 @@
                               .name = "replica.disk_failed",
                               .level = severity::error,
                               .meaning = "Writing to the disk failed; this control instance "
-                                         "neither votes nor leads until it is restarted.",
-                              .action = "Free space on the disk or replace it, then restart."});
+                                         "neither votes nor leads until replica.disk_restored.",
+                              .action = "Free space on the disk or replace it."});
 event_kind const disk_outdated({.number = 504,
                                 .name = "replica.disk_outdated",
                                 .level = severity::warning,
@@ -69,6 +69,12 @@
                                      .meaning = "The state was replaced by the leader's "
                                                 "snapshot.",
                                      .action = "None."});
+event_kind const disk_restored({.number = 510,
+                                .name = "replica.disk_restored",
+                                .level = severity::info,
+                                .meaning = "After a failure, the disk holds the whole state again; "
+                                           "this control instance may vote and lead.",
+                                .action = "None."});
 
 counter_kind const pre_votes("replica.trials", "Pre-vote rounds that this replica started.");
 counter_kind const elections("replica.elections",
--- a/plugins/control/replica/role.cpp
+++ b/plugins/control/replica/role.cpp
@@ -30,6 +30,9 @@
 struct disk_failed_event
 {
 };
+struct disk_restored_event
+{
+};
 
 struct role_table : msm::front::state_machine_def<role_table>
 {
@@ -64,7 +67,8 @@
         row<candidate, election_won_event, leader>, row<candidate, step_down_event, follower>,
         row<candidate, disk_failed_event, stopped>, row<leader, step_down_event, follower>,
         row<leader, disk_failed_event, stopped>, row<follower, step_down_event, follower>,
-        row<follower, disk_failed_event, stopped>, row<stopped, disk_failed_event, stopped>>;
+        row<follower, disk_failed_event, stopped>, row<stopped, disk_failed_event, stopped>,
+        row<stopped, disk_restored_event, follower>>;
 
     template <class Machine, class Event>
     void no_transition(Event const&, Machine&, int)
@@ -134,4 +138,9 @@
     machine_->process_event(disk_failed_event{});
 }
 
+void role_machine::disk_restored()
+{
+    machine_->process_event(disk_restored_event{});
+}
+
 } // namespace mulberryrudder::control
--- a/plugins/control/replica/role.hpp
+++ b/plugins/control/replica/role.hpp
@@ -13,7 +13,7 @@
     pre_candidate, ///< Requests pre-votes.
     candidate,     ///< Requests votes.
     leader,
-    stopped ///< Its disk failed; it neither votes nor leads until the process restarts.
+    stopped ///< Its disk failed; it neither votes nor leads until the disk holds its state again.
 };
 
 /// State machine of a replica's role (Boost.MSM). A transition that is not in its table is
@@ -33,6 +33,7 @@
     void election_won();       ///< A majority voted for this replica.
     void step_down();          ///< Another leader or a higher term was seen, or leadership ended.
     void disk_failed();        ///< The disk failed.
+    void disk_restored();      ///< The disk holds the replica's state again.
 
 private:
     class machine;
--- a/plugins/control_io/disk/disk_duty.cpp
+++ b/plugins/control_io/disk/disk_duty.cpp
@@ -6,6 +6,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -49,13 +50,22 @@
                                        .level = kernel::severity::error,
                                        .meaning = "The data folder could not be read, written or "
                                                   "synced, or what had been synced is damaged. "
-                                                  "It is not touched again.",
-                                       .action = "Mend the disk or make room, then restart. If "
-                                                 "the contents are damaged, clear the folder: "
-                                                 "the instance takes the state over anew."});
+                                                  "It is opened again every 0.5 s, until "
+                                                  "disk.reopened.",
+                                       .action = "Mend the disk or make room. If the contents are "
+                                                 "damaged, clear the folder and restart: the "
+                                                 "instance takes the state over anew."});
+kernel::event_kind const reopened_event({.number = 553,
+                                         .name = "disk.reopened",
+                                         .level = kernel::severity::info,
+                                         .meaning = "The data folder can be written again.",
+                                         .action = "None."});
 
 kernel::counter_kind const syncs("disk.syncs", "Syncs of the log.");
 kernel::counter_kind const writes("disk.writes", "Writes asked for; several share one sync.");
+kernel::counter_kind const reopen_failures("disk.reopen_failures",
+                                           "Attempts to open a failed data folder again that "
+                                           "failed.");
 kernel::counter_kind const sync_microseconds("disk.sync_microseconds",
                                              "Time spent on writing and syncing.");
 
@@ -63,6 +73,8 @@
 constexpr std::size_t most_writes = 1024;
 /// Time until a full ring to the decision duty is tried again.
 constexpr milliseconds ring_retry{5};
+/// Time until a failed data folder is opened again.
+constexpr milliseconds reopen_interval{500};
 
 /// Recovers the replica's state at the start and then writes and syncs it in
 /// batches, as the decision duty asks.
@@ -89,24 +101,36 @@
         std::optional<control::disk_ticket> newest;
         control::effect it;
         for (std::size_t n = 0; n != most_writes && from_decision_.try_pop(it); ++n)
-            if (!failed_)
+            if (std::holds_alternative<control::reopen_disk>(it))
+                reopen_later();
+            else if (!failed_)
                 attempt([&] { return take(it, newest); });
         if (newest && !failed_)
             attempt([&] { return sync(*newest); });
     }
 
 private:
-    /// Runs a step on the disk; after one failure none is run again.
+    /// Runs a step on the disk and passes the cause to `on_failure` if it fails.
     template <class Step>
-    void attempt(Step const& step)
+    static void run(Step const& step, std::function<void(std::string const&)> const& on_failure)
     {
         boost::leaf::try_handle_all(
-            step, [this](failure const& it) { fail(it.place + ": expected " + it.expected); },
-            [this] { fail("unknown"); });
+            step,
+            [&](failure const& it) { on_failure(it.place + ": expected " + it.expected); },
+            [&] { on_failure("unknown"); });
+    }
+
+    /// Runs a step on the disk; after one failure none is run until the folder is reopened.
+    template <class Step>
+    void attempt(Step const& step)
+    {
+        run(step, [this](std::string const& cause) { fail(cause); });
     }
 
     result<void> recover()
     {
+        store_.reset();
+        files_.reset(); // Releases the lock on the folder.
         BOOST_LEAF_ASSIGN(files_, open_folder(folder_));
         store_ = std::make_unique<disk_store>(*files_);
         BOOST_LEAF_AUTO(found, store_->recover());
@@ -115,10 +139,41 @@
         events().record(recovered_event,
                         {{"blank", found.recovered.blank ? "yes" : "no"},
                          {"entries", std::to_string(found.recovered.entries.size())}});
+        recovered_ = true;
         tell(std::move(found.recovered));
         return {};
     }
 
+    void reopen_later()
+    {
+        reopening_.expires_after(reopen_interval);
+        reopening_.async_wait(
+            [this](boost::system::error_code ec)
+            {
+                if (!ec)
+                    run([this] { return reopen(); },
+                        [this](std::string const&)
+                        {
+                            parts().counters.add(reopen_failures);
+                            reopen_later();
+                        });
+            });
+    }
+
+    result<void> reopen()
+    {
+        bool const was_recovered = recovered_;
+        if (was_recovered)
+            BOOST_LEAF_CHECK(store_->reopen());
+        else
+            BOOST_LEAF_CHECK(recover());
+        failed_ = false;
+        events().record(reopened_event, {});
+        if (was_recovered)
+            tell(control::disk_reopened{});
+        return {};
+    }
+
     result<void> take(control::effect const& it, std::optional<control::disk_ticket>& newest)
     {
         auto const write = [&](auto const& asked) -> result<void>
@@ -150,14 +205,13 @@
         failed_ = true;
         events().record(failed_event, {{"cause", cause}});
         // The decision core waits for the recovery before anything else.
-        if (!recovered_told_)
-            tell(control::disk_recovered{});
+        if (!recovered_)
+            tell(control::disk_recovered{.failed = true});
         tell(control::disk_failed{cause});
     }
 
     void tell(control::input it)
     {
-        recovered_told_ = true;
         unsent_.push_back(std::move(it));
         push_unsent();
     }
@@ -186,8 +240,9 @@
     std::unique_ptr<disk_store> store_;
     std::vector<control::input> unsent_; ///< Waits for room in the ring.
     boost::asio::steady_timer retry_{loop()};
-    bool recovered_told_ = false;
-    bool failed_ = false;
+    boost::asio::steady_timer reopening_{loop()};
+    bool recovered_ = false; ///< The folder was read.
+    bool failed_ = false;    ///< Writes are ignored until the folder is reopened.
 };
 
 kernel::duty_registrar<disk_duty> const entered{"disk", duty_order::disk};
--- a/plugins/control_io/disk/disk_store.cpp
+++ b/plugins/control_io/disk/disk_store.cpp
@@ -20,6 +20,8 @@
 constexpr char const* snapshot_name = "snapshot";
 constexpr char const* origin_name = "origin";
 constexpr char const* temporary_suffix = ".new";
+constexpr char const* probe_name = "probe";
+constexpr std::size_t probe_size = 4096;
 /// Whole files are framed as a segment of one batch.
 constexpr batch_number file_batch_before;
 /// Words that one message may hold; a bound against corrupted pointers only.
@@ -164,6 +166,22 @@
     return log_.remove_up_to(it.base.index);
 }
 
+result<void> disk_store::reopen()
+{
+    BOOST_LEAF_CHECK(probe());
+    return log_.reopen();
+}
+
+result<void> disk_store::probe()
+{
+    {
+        BOOST_LEAF_AUTO(file, files_.open(probe_name));
+        BOOST_LEAF_CHECK(file->append(std::string(probe_size, '\0')));
+        BOOST_LEAF_CHECK(file->sync());
+    }
+    return files_.remove(probe_name);
+}
+
 result<void> disk_store::make_origin()
 {
     BOOST_LEAF_AUTO(file, files_.open(origin_name));
--- a/plugins/control_io/disk/disk_store.hpp
+++ b/plugins/control_io/disk/disk_store.hpp
@@ -13,8 +13,8 @@
 /// folder); the log is a segment_log.
 /// A file that is never written again tells a folder from its copies.
 ///
-/// Thread safety: one owner. No call is allowed after one that failed: what a
-/// failed sync left on the disk is unknown, so it is never tried again.
+/// Thread safety: one owner. After a call that failed, only reopen() is allowed: what a failed
+/// sync left on the disk is unknown, so it is never tried again.
 class disk_store
 {
 public:
@@ -30,6 +30,11 @@
     /// Reads the folder. Fails if something that had been synced is damaged.
     result<contents> recover();
 
+    /// Makes the folder writable again after a failure. Fails while it takes no write. What was
+    /// synced is still there, later writes are not.
+    /// Precondition: recover() succeeded.
+    result<void> reopen();
+
     /// Takes a write; it is on the disk after the next sync().
     result<void> apply(control::persist const& it);
     result<void> apply(control::persist_snapshot const& it);
@@ -40,6 +45,8 @@
     result<void> read_state(control::disk_recovered& out);
     result<void> write_state(control::hard_state const& it);
     result<void> make_origin();
+    /// Writes and removes a file, to find out whether the folder takes writes.
+    result<void> probe();
     result<void> replace(std::string const& name, std::string const& body);
     result<std::string> read_whole(std::string const& name);
 
--- a/plugins/control_io/disk/segment_log.cpp
+++ b/plugins/control_io/disk/segment_log.cpp
@@ -94,6 +94,29 @@
     return out;
 }
 
+result<void> segment_log::reopen()
+{
+    added_.clear();
+    added_highest_ = {};
+    open_.reset();
+    // A removal that failed may have removed some of the segments.
+    BOOST_LEAF_AUTO(found, find_segments());
+    std::erase_if(segments_,
+                  [&](segment const& known)
+                  {
+                      return std::none_of(found.begin(), found.end(), [&](segment const& it)
+                                          { return it.name == known.name; });
+                  });
+    if (segments_.empty())
+        return corrupted(segment_name(batch_));
+    auto const& newest = segments_.back();
+    BOOST_LEAF_CHECK(files_.truncate(newest.name, newest.size));
+    if (newest.size != 0)
+        return begin_segment();
+    BOOST_LEAF_ASSIGN(open_, files_.open(newest.name));
+    return {};
+}
+
 void segment_log::add(std::string body, log_index index)
 {
     added_.push_back(std::move(body));
--- a/plugins/control_io/disk/segment_log.hpp
+++ b/plugins/control_io/disk/segment_log.hpp
@@ -19,7 +19,7 @@
 /// Keeps framed records in append-only files, the segments, named after their
 /// first batch. Records reach a file only in sync(), a batch in one write.
 ///
-/// Thread safety: one owner. No call is allowed after one that failed.
+/// Thread safety: one owner. After a call that failed, only reopen() is allowed.
 class segment_log
 {
 public:
@@ -36,6 +36,11 @@
     /// damaged record that had been synced.
     result<recovery> recover(std::function<result<log_index>(std::string_view)> const& take);
 
+    /// Drops the added records, cuts off what a failed sync may have left behind and begins a new
+    /// segment, so that no record follows bytes whose sync failed.
+    /// Precondition: recover() succeeded.
+    result<void> reopen();
+
     /// Adds a record that belongs to a log index, for the next sync.
     void add(std::string body, log_index index);
 
--- a/tests/control/replica/fake_group.cpp
+++ b/tests/control/replica/fake_group.cpp
@@ -4,6 +4,7 @@
 #include <mulberryrudder/messages/replica.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace mulberryrudder::control::testing
 {
@@ -51,6 +52,22 @@
 }
 
 void fake_group::start(std::uint32_t id)
+{
+    auto& disk = at(id).disk;
+    disk.fails = disk.failure_told = false;
+    disk.was_read = true;
+    start_with(id, disk.contents());
+}
+
+void fake_group::start_unreadable(std::uint32_t id)
+{
+    auto& disk = at(id).disk;
+    disk.failure_told = disk.was_read = false;
+    start_with(id, disk_recovered{.failed = true});
+    fail_disk(id);
+}
+
+void fake_group::start_with(std::uint32_t id, disk_recovered const& recovery)
 {
     auto& instance = at(id);
     ++instance.start;
@@ -67,7 +84,7 @@
                                                                   .self = std::move(self),
                                                                   .seed = random_()});
     instance.frozen_until = now_;
-    deliver(instance, instance.disk.contents());
+    deliver(instance, recovery);
     tick(id, instance.start);
 }
 
@@ -86,9 +103,34 @@
 
 void fake_group::fail_disk(std::uint32_t id)
 {
-    at(id).disk.drop_unsynced(0);
-    if (is_up(id))
-        deliver(at(id), disk_failed{"test"});
+    auto& disk = at(id).disk;
+    disk.drop_unsynced(0);
+    disk.fails = true;
+    if (!std::exchange(disk.failure_told, true))
+        deliver_when_running(id, at(id).start, disk_failed{"test"});
+}
+
+void fake_group::mend_disk(std::uint32_t id)
+{
+    at(id).disk.fails = false;
+}
+
+void fake_group::reopen_disk_when_mended(std::uint32_t id, std::uint64_t start)
+{
+    schedule(now_ + sync_delay,
+             [=, this]
+             {
+                 if (!is_up(id) || at(id).start != start)
+                     return;
+                 auto& disk = at(id).disk;
+                 if (disk.fails)
+                     return reopen_disk_when_mended(id, start);
+                 disk.failure_told = false;
+                 if (std::exchange(disk.was_read, true))
+                     deliver_when_running(id, start, disk_reopened{});
+                 else
+                     deliver_when_running(id, start, disk.contents());
+             });
 }
 
 void fake_group::set_link_cut(std::uint32_t sender, std::uint32_t receiver, bool cut)
@@ -200,6 +242,8 @@
             answers.push_back(answer->body);
             answer_by_request_.emplace(answer->id, answer->body);
         }
+        if (std::holds_alternative<reopen_disk>(it))
+            reopen_disk_when_mended(instance.id.value(), instance.start);
         if (auto const* const saved = std::get_if<persist_snapshot>(&it))
             write(instance, *saved);
         if (auto const* const saved = std::get_if<persist>(&it))
@@ -233,6 +277,8 @@
 
 void fake_group::write(fake_instance& instance, fake_disk::write data)
 {
+    if (instance.disk.fails)
+        return;
     instance.disk.add(std::move(data));
     auto const id = instance.id.value();
     schedule(now_ + sync_delay,
--- a/tests/control/replica/fake_group.hpp
+++ b/tests/control/replica/fake_group.hpp
@@ -72,9 +72,13 @@
     std::uint32_t add_instance();
 
     void start(std::uint32_t id);
+    /// Starts an instance whose disk cannot be read until mend_disk().
+    void start_unreadable(std::uint32_t id);
     void kill(std::uint32_t id);
     void freeze(std::uint32_t id, span duration);
+    /// Lets all writes to an instance's disk fail until mend_disk() or the next start.
     void fail_disk(std::uint32_t id);
+    void mend_disk(std::uint32_t id);
     void set_link_cut(std::uint32_t sender, std::uint32_t receiver, bool cut);
     void isolate(std::uint32_t id);
     void heal();
@@ -120,6 +124,7 @@
         }
     };
 
+    void start_with(std::uint32_t id, disk_recovered const& recovery);
     void schedule(instant due, std::function<void()> run);
     instant local_time(fake_instance const& instance) const;
     void deliver_when_running(std::uint32_t id, std::uint64_t start, input const& core_input);
@@ -128,6 +133,8 @@
     void perform(fake_instance& instance, effects const& out);
     void transmit(envelope const& message);
     void write(fake_instance& instance, fake_disk::write data);
+    /// Tells an instance that its disk was reopened, or what it holds, once it is mended.
+    void reopen_disk_when_mended(std::uint32_t id, std::uint64_t start);
     void check_entries(persist const& written);
     void check(fake_instance& instance);
     void check_single_acting_leader();
--- a/tests/control/replica/random_schedules_test.cpp
+++ b/tests/control/replica/random_schedules_test.cpp
@@ -54,7 +54,7 @@
         copy_disk();
     }
 
-    void run(std::array<fault, 14> const& faults)
+    void run(std::array<fault, 16> const& faults)
     {
         group_.network.loss_probability = 0.05 * random_fraction();
         group_.network.duplicate_probability = 0.1 * random_fraction();
@@ -72,14 +72,21 @@
         }
     }
 
-    /// Ends all faults and restarts all replicas; returns an error if the group does not recover
-    /// or a replica lost an accepted value, else an empty string.
+    /// Ends all faults and starts what is down, then restarts all replicas; returns an error if
+    /// the group does not recover either time or a replica lost an accepted value, else an empty
+    /// string.
     std::string recover()
     {
+        auto const settled = [this] { return all_vote() && group_.acting_leader() != 0; };
         group_.heal();
+        mend_disks();
+        for (std::uint32_t id = 1; id <= size_; ++id)
+            if (!group_.is_up(id))
+                group_.start(id);
+        if (!group_.run_until(settled, seconds(60)))
+            return "the group does not recover without a restart";
         for (std::uint32_t id = 1; id <= size_; ++id)
             restart(id);
-        auto const settled = [this] { return all_vote() && group_.acting_leader() != 0; };
         if (!group_.run_until(settled, seconds(60)))
             return "the group does not recover";
         group_.propose(++last_value_);
@@ -140,6 +147,22 @@
     }
     void freeze_one() { group_.freeze(random_id(), milliseconds(random_below(4000))); }
     void fail_disk() { group_.fail_disk(random_id()); }
+    void mend_disks()
+    {
+        for (std::uint32_t id = 1; id <= size_; ++id)
+            group_.mend_disk(id);
+    }
+    /// Fills the leader's disk for a while, so that disks are full in turn.
+    void fill_disk_of_leader()
+    {
+        auto const leader = group_.acting_leader();
+        if (leader == 0)
+            return;
+        group_.fail_disk(leader);
+        propose_some();
+        group_.run_for(milliseconds(random_below(4000)));
+        group_.mend_disk(leader);
+    }
     void replace_disk() { replace_disk_contents({}); }
     void copy_disk() { copied_disk_ = group_.at(1 + copy_count_++ % size_).disk.contents(); }
     void restore_copied_disk()
@@ -239,7 +262,7 @@
     std::ostringstream trace_;
 };
 
-constexpr std::array<fault, 14> faults{{
+constexpr std::array<fault, 16> faults{{
     {"nothing", [](schedule& it) { it.nothing(); }},
     {"kill", [](schedule& it) { it.kill_one(); }},
     {"restart", [](schedule& it) { it.restart_one(); }},
@@ -250,6 +273,8 @@
     {"heal", [](schedule& it) { it.heal_cuts(); }},
     {"freeze", [](schedule& it) { it.freeze_one(); }},
     {"fail_disk", [](schedule& it) { it.fail_disk(); }},
+    {"mend_disks", [](schedule& it) { it.mend_disks(); }},
+    {"fill_disk_of_leader", [](schedule& it) { it.fill_disk_of_leader(); }},
     {"replace_disk", [](schedule& it) { it.replace_disk(); }},
     {"copy_disk", [](schedule& it) { it.copy_disk(); }},
     {"restore_copied_disk", [](schedule& it) { it.restore_copied_disk(); }},
--- a/tests/control/replica/replica_test.cpp
+++ b/tests/control/replica/replica_test.cpp
@@ -112,6 +112,9 @@
     CPPUNIT_TEST(a_returning_isolated_replica_does_not_depose_the_leader);
     CPPUNIT_TEST(a_replica_gets_no_vote_while_the_leader_reaches_others);
     CPPUNIT_TEST(a_replica_with_a_failed_disk_neither_votes_nor_leads);
+    CPPUNIT_TEST(disks_that_were_full_in_turn_cost_no_voter);
+    CPPUNIT_TEST(a_disk_that_fails_while_it_is_restored_is_restored_later);
+    CPPUNIT_TEST(a_disk_that_could_not_be_read_at_the_start_is_read_later);
     CPPUNIT_TEST(a_blank_disk_regains_its_vote_automatically);
     CPPUNIT_TEST(a_blank_disk_gets_no_vote_before_it_has_caught_up);
     CPPUNIT_TEST(a_blank_replica_grants_no_vote);
@@ -249,6 +252,81 @@
         CPPUNIT_ASSERT_EQUAL(0U, group.acting_leader());
     }
 
+    // Guards against CONFIG: a replica whose disk had been full stayed without a vote when it had
+    // room again, so that two disks that were full in turn ended the control group's work.
+    void disks_that_were_full_in_turn_cost_no_voter()
+    {
+        for (bool const snapshots : {false, true})
+        {
+            running_group group(3, {.snapshot_threshold = snapshots ? 4 : 1000});
+            for (int n = 0; n != 4; ++n)
+            {
+                group.propose_many(5);
+                auto const leader = group.acting_leader();
+                group.fail_disk(leader);
+                CPPUNIT_ASSERT(group.wait_for_leader());
+                group.propose_many(5);
+                group.mend_disk(leader);
+                group.run_for(seconds(1));
+                CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
+                                     event_count(group, leader, "replica.disk_restored"));
+                group.at(leader).events.names.clear();
+            }
+            auto const last = group.proposed;
+            for (std::uint32_t id = 1; id != 4; ++id)
+            {
+                CPPUNIT_ASSERT(group.has_value(id, last));
+                group.kill(id);
+            }
+            for (std::uint32_t id = 1; id != 4; ++id)
+                group.start(id);
+            CPPUNIT_ASSERT(group.wait_for_leader());
+            group.run_for(seconds(1));
+            for (std::uint32_t id = 1; id != 4; ++id)
+                for (std::uint64_t value = 1; value <= last; ++value)
+                    CPPUNIT_ASSERT(group.has_value(id, value));
+        }
+    }
+
+    // Guards against a replica that stays stopped since its disk failed again before the whole
+    // state was written.
+    void a_disk_that_fails_while_it_is_restored_is_restored_later()
+    {
+        running_group group(3);
+        group.propose_many(5);
+        auto const id = group.follower();
+        group.fail_disk(id);
+        group.propose_many(5);
+        group.mend_disk(id);
+        group.run_until([&] { return group.at(id).disk.unsynced() != 0; }, seconds(1));
+        group.fail_disk(id);
+        group.run_for(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, event_count(group, id, "replica.disk_restored"));
+        group.mend_disk(id);
+        group.run_for(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, event_count(group, id, "replica.disk_restored"));
+        CPPUNIT_ASSERT(group.has_value(id, 10));
+    }
+
+    // Guards against a replica that takes part with a new identity, or never, since its disk could
+    // not be read when the process started.
+    void a_disk_that_could_not_be_read_at_the_start_is_read_later()
+    {
+        running_group group(3);
+        group.propose_many(5);
+        auto const id = group.follower();
+        auto const disk = group.at(id).disk.contents().state.disk;
+        group.kill(id);
+        group.start_unreadable(id);
+        group.propose_many(5);
+        CPPUNIT_ASSERT(!group.has_value(id, 1));
+        group.mend_disk(id);
+        group.run_for(seconds(1));
+        CPPUNIT_ASSERT(group.has_value(id, 10));
+        CPPUNIT_ASSERT(group.votes(id));
+        CPPUNIT_ASSERT(disk == group.at(id).disk.contents().state.disk);
+    }
+
     void a_blank_disk_regains_its_vote_automatically()
     {
         running_group group(3);
--- a/tests/control_io/disk/disk_duty_test.cpp
+++ b/tests/control_io/disk/disk_duty_test.cpp
@@ -7,7 +7,10 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <csignal>
+#include <memory>
 #include <poll.h>
+#include <sys/resource.h>
 #include <thread>
 
 namespace mulberryrudder::disk::testing
@@ -28,6 +31,25 @@
                                        { CPPUNIT_FAIL("the settings were refused"); });
 }
 
+/// Lets each write to a file of this process fail as long as it lives.
+class full_disk
+{
+public:
+    full_disk()
+    {
+        std::signal(SIGXFSZ, SIG_IGN);
+        CPPUNIT_ASSERT_EQUAL(0, ::getrlimit(RLIMIT_FSIZE, &before_));
+        auto const none = rlimit{.rlim_cur = 0, .rlim_max = before_.rlim_max};
+        CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_FSIZE, &none));
+    }
+    ~full_disk() { ::setrlimit(RLIMIT_FSIZE, &before_); }
+    full_disk(full_disk const&) = delete;
+    full_disk& operator=(full_disk const&) = delete;
+
+private:
+    rlimit before_{};
+};
+
 /// Runs the disk duty on its own thread, beside the test in place of the decisions.
 class running_duty
 {
@@ -86,6 +108,8 @@
     CPPUNIT_TEST(all_writes_are_told_synced);
     CPPUNIT_TEST(a_folder_in_use_fails_the_disk_after_the_recovery);
     CPPUNIT_TEST(damaged_state_fails_the_disk);
+    CPPUNIT_TEST(a_full_disk_is_written_again_once_it_has_room);
+    CPPUNIT_TEST(a_folder_that_could_not_be_read_is_read_later);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -144,6 +168,48 @@
         CPPUNIT_ASSERT(failed.cause.find("state") != std::string::npos);
     }
 
+    // Guards against CONFIG: a disk that was full once was never written again.
+    void a_full_disk_is_written_again_once_it_has_room()
+    {
+        write_state();
+        {
+            running_duty duty(folder_);
+            duty.next();
+            {
+                full_disk const full;
+                duty.ask(control::persist{.ticket = control::disk_ticket(1), .entries = {entry(2)}});
+                as<control::disk_failed>(duty.next());
+                duty.ask(control::reopen_disk{});
+                std::this_thread::sleep_for(seconds(1));
+            }
+            as<control::disk_reopened>(duty.next());
+            duty.ask(control::persist{.ticket = control::disk_ticket(2),
+                                      .cut_from = log_index(2),
+                                      .entries = {entry(2), entry(3)}});
+            CPPUNIT_ASSERT(control::disk_ticket(2) == as<control::disk_synced>(duty.next()).ticket);
+        }
+        running_duty duty(folder_);
+        auto const found = as<control::disk_recovered>(duty.next());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, found.entries.size());
+    }
+
+    // Guards against a control instance that takes no part until it is restarted, since its folder
+    // was in use, or a disk did not answer, when it started.
+    void a_folder_that_could_not_be_read_is_read_later()
+    {
+        write_state();
+        auto first = std::make_unique<running_duty>(folder_);
+        first->next();
+        running_duty second(folder_);
+        CPPUNIT_ASSERT(as<control::disk_recovered>(second.next()).failed);
+        as<control::disk_failed>(second.next());
+        second.ask(control::reopen_disk{});
+        first.reset();
+        auto const found = as<control::disk_recovered>(second.next());
+        CPPUNIT_ASSERT(!found.failed && !found.blank);
+        CPPUNIT_ASSERT(term_id(5) == found.state.term);
+    }
+
 private:
     template <class T>
     static T as(control::input const& it)
--- a/tests/control_io/disk/disk_store_test.cpp
+++ b/tests/control_io/disk/disk_store_test.cpp
@@ -58,6 +58,8 @@
     CPPUNIT_TEST(a_copied_folder_is_recovered_as_copied);
     CPPUNIT_TEST(a_missing_segment_is_refused);
     CPPUNIT_TEST(what_was_synced_survives_a_failure_at_any_operation);
+    CPPUNIT_TEST(a_reopened_folder_keeps_what_was_synced_and_takes_writes);
+    CPPUNIT_TEST(a_folder_that_takes_no_write_is_not_reopened);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -194,6 +196,44 @@
         }
     }
 
+    // Guards against a log that holds what a failed sync left behind, or that can't be recovered
+    // after it was written on: each operation fails in turn, and the folder is reopened.
+    void a_reopened_folder_keeps_what_was_synced_and_takes_writes()
+    {
+        std::mt19937_64 random(seed);
+        bool ended = false;
+        for (int operation = 0; !ended; ++operation)
+        {
+            files_ = {};
+            reopen();
+            write({.state = some_state(), .entries = {entry(1)}});
+            files_.fail_after(operation);
+            auto const synced = write_until_failure();
+            ended = !files_.failed();
+            CPPUNIT_ASSERT(ended || store_reopened() != done);
+            files_.mend();
+            CPPUNIT_ASSERT_EQUAL(done, store_reopened());
+            CPPUNIT_ASSERT_EQUAL(done, write({.state = some_state(),
+                                              .cut_from = log_index(synced + 1),
+                                              .entries = {entry(synced + 1, 2)}}));
+            files_.crash([&](std::size_t unsynced) { return random() % (unsynced + 1); });
+            CPPUNIT_ASSERT_EQUAL(done, outcome_of_reopen());
+            auto const& found = found_.recovered;
+            auto const base = found.base ? found.base->index.value() : 0;
+            CPPUNIT_ASSERT_EQUAL(synced + 1, base + found.entries.size());
+            CPPUNIT_ASSERT(term_id(2) == found.entries.back().term);
+        }
+    }
+
+    void a_folder_that_takes_no_write_is_not_reopened()
+    {
+        write({.state = some_state(), .entries = {entry(1)}});
+        files_.fail_after(0);
+        CPPUNIT_ASSERT(write({.entries = {entry(2)}}) != done);
+        for (int n = 0; n != 3; ++n)
+            CPPUNIT_ASSERT(store_reopened() != done);
+    }
+
 private:
     static inline std::string const done = "done";
 
@@ -215,6 +255,11 @@
 
     void reopen() { CPPUNIT_ASSERT_EQUAL(done, outcome_of_reopen()); }
 
+    std::string store_reopened()
+    {
+        return outcome([&] { return store_->reopen(); });
+    }
+
     std::string write(persist const& it)
     {
         return outcome(
--- a/tests/control_io/disk/memory_file_system.hpp
+++ b/tests/control_io/disk/memory_file_system.hpp
@@ -29,6 +29,8 @@
 
     /// Lets the operation after this many further ones fail.
     void fail_after(int operations) { until_failure_ = operations; }
+    /// Lets all operations work again.
+    void mend() { until_failure_ = -1, failed_ = false; }
     int operations() const { return operations_; }
     bool failed() const { return failed_; }
     /// Operations that were asked for after the one that failed.
