Read what callers sent ahead before a connection is closed

Cause: the socket was closed right behind the last write. With bytes of the caller unread the kernel then resets the connection and drops what it has not sent (RFC 9112, section 9.6).

Change: behind the last answer the end is sent, and the caller's bytes are read and discarded until it ends its side, or until a deadline or a number of bytes. A planned stop leaves a connection between two requests open while bytes are under way on it. Answers of control, and refusals of requests that were not read whole, are closed the same way.

With the former closing, the three new cases of session_test fail.

Why it works: no socket is closed while bytes wait unread, unless a limit is reached.

--- /dev/null
+++ b/kernel/graceful_close.cpp
@@ -0,0 +1,79 @@
+#include <mulberryrudder/kernel/graceful_close.hpp>
+
+#include <boost/asio/buffer.hpp>
+
+#include <algorithm>
+#include <array>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <utility>
+
+namespace mulberryrudder::kernel
+{
+
+namespace
+{
+
+/// Reads one connection to its end.
+class discarding_reader : public std::enable_shared_from_this<discarding_reader>
+{
+public:
+    discarding_reader(std::shared_ptr<boost::beast::tcp_stream> stream, close_limits limits,
+                      std::function<void()> closed)
+        : stream_(std::move(stream)), limits_(limits), closed_(std::move(closed))
+    {
+    }
+
+    void start()
+    {
+        boost::system::error_code ec;
+        stream_->socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+        read();
+    }
+
+private:
+    void read()
+    {
+        // A stream without time left would not call its handler.
+        constexpr span shortest_wait = milliseconds(1);
+        stream_->expires_after(std::max(limits_.deadline - monotonic_now(), shortest_wait));
+        stream_->async_read_some(boost::asio::buffer(buf_),
+                                 [self = shared_from_this()](auto ec, std::size_t n)
+                                 { self->was_read(ec, n); });
+    }
+
+    void was_read(boost::system::error_code ec, std::size_t n)
+    {
+        discarded_ += n;
+        auto const most = static_cast<std::size_t>(limits_.most_discarded.count());
+        if (!ec && discarded_ < most && monotonic_now() < limits_.deadline)
+            return read();
+        stream_->close();
+        closed_();
+    }
+
+    std::shared_ptr<boost::beast::tcp_stream> stream_;
+    close_limits limits_;
+    std::function<void()> closed_;
+    std::array<char, 4096> buf_{};
+    std::size_t discarded_ = 0;
+};
+
+} // namespace
+
+void close_gracefully(std::shared_ptr<boost::beast::tcp_stream> stream, close_limits limits,
+                      std::function<void()> closed)
+{
+    std::make_shared<discarding_reader>(std::move(stream), limits, std::move(closed))->start();
+}
+
+bool has_bytes_under_way(boost::asio::ip::tcp::socket& socket)
+{
+    int unconfirmed = 0;
+    if (::ioctl(socket.native_handle(), SIOCOUTQ, &unconfirmed) == 0 && unconfirmed != 0)
+        return true;
+    boost::system::error_code ec;
+    return socket.available(ec) != 0;
+}
+
+} // namespace mulberryrudder::kernel
--- a/plugins/control_io/disk/disk_duty.cpp
+++ b/plugins/control_io/disk/disk_duty.cpp
@@ -115,8 +115,7 @@
     static void run(Step const& step, std::function<void(std::string const&)> const& on_failure)
     {
         boost::leaf::try_handle_all(
-            step,
-            [&](failure const& it) { on_failure(it.place + ": expected " + it.expected); },
+            step, [&](failure const& it) { on_failure(it.place + ": expected " + it.expected); },
             [&] { on_failure("unknown"); });
     }
 
--- a/plugins/control_io/disk/segment_log.cpp
+++ b/plugins/control_io/disk/segment_log.cpp
@@ -104,8 +104,8 @@
     std::erase_if(segments_,
                   [&](segment const& known)
                   {
-                      return std::none_of(found.begin(), found.end(), [&](segment const& it)
-                                          { return it.name == known.name; });
+                      return std::none_of(found.begin(), found.end(),
+                                          [&](segment const& it) { return it.name == known.name; });
                   });
     if (segments_.empty())
         return corrupted(segment_name(batch_));
--- a/plugins/control_io/operator_http/session.cpp
+++ b/plugins/control_io/operator_http/session.cpp
@@ -1,5 +1,7 @@
 #include "session.hpp"
 
+#include <mulberryrudder/kernel/graceful_close.hpp>
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -11,6 +13,9 @@
 
 namespace http = boost::beast::http;
 
+/// Bytes that are read behind an answer, so that they do not reset the connection.
+constexpr byte_count most_discarded{262'144};
+
 /// Returns the status for a request that could not be read; 0 if the connection
 /// is beyond an answer.
 unsigned status_of(boost::system::error_code ec)
@@ -79,7 +84,18 @@
     response_.prepare_payload();
     stream_.expires_after(owner_.config().read_limit);
     http::async_write(stream_, response_,
-                      [self = shared_from_this()](auto, std::size_t) { self->end(); });
+                      [self = shared_from_this()](auto ec, std::size_t) { self->written(ec); });
+}
+
+void session::written(boost::system::error_code ec)
+{
+    if (ec)
+        return end();
+    auto const self = shared_from_this();
+    kernel::close_gracefully({self, &stream_},
+                             {.deadline = monotonic_now() + owner_.config().read_limit,
+                              .most_discarded = most_discarded},
+                             [self] { self->end(); });
 }
 
 void session::end()
--- a/plugins/control_io/operator_http/session.hpp
+++ b/plugins/control_io/operator_http/session.hpp
@@ -54,6 +54,7 @@
 private:
     void request_read(boost::system::error_code ec);
     void wait_for_answer();
+    void written(boost::system::error_code ec);
     void end();
 
     boost::beast::tcp_stream stream_;
--- a/plugins/entry_io/caller_http/session.cpp
+++ b/plugins/entry_io/caller_http/session.cpp
@@ -1,5 +1,6 @@
 #include "session.hpp"
 
+#include <mulberryrudder/kernel/graceful_close.hpp>
 #include <mulberryrudder/kernel/socket_options.hpp>
 
 #include <boost/beast/http/read.hpp>
@@ -18,6 +19,8 @@
 /// Bytes that are read behind an unanswered request: some dozens of requests without
 /// bodies. What a caller sends beyond stays in its socket.
 constexpr std::size_t most_read_ahead = 16'384;
+/// Bytes that are read behind the last answer of a connection, so that they do not reset it.
+constexpr byte_count most_discarded{262'144};
 
 client_address address_of(boost::asio::ip::tcp::socket const& socket)
 {
@@ -197,14 +200,26 @@
 {
     response_.reset();
     held_.reset();
-    if (ec || !keep_open)
+    if (ec)
         return end();
+    if (!keep_open)
+        return close_behind_answer();
     read();
 }
 
+void session::close_behind_answer()
+{
+    auto const self = shared_from_this();
+    kernel::close_gracefully({self, &stream_},
+                             {.deadline = monotonic_now() + owner_.config().read_limit,
+                              .most_discarded = most_discarded},
+                             [self] { self->end(); });
+}
+
 void session::close_if_idle()
 {
-    if (idle_)
+    // The answer before may still be under way. The next request closes the connection.
+    if (idle_ && !kernel::has_bytes_under_way(stream_.socket()))
         end();
 }
 
--- a/plugins/entry_io/caller_http/session.hpp
+++ b/plugins/entry_io/caller_http/session.hpp
@@ -72,7 +72,7 @@
     /// Closes the connection without an answer.
     void end();
 
-    /// Closes the connection if it is between two requests.
+    /// Closes the connection if it is between two requests and nothing is under way on it.
     void close_if_idle();
 
     client_address const& client() const { return client_; }
@@ -88,6 +88,7 @@
     void request_read(boost::system::error_code ec);
     void refuse_unreadable(boost::system::error_code ec);
     void written(boost::system::error_code ec, bool keep_open);
+    void close_behind_answer();
     void watch_for_close();
     void watched(request_id id);
 
--- a/tests/control/replica/fake_disk.hpp
+++ b/tests/control/replica/fake_disk.hpp
@@ -26,9 +26,9 @@
     /// Syncs the first `synced_count` writes and drops the others.
     void drop_unsynced(std::size_t synced_count);
 
-    bool fails = false;         ///< Writes are lost.
-    bool failure_told = false;  ///< The instance knows of a failure and of no reopening since.
-    bool was_read = true;       ///< The running process was told the contents.
+    bool fails = false;        ///< Writes are lost.
+    bool failure_told = false; ///< The instance knows of a failure and of no reopening since.
+    bool was_read = true;      ///< The running process was told the contents.
     std::size_t unsynced() const { return unsynced_.size(); }
     disk_recovered const& contents() const { return contents_; }
     void replace_contents(disk_recovered contents);
--- a/tests/control_io/disk/disk_duty_test.cpp
+++ b/tests/control_io/disk/disk_duty_test.cpp
@@ -177,7 +177,8 @@
             duty.next();
             {
                 full_disk const full;
-                duty.ask(control::persist{.ticket = control::disk_ticket(1), .entries = {entry(2)}});
+                duty.ask(
+                    control::persist{.ticket = control::disk_ticket(1), .entries = {entry(2)}});
                 as<control::disk_failed>(duty.next());
                 duty.ask(control::reopen_disk{});
                 std::this_thread::sleep_for(seconds(1));
--- a/tests/entry_io/caller_http/session_test.cpp
+++ b/tests/entry_io/caller_http/session_test.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
+
 namespace mulberryrudder::caller_http
 {
 
@@ -29,7 +31,8 @@
     void ended(std::shared_ptr<session> const&) override { ++ended_; }
     caller_settings const& config() const override { return config_; }
     caller_limits const& limits() const override { return limits_; }
-    bool closing() const override { return false; }
+    bool closing() const override { return closing_; }
+    void read_limit(milliseconds limit) { config_.read_limit = limit; }
     http_response refuse_overloaded() override
     {
         ++refused;
@@ -42,6 +45,7 @@
     int unwatched_ = 0;
     int ended_ = 0;
     int refused = 0;
+    bool closing_ = false;
     kernel::byte_budget bytes{byte_count(300'000)};
     std::shared_ptr<session> last;
 
@@ -59,13 +63,18 @@
     CPPUNIT_TEST(bytes_without_end_behind_a_request_are_left_in_the_socket);
     CPPUNIT_TEST(a_head_without_end_is_refused);
     CPPUNIT_TEST(a_body_without_end_is_refused_when_there_is_no_room);
+    CPPUNIT_TEST(the_last_answer_is_whole_although_requests_were_sent_behind_it);
+    CPPUNIT_TEST(an_idle_connection_is_not_closed_while_its_answer_is_under_way);
+    CPPUNIT_TEST(a_caller_that_leaves_a_closed_connection_open_is_left_at_the_limit);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void setUp() override
     {
         acceptor_.emplace(loop_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-        caller_.emplace(loop_);
+        caller_.emplace(loop_, tcp::v4());
+        // A small window, so that a long answer waits on the side of the session.
+        caller_->set_option(tcp::socket::receive_buffer_size(4096));
         caller_->connect(acceptor_->local_endpoint());
     }
 
@@ -135,7 +144,89 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{200'000}, owner_.bytes.used().count());
     }
 
+    // Guards against LOST: with bytes of the caller unread, closing the socket behind the last
+    // answer reset the connection, and the kernel dropped what it had not sent.
+    void the_last_answer_is_whole_although_requests_were_sent_behind_it()
+    {
+        send(request);
+        start();
+        owner_.closing_ = true;
+        owner_.last->answer(long_answer());
+        send(request + request);
+        turn();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("whole", true, reads_whole_answer());
+        caller_->close();
+        turn();
+        CPPUNIT_ASSERT_EQUAL(1, owner_.ended_);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("no further request", std::uint64_t{1}, owner_.arrived_);
+    }
+
+    // Guards against LOST: a planned stop closed a connection between two requests while the
+    // answer before was still under way, and a request that arrived then reset it.
+    void an_idle_connection_is_not_closed_while_its_answer_is_under_way()
+    {
+        send(request);
+        start();
+        owner_.last->answer(long_answer());
+        turn();
+        owner_.closing_ = true;
+        owner_.last->close_if_idle();
+        send(request);
+        turn();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("whole", true, reads_whole_answer());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the next one is taken", std::uint64_t{2}, owner_.arrived_);
+        owner_.last->answer(encode_status(204));
+        turn();
+        caller_->close();
+        turn();
+        CPPUNIT_ASSERT_EQUAL(1, owner_.ended_);
+    }
+
+    // Guards against connections that stay for good, since the caller does not end its side.
+    void a_caller_that_leaves_a_closed_connection_open_is_left_at_the_limit()
+    {
+        owner_.read_limit(milliseconds(100));
+        send(request);
+        start();
+        owner_.closing_ = true;
+        owner_.last->answer(encode_status(204));
+        turn();
+        CPPUNIT_ASSERT_EQUAL(0, owner_.ended_);
+        for (int n = 0; n != 10; ++n)
+            turn();
+        CPPUNIT_ASSERT_EQUAL(1, owner_.ended_);
+    }
+
 private:
+    /// Fills the buffers of the kernel on the side of the session, and not more.
+    static constexpr std::size_t long_size = 400'000;
+
+    static http_response long_answer()
+    {
+        auto out = encode_status(200);
+        out.body() = std::string(long_size, 'x');
+        return out;
+    }
+
+    /// Reads slowly up to the end of a long answer; returns whether it came whole.
+    bool reads_whole_answer()
+    {
+        std::array<char, 16'384> buf;
+        std::string got;
+        boost::system::error_code ec;
+        caller_->non_blocking(true);
+        for (int n = 0; n != 500 && got.size() < long_size; ++n)
+        {
+            ec = {};
+            got.append(buf.data(), caller_->read_some(boost::asio::buffer(buf), ec));
+            if (ec && ec != boost::asio::error::would_block)
+                return false;
+            loop_.restart();
+            loop_.run_for(milliseconds(1));
+        }
+        return got.size() >= long_size;
+    }
+
     static inline std::string const request = "GET /r/ HTTP/1.1\r\nHost: x\r\n\r\n";
     static constexpr std::size_t endless = 67'108'864;
 
