Give up a voter's replacement that is lost when another change is due

Cause: a pending change of the voters blocked every other one until it was complete, also when the instance that was to join was gone for good. Voters, moreover, were watched by roster messages, which an instance whose disk failed still sends.

Change: the keeper watches voters and joining instances by their answers to the leader's replica. A pending change whose joining instance has been silent for voters/replace_after is given up once another change is due; that instance is the last choice for a while.

With pending changes kept, a_replacement_that_is_lost_can_be_given_up_for_another and a_replacement_that_is_lost_blocks_no_further_one fail; with voters watched by roster messages, a_voter_whose_disk_failed_is_replaced_although_it_is_heard and an_addition_that_does_not_answer_is_tried_with_another_instance fail.

Why it works: no change of the voters depends on one instance that may never come.

--- a/include/mulberryrudder/control/replicated_log.hpp
+++ b/include/mulberryrudder/control/replicated_log.hpp
@@ -5,6 +5,7 @@
 #include <mulberryrudder/core/time.hpp>
 
 #include <optional>
+#include <vector>
 
 namespace mulberryrudder::control
 {
@@ -49,10 +50,16 @@
     /// Returns the newest membership that this replica knows.
     virtual group_membership const& membership() const = 0;
 
+    /// Returns whether an instance that is or becomes a voter answered this leader recently.
+    /// One whose disk failed does not, although its other messages arrive.
+    virtual bool answers(instance_id id) const = 0;
+
     /// Begins to put an instance in the place of a voter; one that replaces itself joins the
     /// voters that there are. Returns false, and changes nothing, if this replica may not act
-    /// or another change is under way; an addition that did not come about yet is given up.
-    virtual bool begin_replacement(replacement const& wanted, instant now) = 0;
+    /// or another change is under way. Additions that did not come about yet and the pending
+    /// changes in `abandoned` are given up.
+    virtual bool begin_replacement(replacement const& wanted,
+                                   std::vector<replacement> const& abandoned, instant now) = 0;
 };
 
 } // namespace mulberryrudder::control
--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -16,10 +16,20 @@
 
 } // namespace
 
+bool replica::is_recent(messages::round_id round) const
+{
+    return round != messages::round_id() && round.value() + recent_rounds >= lease_.round().value();
+}
+
 bool replica::is_reachable(progress const& peer) const
 {
-    return peer.matched_round != messages::round_id() &&
-           peer.matched_round.value() + recent_rounds >= lease_.round().value();
+    return is_recent(peer.matched_round);
+}
+
+bool replica::answers(instance_id id) const
+{
+    auto const peer = peers_.find(id);
+    return id == self_.self.id || (peer != peers_.end() && is_recent(peer->second.replied_round));
 }
 
 bool replica::is_caught_up(progress const& peer) const
@@ -140,21 +150,23 @@
         members().find(req.leaving) == nullptr && members().find(req.joining) != nullptr;
     if (refusal != replace_refusal::none || complete)
         return answer_replace_request(id, refusal);
-    add_pending_replacement({.leaving = req.leaving, .joining = req.joining, .peer = req.peer});
+    add_pending_replacement({.leaving = req.leaving, .joining = req.joining, .peer = req.peer}, {});
     if (memberships_.newest_index() <= commit_index_)
         return answer_replace_request(id, refusal);
     replace_requests_[id] = memberships_.newest_index();
 }
 
-void replica::add_pending_replacement(replacement const& change)
+void replica::add_pending_replacement(replacement const& change,
+                                      std::vector<replacement> const& abandoned)
 {
     auto next = members();
-    // A pending addition must not block other changes.
+    auto const is_abandoned = [&](replacement const& each)
+    { return std::find(abandoned.begin(), abandoned.end(), each) != abandoned.end(); };
     std::erase_if(next.pending,
                   [&](replacement const& each)
                   {
                       return each != change &&
-                             (is_addition(each) ||
+                             (is_addition(each) || is_abandoned(each) ||
                               (each.leaving == change.leaving && each.joining != change.leaving));
                   });
     if (std::find(next.pending.begin(), next.pending.end(), change) == next.pending.end())
@@ -168,16 +180,19 @@
     return change.leaving == change.joining && members().find(change.joining) == nullptr;
 }
 
-bool replica::begin_replacement(replacement const& change, instant now)
+bool replica::begin_replacement(replacement const& change,
+                                std::vector<replacement> const& abandoned, instant now)
 {
+    auto const is_given_up = [&](replacement const& it) {
+        return is_addition(it) ||
+               std::find(abandoned.begin(), abandoned.end(), it) != abandoned.end();
+    };
     auto const& pending = members().pending;
-    bool const change_in_progress =
-        memberships_.newest_index() > commit_index_ ||
-        !std::all_of(pending.begin(), pending.end(),
-                     [this](replacement const& it) { return is_addition(it); });
+    bool const change_in_progress = memberships_.newest_index() > commit_index_ ||
+                                    !std::all_of(pending.begin(), pending.end(), is_given_up);
     if (ctx_ == nullptr || !is_leader() || !may_act(now) || change_in_progress)
         return false;
-    add_pending_replacement(change);
+    add_pending_replacement(change, abandoned);
     return true;
 }
 
--- a/plugins/control/replica/leading.cpp
+++ b/plugins/control/replica/leading.cpp
@@ -115,6 +115,7 @@
     }
     if (term < state_.term)
         return false;
+    found->second.replied_round = std::max(found->second.replied_round, round);
     lease_.record_reply({.id = sender, .disk = disk}, round);
     extend_lease();
     return true;
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -28,6 +28,7 @@
     log_index next_index;  ///< Index of the next entry to send.
     log_index match_index; ///< Index of the last entry known to be on the replica's disk.
     messages::round_id matched_round; ///< Newest round whose reply confirmed `match_index`.
+    messages::round_id replied_round; ///< Newest round that the replica replied to.
     std::uint32_t next_piece = 0;     ///< Position of the next snapshot piece to send.
     bool in_flight = false;           ///< Entries or a piece were sent and not yet answered.
 };
@@ -58,7 +59,9 @@
     std::optional<log_index> propose(any_message command) override;
     log_index applied_index() const override { return applied_index_; }
     group_membership const& membership() const override { return members(); }
-    bool begin_replacement(replacement const& change, instant now) override;
+    bool answers(instance_id id) const override;
+    bool begin_replacement(replacement const& change, std::vector<replacement> const& abandoned,
+                           instant now) override;
 
 private:
     // replica.cpp: persistence, commit and apply; used by all other parts.
@@ -151,6 +154,8 @@
     // changing_members.cpp: membership changes on the leader and operators' requests.
     void advance_membership_change();
     void append_membership(group_membership next);
+    /// Returns whether a round of this term was opened recently.
+    bool is_recent(messages::round_id round) const;
     /// Returns whether a replica replied recently, and in this term.
     bool is_reachable(progress const& peer) const;
     /// Returns whether a replica holds all committed entries and replied recently.
@@ -168,7 +173,10 @@
     replace_refusal replacement_refusal(replace_member const& req) const;
     /// Returns whether a replacement adds a voter instead of replacing one.
     bool is_addition(replacement const& change) const;
-    void add_pending_replacement(replacement const& change);
+    /// Adds a change that is carried out step by step. Gives up what it replaces: additions, other
+    /// changes of the same leaving voter, and those in `abandoned`.
+    void add_pending_replacement(replacement const& change,
+                                 std::vector<replacement> const& abandoned);
     void answer_replace_request(operator_request_id id, replace_refusal refusal);
     void answer_committed_replacements();
     void refuse_uncommitted_replacements();
--- a/plugins/control/voters/voter_keeper.cpp
+++ b/plugins/control/voters/voter_keeper.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <tuple>
+#include <vector>
 
 namespace mulberryrudder::control
 {
@@ -31,8 +33,9 @@
             "loss of accepted state. The group grows to twice this number of voters plus one, "
             "or to all control instances if there are fewer; it never shrinks."),
         kernel::field("replace_after", &voter_settings::silence_timeout, time_limits,
-                      "Milliseconds without a message from a voter after which another control "
-                      "instance replaces it."),
+                      "Milliseconds without an answer from a voter after which another control "
+                      "instance replaces it, and after which one that was to join blocks no other "
+                      "change."),
         kernel::field("check_period", &voter_settings::check_interval, time_limits,
                       "Milliseconds between two checks of the voters."),
     }};
@@ -48,10 +51,21 @@
     {.number = 730,
      .name = "voters.replacing",
      .level = kernel::severity::warning,
-     .meaning = "No message arrived from a voter for voters/replace_after; another control "
+     .meaning = "No answer came from a voter for voters/replace_after; another control "
                 "instance replaces it.",
      .action = "Check the silent instance. It joins again automatically when it returns."}};
 
+kernel::event_kind const abandoned_event{
+    {.number = 732,
+     .name = "voters.abandoned",
+     .level = kernel::severity::warning,
+     .meaning = "A change of the voters was given up: no answer came for voters/replace_after from "
+                "the control instance that was to join, and another change is due.",
+     .action = "Check the joining instance. It joins as a voter when one is needed again."}};
+
+/// How long an instance that did not join is the last choice.
+constexpr seconds avoidance{30};
+
 /// Maintains the voters of the control group while this instance leads: adds voters up to the
 /// required number and replaces a voter that stays silent. New voters are reachable instances
 /// in the region with the fewest voters, so that the loss of a region leaves a majority.
@@ -65,7 +79,12 @@
     {
     }
 
-    void leading(context& ctx) override { silent_since_.clear(), next_check_ = ctx.now; }
+    void leading(context& ctx) override
+    {
+        silent_since_.clear();
+        avoided_until_.clear();
+        next_check_ = ctx.now;
+    }
 
     void tick(context& ctx) override
     {
@@ -74,33 +93,58 @@
         next_check_ = ctx.now + config_.check_interval;
         if (!services_.require<replicated_log>().may_act(ctx.now))
             return silent_since_.clear();
+        update_silence(ctx.now);
+        std::erase_if(avoided_until_, [&](auto const& it) { return it.second <= ctx.now; });
+        auto const abandoned = abandoned_changes(ctx.now);
+        for (auto const& it : abandoned)
+            avoided_until_[it.joining] = ctx.now + avoidance;
         auto const reachable =
             services_.require<roster_view>().control_since(ctx.now - config_.check_interval * 2);
-        update_silence(reachable, ctx.now);
-        if (auto const change = choose_replacement(reachable, ctx.now))
-            replace_voter(*change, ctx);
+        if (auto const change = choose_replacement(reachable, abandoned, ctx.now))
+            replace_voter(*change, abandoned, ctx);
         else if (needs_more_voters())
-            add_voter(reachable, ctx);
+            add_voter(reachable, abandoned, ctx);
     }
 
 private:
     voter_group& group() { return services_.require<voter_group>(); }
 
-    void update_silence(std::vector<instance_description> const& reachable, instant now)
+    /// Notes since when the voters, and the instances that are to join, do not answer the leader.
+    void update_silence(instant now)
     {
-        for (auto const& it : group().membership().voters)
+        auto const& members = group().membership();
+        std::set<instance_id> watched;
+        for (auto const& it : members.voters)
+            watched.insert(it.id);
+        for (auto const& it : members.pending)
+            watched.insert(it.joining);
+        std::erase_if(silent_since_, [&](auto const& it) { return !watched.contains(it.first); });
+        for (auto const id : watched)
         {
-            bool const is_reachable =
-                it.id == self_.self.id ||
-                std::any_of(reachable.begin(), reachable.end(),
-                            [&](instance_description const& each) { return each.id == it.id; });
-            if (is_reachable)
-                silent_since_.erase(it.id);
+            if (group().answers(id))
+                silent_since_.erase(id);
             else
-                silent_since_.try_emplace(it.id, now);
+                silent_since_.try_emplace(id, now);
         }
     }
 
+    bool has_been_silent(instance_id id, instant now) const
+    {
+        auto const found = silent_since_.find(id);
+        return found != silent_since_.end() && found->second + config_.silence_timeout <= now;
+    }
+
+    /// Returns the pending changes whose joining instance is not there. They block no other one.
+    std::vector<replacement> abandoned_changes(instant now)
+    {
+        auto const& members = group().membership();
+        std::vector<replacement> out;
+        for (auto const& it : members.pending)
+            if (members.find(it.joining) == nullptr && has_been_silent(it.joining, now))
+                out.push_back(it);
+        return out;
+    }
+
     bool needs_more_voters()
     {
         auto const required = static_cast<std::size_t>(2 * config_.tolerated_disk_losses + 1);
@@ -108,20 +152,29 @@
     }
 
     std::optional<replacement>
-    choose_replacement(std::vector<instance_description> const& reachable, instant now)
+    choose_replacement(std::vector<instance_description> const& reachable,
+                       std::vector<replacement> const& abandoned, instant now)
     {
         auto const& members = group().membership();
-        auto const expired = std::find_if(silent_since_.begin(), silent_since_.end(),
-                                          [&](auto const& it) {
-                                              return members.find(it.first) != nullptr &&
-                                                     it.second + config_.silence_timeout <= now;
-                                          });
-        auto const* const joining =
-            expired == silent_since_.end() ? nullptr : best_candidate(reachable);
+        auto const is_pending = [&](auto const& matches)
+        { return std::any_of(members.pending.begin(), members.pending.end(), matches); };
+        auto const* const joining = best_candidate(reachable);
         if (joining == nullptr)
             return std::nullopt;
-        return replacement{
-            .leaving = expired->first, .joining = joining->id, .peer = joining->peer};
+        for (auto const& it : members.voters)
+        {
+            replacement const change{
+                .leaving = it.id, .joining = joining->id, .peer = joining->peer};
+            auto const replaces = [&](replacement const& each)
+            {
+                return each.leaving == it.id &&
+                       std::find(abandoned.begin(), abandoned.end(), each) == abandoned.end();
+            };
+            auto const is_same = [&](replacement const& each) { return each == change; };
+            if (has_been_silent(it.id, now) && !is_pending(replaces) && !is_pending(is_same))
+                return change;
+        }
+        return std::nullopt;
     }
 
     /// Returns the reachable instance to make a voter next; null if all of them are voters.
@@ -133,10 +186,11 @@
         for (auto const& it : reachable)
             voters_by_region[it.region] += members.find(it.id) != nullptr;
         instance_description const* out = nullptr;
-        std::tuple<int, instance_id> lowest_cost{};
+        std::tuple<bool, int, instance_id> lowest_cost{};
         for (auto const& it : reachable)
         {
-            std::tuple const cost(voters_by_region[it.region], it.id);
+            std::tuple const cost(avoided_until_.contains(it.id), voters_by_region[it.region],
+                                  it.id);
             if (members.find(it.id) != nullptr || (out != nullptr && cost >= lowest_cost))
                 continue;
             lowest_cost = cost;
@@ -145,7 +199,8 @@
         return out;
     }
 
-    void add_voter(std::vector<instance_description> const& reachable, context& ctx)
+    void add_voter(std::vector<instance_description> const& reachable,
+                   std::vector<replacement> const& abandoned, context& ctx)
     {
         auto const* const candidate = best_candidate(reachable);
         if (candidate == nullptr)
@@ -157,28 +212,39 @@
         bool const already_pending = std::find(members.pending.begin(), members.pending.end(),
                                                change) != members.pending.end();
         auto const voters = members.voters.size();
-        if (!already_pending && group().begin_replacement(change, ctx.now))
-            ctx.events.record(adding_event, {{"joining", std::to_string(candidate->id.value())},
-                                             {"voters", std::to_string(voters)}});
+        if (already_pending || !group().begin_replacement(change, abandoned, ctx.now))
+            return;
+        record_abandoned(abandoned, ctx);
+        ctx.events.record(adding_event, {{"joining", std::to_string(candidate->id.value())},
+                                         {"voters", std::to_string(voters)}});
     }
 
-    void replace_voter(replacement const& change, context& ctx)
+    void replace_voter(replacement const& change, std::vector<replacement> const& abandoned,
+                       context& ctx)
     {
-        if (!group().begin_replacement(change, ctx.now))
+        if (!group().begin_replacement(change, abandoned, ctx.now))
             return;
+        record_abandoned(abandoned, ctx);
         auto const since = silent_since_.at(change.leaving);
         auto const elapsed = std::chrono::duration_cast<milliseconds>(ctx.now - since);
         ctx.events.record(replacing_event, {{"leaving", std::to_string(change.leaving.value())},
                                             {"joining", std::to_string(change.joining.value())},
                                             {"silent_ms", std::to_string(elapsed.count())}});
-        silent_since_.erase(change.leaving);
+    }
+
+    static void record_abandoned(std::vector<replacement> const& abandoned, context& ctx)
+    {
+        for (auto const& it : abandoned)
+            ctx.events.record(abandoned_event, {{"leaving", std::to_string(it.leaving.value())},
+                                                {"joining", std::to_string(it.joining.value())}});
     }
 
     kernel::service_map& services_;
     voter_settings const& config_;
     identity const& self_;
     instant next_check_;
-    std::map<instance_id, instant> silent_since_;
+    std::map<instance_id, instant> silent_since_;  ///< Voters and instances that are to join.
+    std::map<instance_id, instant> avoided_until_; ///< They did not join when they were to.
 };
 
 component_registrar<voter_keeper> const registered{"voter_keeper", component_order::voters};
--- a/tests/control/replica/fake_group.cpp
+++ b/tests/control/replica/fake_group.cpp
@@ -358,18 +358,26 @@
     return 0;
 }
 
-bool fake_group::propose(std::uint64_t value)
+void fake_group::act_as_leader(std::function<void(std::uint32_t id, instant now)> const& act)
 {
     auto const id = acting_leader();
     if (id == 0)
-        return false;
-    // The tick updates the replica's time before the proposal.
+        return;
+    // The tick updates the replica's time before the call.
     effects out;
     at(id).decision_core->tick(local_time(at(id)), out);
-    bool const accepted = log_of(id).propose(any_message::of(test_command{value})).has_value();
+    act(id, local_time(at(id)));
     at(id).decision_core->tick(local_time(at(id)), out);
     perform(at(id), out);
     check(at(id));
+}
+
+bool fake_group::propose(std::uint64_t value)
+{
+    bool accepted = false;
+    act_as_leader(
+        [&](std::uint32_t id, instant)
+        { accepted = log_of(id).propose(any_message::of(test_command{value})).has_value(); });
     return accepted;
 }
 
--- a/tests/control/replica/fake_group.hpp
+++ b/tests/control/replica/fake_group.hpp
@@ -99,6 +99,8 @@
     bool may_act(std::uint32_t id);
     /// Returns the id of the replica that may act and is not frozen; 0 if there is none.
     std::uint32_t acting_leader();
+    /// Calls a function with the id of the acting leader and its local time, if there is one.
+    void act_as_leader(std::function<void(std::uint32_t id, instant now)> const& act);
     /// Proposes a value on the acting leader; returns whether it was accepted.
     bool propose(std::uint64_t value);
     /// Returns whether the replica runs and its state contains the value.
--- a/tests/control/replica/replica_test.cpp
+++ b/tests/control/replica/replica_test.cpp
@@ -71,6 +71,19 @@
         return listed.settled && std::any_of(listed.members.begin(), listed.members.end(), found);
     }
 
+    voter_group& voters_of(std::uint32_t id)
+    {
+        return at(id).decision_core->services().require<voter_group>();
+    }
+
+    bool begin_replacement(replacement const& change, std::vector<replacement> const& abandoned)
+    {
+        bool out = false;
+        act_as_leader([&](std::uint32_t id, instant now)
+                      { out = voters_of(id).begin_replacement(change, abandoned, now); });
+        return out;
+    }
+
     bool wait_for_vote(std::uint32_t id)
     {
         for (int n = 0; n != 100 && !votes(id); ++n)
@@ -126,6 +139,8 @@
     CPPUNIT_TEST(one_command_replaces_the_leader);
     CPPUNIT_TEST(a_repeated_replacement_gets_the_same_answer);
     CPPUNIT_TEST(a_voter_is_kept_while_the_other_ones_form_no_majority);
+    CPPUNIT_TEST(a_replacement_that_is_lost_can_be_given_up_for_another);
+    CPPUNIT_TEST(a_replacement_that_is_lost_while_it_joins_is_replaced_itself);
     CPPUNIT_TEST(a_follower_redirects_a_replacement_to_the_leader);
     CPPUNIT_TEST(a_restart_keeps_five_hundred_changes);
     CPPUNIT_TEST_SUITE_END();
@@ -471,6 +486,63 @@
         CPPUNIT_ASSERT(group.has_value(third, 5) && group.has_value(joining, 5));
     }
 
+    // Guards against CONFIG: the replacement of a voter was lost itself; it stayed pending and
+    // blocked all further changes, so that the next loss ended the group's work.
+    void a_replacement_that_is_lost_can_be_given_up_for_another()
+    {
+        running_group group(3);
+        group.propose_many(5);
+        auto const leader = group.acting_leader();
+        auto const leaving = group.follower();
+        auto const third = 6 - leader - leaving;
+        auto const lost = group.add_instance();
+        auto const joining = group.add_instance();
+        group.kill(leaving);
+        replacement const first{.leaving = instance_id(leaving), .joining = instance_id(lost)};
+        replacement const second{.leaving = instance_id(leaving), .joining = instance_id(joining)};
+        CPPUNIT_ASSERT(group.begin_replacement(first, {}));
+        group.run_for(seconds(1));
+        CPPUNIT_ASSERT(!group.voters_of(leader).answers(instance_id(lost)));
+        CPPUNIT_ASSERT_MESSAGE("still under way", !group.begin_replacement(second, {}));
+        CPPUNIT_ASSERT(group.begin_replacement(second, {first}));
+        group.start(joining);
+        CPPUNIT_ASSERT(group.wait_for_vote(joining));
+        CPPUNIT_ASSERT(group.voters_of(leader).answers(instance_id(joining)));
+        group.kill(third);
+        group.run_for(seconds(5));
+        CPPUNIT_ASSERT_MESSAGE("bears the next loss", group.acting_leader() != 0);
+    }
+
+    // Guards against a group that stays one voter short: the instance that joined was lost while it
+    // took the place of the voter that had been removed for it.
+    void a_replacement_that_is_lost_while_it_joins_is_replaced_itself()
+    {
+        running_group group(3);
+        group.propose_many(5);
+        auto const leader = group.acting_leader();
+        auto const leaving = group.follower();
+        auto const lost = group.add_instance();
+        auto const joining = group.add_instance();
+        group.kill(leaving);
+        group.start(lost);
+        auto const members = [&] { return group.voters_of(leader).membership(); };
+        CPPUNIT_ASSERT(group.begin_replacement(
+            {.leaving = instance_id(leaving), .joining = instance_id(lost)}, {}));
+        CPPUNIT_ASSERT(group.run_until(
+            [&] { return members().find(instance_id(leaving)) == nullptr; }, seconds(5)));
+        group.kill(lost);
+        group.run_for(seconds(1));
+        CPPUNIT_ASSERT(members().find(instance_id(lost)) != nullptr);
+        CPPUNIT_ASSERT(members().pending.empty());
+        CPPUNIT_ASSERT(!group.voters_of(leader).answers(instance_id(lost)));
+        CPPUNIT_ASSERT(group.begin_replacement(
+            {.leaving = instance_id(lost), .joining = instance_id(joining)}, {}));
+        group.start(joining);
+        CPPUNIT_ASSERT(group.wait_for_vote(joining));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, members().voters.size());
+        CPPUNIT_ASSERT(members().find(instance_id(lost)) == nullptr);
+    }
+
     void a_follower_redirects_a_replacement_to_the_leader()
     {
         running_group group(3);
--- a/tests/control/replica/seeds_test.cpp
+++ b/tests/control/replica/seeds_test.cpp
@@ -230,7 +230,7 @@
         return voters.begin_replacement({.leaving = instance_id(leaving),
                                          .joining = instance_id(joining),
                                          .peer = {"10.0.0.9", static_cast<std::uint16_t>(joining)}},
-                                        group.now());
+                                        {}, group.now());
     }
 
     /// Adds an instance to the group and waits until it votes.
--- a/tests/control/voters/voter_keeper_test.cpp
+++ b/tests/control/voters/voter_keeper_test.cpp
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <memory>
 #include <set>
 #include <utility>
@@ -33,15 +34,33 @@
     std::vector<messages::entry_notice> entry_notices() const override { return {}; }
     std::vector<instance_description> control_since(instant) const override { return reachable; }
     group_membership const& membership() const override { return members; }
-    bool begin_replacement(replacement const& change, instant) override
+    bool answers(instance_id id) const override
+    {
+        bool const is_reachable =
+            std::any_of(reachable.begin(), reachable.end(),
+                        [&](instance_description const& it) { return it.id == id; });
+        return id == instance_id(1) || (is_reachable && !failed_disks.contains(id));
+    }
+    bool begin_replacement(replacement const& change, std::vector<replacement> const& given_up,
+                           instant) override
     {
         begun_replacements.push_back(change);
+        abandoned = given_up;
+        std::erase_if(members.pending,
+                      [&](replacement const& it) {
+                          return std::find(given_up.begin(), given_up.end(), it) != given_up.end();
+                      });
+        if (!members.pending.empty() && members.pending != std::vector{change})
+            return false;
+        members.pending = {change};
         return true;
     }
 
     std::vector<instance_description> reachable;
     group_membership members;
     std::vector<replacement> begun_replacements;
+    std::vector<replacement> abandoned; ///< With the newest replacement.
+    std::set<instance_id> failed_disks; ///< Of instances that are reachable and do not answer.
 };
 
 component_registrar<fake_voter_group> const registered{"fake_voter_group", component_order::roster};
@@ -63,6 +82,11 @@
     CPPUNIT_TEST(the_replacement_comes_from_a_region_without_voters);
     CPPUNIT_TEST(no_voter_is_replaced_without_a_candidate);
     CPPUNIT_TEST(a_follower_replaces_no_voter);
+    CPPUNIT_TEST(a_voter_whose_disk_failed_is_replaced_although_it_is_heard);
+    CPPUNIT_TEST(a_replacement_that_is_lost_blocks_no_further_one);
+    CPPUNIT_TEST(a_replacement_that_answers_is_not_given_up);
+    CPPUNIT_TEST(a_lost_replacement_is_kept_while_no_other_change_is_due);
+    CPPUNIT_TEST(an_addition_that_does_not_answer_is_tried_with_another_instance);
     CPPUNIT_TEST(the_group_grows_to_the_required_number_of_voters);
     CPPUNIT_TEST(any_number_of_losses_is_accepted);
     CPPUNIT_TEST(a_group_that_is_to_tolerate_no_loss_stays_as_it_is);
@@ -120,6 +144,59 @@
         CPPUNIT_ASSERT(group().begun_replacements.empty());
     }
 
+    // Guards against CONFIG: a voter whose disk had failed was kept, since its other messages came,
+    // and the next loss ended the group's work.
+    void a_voter_whose_disk_failed_is_replaced_although_it_is_heard()
+    {
+        group().failed_disks.insert(instance_id(3));
+        run_for(seconds(6));
+        CPPUNIT_ASSERT(!group().begun_replacements.empty());
+        CPPUNIT_ASSERT(group().begun_replacements.front().leaving == instance_id(3));
+    }
+
+    // Guards against CONFIG: an instance that was to replace a voter was lost itself, and the
+    // change that could not be completed blocked all further ones.
+    void a_replacement_that_is_lost_blocks_no_further_one()
+    {
+        make_silent(3);
+        run_for(seconds(5));
+        auto const first = group().begun_replacements.at(0);
+        make_silent(first.joining.value());
+        run_for(seconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, group().begun_replacements.size());
+        auto const& second = group().begun_replacements.at(1);
+        CPPUNIT_ASSERT(second.leaving == instance_id(3));
+        CPPUNIT_ASSERT(second.joining != first.joining);
+        CPPUNIT_ASSERT(group().abandoned == std::vector{first});
+    }
+
+    void a_replacement_that_answers_is_not_given_up()
+    {
+        make_silent(3);
+        run_for(seconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, group().begun_replacements.size());
+    }
+
+    // Guards against an operator's replacement that is dropped before the new instance started.
+    void a_lost_replacement_is_kept_while_no_other_change_is_due()
+    {
+        group().members.pending = {{.leaving = instance_id(3), .joining = instance_id(9)}};
+        run_for(seconds(20));
+        CPPUNIT_ASSERT(group().begun_replacements.empty());
+    }
+
+    // Guards against a group that stays too small: the instance that was to join was heard, but its
+    // disk had failed, and it was chosen again and again.
+    void an_addition_that_does_not_answer_is_tried_with_another_instance()
+    {
+        group().members.voters.pop_back();
+        group().failed_disks.insert(instance_id(3));
+        run_for(seconds(7));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, group().begun_replacements.size());
+        CPPUNIT_ASSERT(group().begun_replacements.front().joining == instance_id(3));
+        CPPUNIT_ASSERT(group().begun_replacements.back().joining != instance_id(3));
+    }
+
     // Guards against LOST: a group that keeps three voters, whatever number of disk losses it must
     // tolerate.
     void the_group_grows_to_the_required_number_of_voters()
