Forget control instances that are gone although others name them

Cause: an order is acknowledged once more than half of the known control instances hold it. A list of another instance added one that had been forgotten as if it had just been heard, and two instances kept a third one's memory alive for each other, for good.

Change: an instance is listed and counts as reachable only where a message of its own arrived; one that is known by name only is dropped 3 s after it was named last.

With the former rule an_instance_that_is_gone_is_forgotten_although_others_name_it and an_instance_that_sent_no_message_is_not_reachable fail.

--- a/plugins/control/roster/control_table.cpp
+++ b/plugins/control/roster/control_table.cpp
@@ -5,13 +5,22 @@
 namespace mulberryrudder::control
 {
 
+namespace
+{
+
+bool was_heard_since(control_table::row const& it, instant cutoff)
+{
+    return it.is_heard && it.last_message >= cutoff;
+}
+
+} // namespace
+
 bool control_table::add(instance_description const& description, bool is_contact, instant now)
 {
     auto const [position, added] = rows_.try_emplace(description.id);
     auto& it = position->second;
     it.is_contact = it.is_contact || is_contact;
-    if (added)
-        it.last_message = now;
+    it.last_named = now;
     if (!added && it.description.peer == description.peer)
         return false;
     it.description = description;
@@ -27,6 +36,7 @@
     known.description = exchange.who;
     known.operator_address = exchange.operators;
     known.leads = exchange.leads;
+    known.is_heard = true;
     known.last_message = now;
     known.boot = exchange.boot;
     known.received = exchange.number;
@@ -42,10 +52,12 @@
     known.heard = exchange.heard;
 }
 
-void control_table::expire(instant cutoff)
+void control_table::expire(instant cutoff, instant named_cutoff)
 {
-    std::erase_if(rows_, [cutoff](auto const& it)
-                  { return !it.second.is_contact && it.second.last_message < cutoff; });
+    auto const is_gone = [&](row const& it)
+    { return it.is_heard ? it.last_message < cutoff : it.last_named < named_cutoff; };
+    std::erase_if(rows_,
+                  [&](auto const& it) { return !it.second.is_contact && is_gone(it.second); });
 }
 
 std::optional<std::size_t> control_table::total() const
@@ -97,7 +109,7 @@
 {
     auto const reachable =
         std::count_if(rows_.begin(), rows_.end(),
-                      [cutoff](auto const& it) { return it.second.last_message >= cutoff; });
+                      [cutoff](auto const& it) { return was_heard_since(it.second, cutoff); });
     return is_majority(static_cast<std::size_t>(reachable + 1));
 }
 
@@ -119,7 +131,7 @@
 {
     std::vector<instance_description> out;
     for (auto const& [id, it] : rows_)
-        if (it.last_message >= cutoff)
+        if (was_heard_since(it, cutoff))
             out.push_back(it.description);
     return out;
 }
@@ -128,7 +140,7 @@
 {
     std::vector<instance_id> out;
     for (auto const& [id, it] : rows_)
-        if (it.last_message >= cutoff)
+        if (was_heard_since(it, cutoff))
             out.push_back(id);
     return out;
 }
--- a/plugins/control/roster/control_table.hpp
+++ b/plugins/control/roster/control_table.hpp
@@ -24,7 +24,9 @@
         endpoint operator_address; ///< Where it accepts operators' requests.
         bool leads = false;
         bool is_contact = false;        ///< Named in the settings; never expires.
+        bool is_heard = false;          ///< A message of its own arrived.
         instant last_message;           ///< When its last message arrived.
+        instant last_named;             ///< When another instance named it last.
         boot_id boot;                   ///< Start of that instance to which `received` belongs.
         sequence_id received;           ///< Newest number of its messages that arrived here.
         sequence_id acknowledged;       ///< Newest number of this instance's messages it received.
@@ -52,8 +54,9 @@
     /// instance that has just started knows too few instances to determine a majority.
     void mark_members_received() { members_received_ = true; }
 
-    /// Removes instances whose last message is older than `cutoff`, except contacts.
-    void expire(instant cutoff);
+    /// Removes instances whose last message is older than `cutoff`, except contacts. One that sent
+    /// none is removed once no other instance has named it since `named_cutoff`.
+    void expire(instant cutoff, instant named_cutoff);
 
     std::map<instance_id, row>& rows() { return rows_; }
 
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -67,6 +67,9 @@
 
 /// Time after its last message for which a control instance stays in the table.
 constexpr seconds control_retention{20};
+/// Time for which an instance that sent no message stays in the table after another one named it:
+/// a few lists of the known instances.
+constexpr seconds naming_retention{3};
 /// Time for which a report of another instance that it leads is valid: a few exchange
 /// intervals.
 constexpr milliseconds leader_report_lifetime{1000};
@@ -548,7 +551,7 @@
     {
         targets_.expire(ctx.now - config_.target_timeout, ctx.now);
         entries_.expire(ctx.now - config_.entry_timeout);
-        controls_.expire(ctx.now - control_retention);
+        controls_.expire(ctx.now - control_retention, ctx.now - naming_retention);
     }
 
     // Entries.
