End a planned stop once callers have taken their answers

Without a stop, an answer that took longer than callers/read_limit was cut although its caller read all along.

Cause: a request counted as finished when its answer was handed to the front end, which nobody asked whether it was written; and the limit for writing was one for the whole answer.

Change: the front end ends the process once no answer is under way, or at a deadline. A connection is given up when the caller has confirmed no byte for callers/read_limit.

Why it works: what counts is what the caller's machine has confirmed, not what was handed on.

--- a/include/mulberryrudder/kernel/graceful_close.hpp
+++ b/include/mulberryrudder/kernel/graceful_close.hpp
@@ -30,6 +30,12 @@
 void close_gracefully(std::shared_ptr<boost::beast::tcp_stream> stream, close_limits limits,
                       std::function<void()> closed);
 
+/// Returns how many of the bytes that were written to the socket the peer has not confirmed; zero
+/// if that is not known.
+///
+/// Thread safety: the socket's thread.
+byte_count unconfirmed_bytes(boost::asio::ip::tcp::socket& socket);
+
 /// Returns whether closing the socket now may cut off bytes: some that were written are not
 /// confirmed by the peer, or some of the peer wait unread.
 ///
--- a/kernel/graceful_close.cpp
+++ b/kernel/graceful_close.cpp
@@ -67,13 +67,16 @@
     std::make_shared<discarding_reader>(std::move(stream), limits, std::move(closed))->start();
 }
 
+byte_count unconfirmed_bytes(boost::asio::ip::tcp::socket& socket)
+{
+    int out = 0;
+    return byte_count(::ioctl(socket.native_handle(), SIOCOUTQ, &out) == 0 ? out : 0);
+}
+
 bool has_bytes_under_way(boost::asio::ip::tcp::socket& socket)
 {
-    int unconfirmed = 0;
-    if (::ioctl(socket.native_handle(), SIOCOUTQ, &unconfirmed) == 0 && unconfirmed != 0)
-        return true;
     boost::system::error_code ec;
-    return socket.available(ec) != 0;
+    return unconfirmed_bytes(socket) != byte_count(0) || socket.available(ec) != 0;
 }
 
 } // namespace mulberryrudder::kernel
--- a/plugins/entry_io/caller_http/caller_duty.cpp
+++ b/plugins/entry_io/caller_http/caller_duty.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <list>
 #include <set>
 #include <unordered_map>
@@ -23,6 +24,8 @@
 
 /// How long accepting waits after an error, such as too many open files.
 constexpr milliseconds accept_pause{100};
+/// How often a planned stop looks whether callers have taken their answers.
+constexpr milliseconds answer_check_interval{20};
 /// Answers that are written before the sockets have their turn.
 constexpr int batch_size = 256;
 
@@ -36,6 +39,13 @@
                                               "Connections taken from callers and targets.");
 kernel::counter_kind const connections_refused("callers.connections_refused",
                                                "Connections refused because too many were open.");
+kernel::event_kind const stopped_event{
+    {.number = 18,
+     .name = "callers.stopped",
+     .level = kernel::severity::info,
+     .meaning = "A planned stop ends the process; `unfinished` callers have not taken the whole of "
+                "their answers.",
+     .action = "If there are any, allow stops more time (callers/stop_limit)."}};
 kernel::event_kind const left_event{
     {.number = 16,
      .name = "caller.left",
@@ -111,6 +121,11 @@
             }
             else if (std::holds_alternative<entry::close_idle_callers>(it))
                 close_idle();
+            else if (std::holds_alternative<entry::stop_completed>(it))
+            {
+                stop_until_ = monotonic_now() + config_.stop_limit;
+                end_when_answers_are_taken();
+            }
         }
     }
 
@@ -242,6 +257,18 @@
             it->close_if_idle();
     }
 
+    /// Ends the process once callers have taken their answers, or at the stop's deadline.
+    void end_when_answers_are_taken()
+    {
+        auto const waiting = std::count_if(sessions_.begin(), sessions_.end(),
+                                           [](std::shared_ptr<session> const& it)
+                                           { return it->has_answer_under_way(); });
+        if (waiting != 0 && monotonic_now() < stop_until_)
+            return run_once(answer_check_interval, [this] { end_when_answers_are_taken(); });
+        events().record(stopped_event, {{"unfinished", std::to_string(waiting)}});
+        parts().end_process(0);
+    }
+
     void caller_gone(request_id id) override
     {
         unanswered_.erase(id);
@@ -281,6 +308,7 @@
     bool closing_ = false;
     bool ready_ = false;    ///< The decisions take callers' requests.
     bool stopping_ = false; ///< A planned stop began.
+    instant stop_until_;    ///< Deadline of callers to take their answers, once it is set.
 };
 
 kernel::duty_registrar<caller_duty> const entered{"caller_io", duty_order::caller_io};
--- a/plugins/entry_io/caller_http/caller_settings.cpp
+++ b/plugins/entry_io/caller_http/caller_settings.cpp
@@ -50,7 +50,8 @@
         field("start_limit", &caller_settings::start_limit, long_times,
               "Milliseconds after the start from which connections are taken without a lease."),
         field("read_limit", &caller_settings::read_limit, short_times,
-              "Milliseconds a caller may take to send one whole request."),
+              "Milliseconds a caller may take to send one whole request, or to take any part of "
+              "its answer."),
         field("idle_limit", &caller_settings::idle_limit, long_times,
               "Milliseconds a connection may stay without a request; a plan may state fewer."),
         field("connection_lifetime", &caller_settings::connection_lifetime, long_times,
@@ -59,6 +60,9 @@
               "Milliseconds a request may take if its caller states no deadline."),
         field("most_deadline", &caller_settings::most_deadline, short_times,
               "Milliseconds a caller may state as deadline at most."),
+        field("stop_limit", &caller_settings::stop_limit, long_times,
+              "Milliseconds for which a planned stop waits, once all requests are answered, for "
+              "callers to take their answers."),
         field("operators", &caller_settings::operators, kernel::unbounded,
               "Addresses at which operators ask whether the instance is ready, and for counters."),
         field("most_connections", &caller_settings::most_connections, connection_counts,
--- a/plugins/entry_io/caller_http/caller_settings.hpp
+++ b/plugins/entry_io/caller_http/caller_settings.hpp
@@ -23,6 +23,7 @@
     milliseconds connection_lifetime{300000};
     milliseconds default_deadline{2000};
     milliseconds most_deadline{30000};
+    milliseconds stop_limit{30000};
     connections most_connections{4000};
     std::vector<endpoint> operators; ///< Where readiness and counters are told.
 };
--- a/plugins/entry_io/caller_http/session.cpp
+++ b/plugins/entry_io/caller_http/session.cpp
@@ -53,7 +53,7 @@
 session::session(boost::asio::ip::tcp::socket socket, session_owner& owner, instant now,
                  bool for_operators)
     : stream_(std::move(socket)), owner_(owner), client_(address_of(stream_.socket())),
-      close_after_(now + owner.config().connection_lifetime),
+      writing_(stream_.get_executor()), close_after_(now + owner.config().connection_lifetime),
       buf_(static_cast<std::size_t>(owner.config().most_header.count()) + 2 * most_read_ahead),
       held_(owner.unanswered_bytes()), for_operators_(for_operators)
 {
@@ -190,14 +190,46 @@
     }
     else
         response_->prepare_payload();
-    stream_.expires_after(owner_.config().read_limit);
-    http::async_write(stream_, *response_,
-                      [self = shared_from_this(), keep_open](auto error, std::size_t)
-                      { self->written(error, keep_open); });
+    serializer_.emplace(*response_);
+    handed_over_ = confirmed_ = 0;
+    stream_.expires_never();
+    limit_silence();
+    write(keep_open);
+}
+
+void session::limit_silence()
+{
+    writing_.expires_after(owner_.config().read_limit);
+    writing_.async_wait(
+        [self = shared_from_this()](boost::system::error_code ec)
+        {
+            if (ec || !self->response_)
+                return;
+            auto const confirmed =
+                self->handed_over_ - kernel::unconfirmed_bytes(self->stream_.socket()).count();
+            if (confirmed <= self->confirmed_)
+                return self->end();
+            self->confirmed_ = confirmed;
+            self->limit_silence();
+        });
+}
+
+void session::write(bool keep_open)
+{
+    http::async_write_some(stream_, *serializer_,
+                           [self = shared_from_this(), keep_open](auto ec, std::size_t n)
+                           {
+                               self->handed_over_ += static_cast<std::int64_t>(n);
+                               if (ec || self->serializer_->is_done())
+                                   return self->written(ec, keep_open);
+                               self->write(keep_open);
+                           });
 }
 
 void session::written(boost::system::error_code ec, bool keep_open)
 {
+    writing_.cancel();
+    serializer_.reset();
     response_.reset();
     held_.reset();
     if (ec)
@@ -223,6 +255,11 @@
         end();
 }
 
+bool session::has_answer_under_way()
+{
+    return unanswered_ || response_ || kernel::unconfirmed_bytes(stream_.socket()) != byte_count(0);
+}
+
 void session::end()
 {
     if (ended_)
--- a/plugins/entry_io/caller_http/session.hpp
+++ b/plugins/entry_io/caller_http/session.hpp
@@ -8,9 +8,11 @@
 #include <mulberryrudder/kernel/byte_budget.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
 
 #include <memory>
 #include <optional>
@@ -69,6 +71,9 @@
     /// Notes which request is unanswered, so that the caller's leaving can be told.
     void expect_answer(request_id id);
 
+    /// Returns whether the caller has not confirmed the whole of its newest answer.
+    bool has_answer_under_way();
+
     /// Closes the connection without an answer.
     void end();
 
@@ -87,6 +92,10 @@
     void refuse_overloaded();
     void request_read(boost::system::error_code ec);
     void refuse_unreadable(boost::system::error_code ec);
+    /// Ends the connection once the caller has confirmed no byte of the answer for the limit. A
+    /// large answer may take longer.
+    void limit_silence();
+    void write(bool keep_open);
     void written(boost::system::error_code ec, bool keep_open);
     void close_behind_answer();
     void watch_for_close();
@@ -95,12 +104,16 @@
     boost::beast::tcp_stream stream_;
     session_owner& owner_;
     client_address client_;
-    instant close_after_; ///< When the connection has lived long enough.
-    instant read_until_;  ///< When the current request must have come whole.
+    boost::asio::steady_timer writing_;
+    std::int64_t handed_over_ = 0; ///< Bytes of the answer that the kernel took.
+    std::int64_t confirmed_ = 0;   ///< Bytes of the answer that the caller had at the last check.
+    instant close_after_;          ///< When the connection has lived long enough.
+    instant read_until_;           ///< When the current request must have come whole.
     boost::beast::flat_buffer buf_;
     kernel::byte_charge held_;
     std::optional<parser> parser_;
     std::optional<http_response> response_;
+    std::optional<boost::beast::http::response_serializer<http_response::body_type>> serializer_;
     std::optional<request_id> unanswered_;
     bool for_operators_ = false;
     bool keep_alive_ = true;
--- a/plugins/entry_io/decision/decision_duty.cpp
+++ b/plugins/entry_io/decision/decision_duty.cpp
@@ -21,7 +21,8 @@
 kernel::event_kind const instance_stopped({.number = 11,
                                            .name = "entry.stopped",
                                            .level = kernel::severity::info,
-                                           .meaning = "A planned stop is complete.",
+                                           .meaning = "A planned stop is complete but for answers "
+                                                      "that callers are still taking.",
                                            .action = "None."});
 
 /// Runs the entry's decision core: it alone owns the core's state, takes inputs
@@ -83,10 +84,11 @@
     {
         to_peers_.post(peer::learn_instance{what.id, what.peer});
     }
-    void pass_on(entry::stop_completed&, entry::effect&)
+    void pass_on(entry::stop_completed&, entry::effect& it)
     {
         events().record(instance_stopped, {});
-        parts().end_process(0);
+        // The process ends once the callers have taken their answers.
+        to_callers_.post(std::move(it));
     }
 
     fleet::instance_settings config_;
