Keep the peer link's listener and some descriptors when callers use all

Cause: at the limit of descriptors accept() failed, the listener of Cap'n Proto failed for good, and the duty ended the process. Callers' connections left too few descriptors for all others.

Change: the link takes connections again after a pause, with an event and a counter; callers' connections leave callers/reserved_descriptors of the process's limit free.

--- a/plugins/entry_io/caller_http/caller_duty.cpp
+++ b/plugins/entry_io/caller_http/caller_duty.cpp
@@ -3,6 +3,7 @@
 #include <mulberryrudder/entry/numbering.hpp>
 #include <mulberryrudder/fleet/instance_settings.hpp>
 #include <mulberryrudder/kernel/asio_duty.hpp>
+#include <mulberryrudder/kernel/descriptors.hpp>
 #include <mulberryrudder/peer/orders.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -39,6 +40,9 @@
                                               "Connections taken from callers and targets.");
 kernel::counter_kind const connections_refused("callers.connections_refused",
                                                "Connections refused because too many were open.");
+kernel::counter_kind const
+    accepts_failed("callers.accepts_failed",
+                   "Attempts to take a connection that failed, such as for lack of descriptors.");
 kernel::event_kind const stopped_event{
     {.number = 18,
      .name = "callers.stopped",
@@ -156,8 +160,11 @@
                 if (!from.is_open())
                     return;
                 if (ec)
+                {
+                    parts().counters.add(accepts_failed);
                     return run_once(accept_pause,
                                     [this, &from, for_operators] { accept(from, for_operators); });
+                }
                 open(std::move(socket), for_operators);
                 accept(from, for_operators);
             });
@@ -165,7 +172,7 @@
 
     void open(tcp::socket socket, bool for_operators)
     {
-        if (sessions_.size() >= static_cast<std::size_t>(config_.most_connections.count()))
+        if (sessions_.size() >= static_cast<std::size_t>(most_connections_.count()))
             return parts().counters.add(connections_refused);
         parts().counters.add(connections_opened);
         session_owner& self = *this;
@@ -293,6 +300,7 @@
 
     caller_settings config_;
     caller_limits limits_ = narrowed(config_, {});
+    connections most_connections_ = affordable(config_, kernel::descriptor_limit());
     fleet::instance_settings instance_;
     kernel::ring<entry::input>& to_decision_;
     /// Bounded by the requests that are unanswered.
--- a/plugins/entry_io/caller_http/caller_settings.cpp
+++ b/plugins/entry_io/caller_http/caller_settings.cpp
@@ -13,6 +13,7 @@
 constexpr kernel::limits short_times{10, 600'000};
 constexpr kernel::limits long_times{10, 86'400'000};
 constexpr kernel::limits connection_counts{1, 60'000};
+constexpr kernel::limits descriptor_counts{0, 60'000};
 
 std::optional<std::string> check_callers(caller_settings const& it)
 {
@@ -29,6 +30,12 @@
 
 } // namespace
 
+connections affordable(caller_settings const& config, std::int64_t descriptors)
+{
+    auto const left = std::max(descriptors - config.reserved_descriptors, descriptors / 2);
+    return std::min(config.most_connections, connections(left));
+}
+
 caller_limits narrowed(caller_settings const& config, caller_limits const& stated)
 {
     return {.most_header = narrower(config.most_header, stated.most_header),
@@ -66,7 +73,11 @@
         field("operators", &caller_settings::operators, kernel::unbounded,
               "Addresses at which operators ask whether the instance is ready, and for counters."),
         field("most_connections", &caller_settings::most_connections, connection_counts,
-              "Connections of callers and targets that are open at the same time."),
+              "Connections of callers and targets that are open at the same time; fewer if the "
+              "process may not open that many descriptors and the reserved ones."),
+        field("reserved_descriptors", &caller_settings::reserved_descriptors, descriptor_counts,
+              "Descriptors of the process that callers' connections leave free, for connections to "
+              "targets, of other instances and of operators; at most half of all."),
     },
     check_callers};
 
--- a/plugins/entry_io/caller_http/caller_settings.hpp
+++ b/plugins/entry_io/caller_http/caller_settings.hpp
@@ -25,11 +25,16 @@
     milliseconds most_deadline{30000};
     milliseconds stop_limit{30000};
     connections most_connections{4000};
+    std::int64_t reserved_descriptors = 500;
     std::vector<endpoint> operators; ///< Where readiness and counters are told.
 };
 
 extern kernel::section<caller_settings> const caller_section;
 
+/// Returns how many connections of callers may be open, in a process that may have this many
+/// descriptors. Callers get at least half of them.
+connections affordable(caller_settings const& config, std::int64_t descriptors);
+
 /// Returns the limits that hold: those of the settings, narrowed by what the plan
 /// states. A header may take as long as a whole request if the plan says nothing.
 caller_limits narrowed(caller_settings const& config, caller_limits const& stated);
--- a/plugins/peer/link/link_duty.cpp
+++ b/plugins/peer/link/link_duty.cpp
@@ -26,6 +26,28 @@
 kernel::counter_kind const messages_shed("peer.messages_shed",
                                          "Messages dropped because the decision duty was behind.");
 
+kernel::counter_kind const accepts_failed(
+    "peer.accepts_failed",
+    "Attempts to take a connection of another instance that failed, such as for lack of "
+    "descriptors.");
+kernel::event_kind const accept_failed_event{
+    {.number = 19,
+     .name = "peer.accept_failed",
+     .level = kernel::severity::error,
+     .meaning = "A connection of another instance could not be taken. It is tried again until it "
+                "works; told every 10 s at most.",
+     .action = "If the cause is too many open files, raise the limit of the process."}};
+kernel::event_kind const link_failed_event{
+    {.number = 20,
+     .name = "peer.failed",
+     .level = kernel::severity::error,
+     .meaning = "The link to other instances failed for good; the process ends.",
+     .action = "Report the cause."}};
+
+/// How long taking connections waits after an error.
+constexpr milliseconds accept_pause{100};
+constexpr seconds accept_event_interval{10};
+
 /// Carries messages between the system's own processes by Cap'n Proto RPC. It is
 /// the only duty with a kj loop, which sleeps until a socket or the waker is ready.
 class link_duty final : public kernel::duty, private kj::TaskSet::ErrorHandler
@@ -69,10 +91,30 @@
                            .parseAddress(config_.peer.address, config_.peer.port)
                            .wait(io_->waitScope);
         auto listener = address->listen();
-        auto accepting = server.listen(*listener);
+        auto accepting = accept(server, *listener);
         tasks.add(accepting.attach(kj::mv(listener)));
     }
 
+    /// Takes connections for good. An error, such as too many open files, ends neither the listener
+    /// nor the process: connections wait in the kernel until there is room.
+    kj::Promise<void> accept(capnp::TwoPartyServer& server, kj::ConnectionReceiver& listener)
+    {
+        return server.listen(listener).catch_(
+            [this, &server, &listener](kj::Exception&& e) -> kj::Promise<void>
+            {
+                parts_.counters.add(accepts_failed);
+                auto const now = monotonic_now();
+                if (now >= next_accept_event_)
+                {
+                    next_accept_event_ = now + accept_event_interval;
+                    events_.record(accept_failed_event, {{"cause", e.getDescription().cStr()}});
+                }
+                return io_->provider->getTimer()
+                    .afterDelay(accept_pause.count() * kj::MILLISECONDS)
+                    .then([this, &server, &listener] { return accept(server, listener); });
+            });
+    }
+
     /// Takes orders, then sleeps until the waker is signalled; ends when stopped.
     kj::Promise<void> serve(kj::AsyncInputStream& waking)
     {
@@ -122,7 +164,7 @@
 
     void taskFailed(kj::Exception&& e) override
     {
-        std::fprintf(stderr, "peer link: %s\n", e.getDescription().cStr());
+        events_.record(link_failed_event, {{"cause", e.getDescription().cStr()}});
         parts_.end_process(1);
     }
 
@@ -130,12 +172,14 @@
     static constexpr int batch_size = 256;
 
     kernel::duty_parts parts_;
+    kernel::ring_event_sink events_{duties::peer_link, parts_};
     fleet::instance_settings config_;
     kernel::ring<order>& orders_;
     kernel::ring<envelope>& arrived_;
     kernel::waker& waker_;
     std::atomic<bool> stopping_{false};
     std::uint64_t signal_ = 0;
+    instant next_accept_event_; ///< No accept_failed_event before then.
     kj::AsyncIoContext* io_ = nullptr;
     std::map<instance_id, std::unique_ptr<outgoing>> ways_;
 };
--- a/tests/entry_io/caller_http/caller_duty_test.cpp
+++ b/tests/entry_io/caller_http/caller_duty_test.cpp
@@ -228,6 +228,7 @@
     CPPUNIT_TEST(requests_sent_ahead_are_answered_in_order);
     CPPUNIT_TEST(a_planned_stop_waits_for_callers_that_take_their_answers);
     CPPUNIT_TEST(a_planned_stop_without_callers_ends_at_once);
+    CPPUNIT_TEST(descriptors_are_left_for_other_connections);
     CPPUNIT_TEST(random_bytes_end_with_a_closed_connection);
     CPPUNIT_TEST(almost_valid_requests_end_with_a_closed_connection);
     CPPUNIT_TEST_SUITE_END();
@@ -406,6 +407,17 @@
         CPPUNIT_ASSERT(duty_->ended());
     }
 
+    // Guards against a process that spends all descriptors on callers, so that neither control nor
+    // targets can be reached.
+    void descriptors_are_left_for_other_connections()
+    {
+        caller_settings const config{.most_connections = connections(4000),
+                                     .reserved_descriptors = 500};
+        CPPUNIT_ASSERT(connections(4000) == affordable(config, 1'000'000));
+        CPPUNIT_ASSERT(connections(3596) == affordable(config, 4096));
+        CPPUNIT_ASSERT(connections(300) == affordable(config, 600));
+    }
+
     void random_bytes_end_with_a_closed_connection()
     {
         std::mt19937_64 random(20261204);
