Log how far an order has spread, why an instance is apart, and the age of a request's plan

steering.order_answered has the fields holders and of, the new event roster.connection_changed (725) heard, of and synchronized, and request.ended plan_age_ms, -1 for a plan that was never confirmed. No decision is changed: spread_view tells the two numbers that held_by_majority compared.

--- a/include/mulberryrudder/control/steering.hpp
+++ b/include/mulberryrudder/control/steering.hpp
@@ -6,6 +6,7 @@
 #include <mulberryrudder/core/error.hpp>
 #include <mulberryrudder/core/traffic_plan.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -151,6 +152,16 @@
     virtual void learn(shared_steering const& it) = 0;
 };
 
+/// How many control instances hold a steering state or a newer one.
+struct state_spread
+{
+    std::size_t holders = 0;          ///< The teller included.
+    std::optional<std::size_t> total; ///< Of the control instances; nothing until all are known.
+
+    /// Returns whether more than half of the control instances hold the state.
+    bool is_majority() const { return total && holders * 2 > *total; }
+};
+
 /// Tells how far steering states have spread among the control instances.
 ///
 /// Thread safety: the decision core's thread.
@@ -159,9 +170,9 @@
 public:
     virtual ~spread_view() = default;
 
-    /// Returns whether more than half of the control instances hold a state or a newer one.
-    /// Voters are only some of them, and entries listen to any.
-    virtual bool held_by_majority(generation_id it) const = 0;
+    /// Returns how many of the control instances hold a state or a newer one. Voters are only
+    /// some of them, and entries listen to any.
+    virtual state_spread spread_of(generation_id it) const = 0;
 };
 
 /// Tells which instance leads the group.
--- a/include/mulberryrudder/entry/request.hpp
+++ b/include/mulberryrudder/entry/request.hpp
@@ -71,6 +71,9 @@
     /// The plan under which it was admitted, and its route there; set by the route stage
     /// of fleets that are steered by plans.
     shared_steering steering;
+    /// As of when that plan was the newest when the request was admitted; nothing if control never
+    /// confirmed it.
+    std::optional<instant> plan_confirmed_at;
     plan_route const* planned = nullptr;
     plan_customer const* payer = nullptr; ///< Null on open routes.
     service_id service;                   ///< Set by the placement stage, once.
--- a/plugins/control/roster/control_table.cpp
+++ b/plugins/control/roster/control_table.cpp
@@ -84,12 +84,12 @@
     return static_cast<std::size_t>(count) + 1;
 }
 
-bool control_table::held_by_majority(generation_id generation, generation_id own) const
+std::size_t control_table::holder_count(generation_id generation, generation_id own) const
 {
     auto const held =
         std::count_if(rows_.begin(), rows_.end(),
                       [&](auto const& it) { return it.second.generation >= generation; });
-    return is_majority(static_cast<std::size_t>(held + (own >= generation)));
+    return static_cast<std::size_t>(held + (own >= generation));
 }
 
 generation_id control_table::newest_generation() const
@@ -105,12 +105,17 @@
     return std::any_of(rows_.begin(), rows_.end(), [](auto const& it) { return it.second.intact; });
 }
 
-bool control_table::is_majority_reachable(instant cutoff) const
+std::size_t control_table::reachable_count(instant cutoff) const
 {
     auto const reachable =
         std::count_if(rows_.begin(), rows_.end(),
                       [cutoff](auto const& it) { return was_heard_since(it.second, cutoff); });
-    return is_majority(static_cast<std::size_t>(reachable + 1));
+    return static_cast<std::size_t>(reachable) + 1;
+}
+
+bool control_table::is_majority_reachable(instant cutoff) const
+{
+    return is_majority(reachable_count(cutoff));
 }
 
 control_table::row const* control_table::leader(instant cutoff) const
--- a/plugins/control/roster/control_table.hpp
+++ b/plugins/control/roster/control_table.hpp
@@ -74,9 +74,13 @@
     /// Returns the number of all instances; nothing until another one sent its list of them.
     std::optional<std::size_t> total() const;
 
-    /// Returns whether more than half of the known instances, including this one, hold the
-    /// steering state of this generation or a newer one. `own` is this instance's generation.
-    bool held_by_majority(generation_id generation, generation_id own) const;
+    /// Returns how many of the known instances, including this one, hold the steering state of
+    /// this generation or a newer one. `own` is this instance's generation.
+    std::size_t holder_count(generation_id generation, generation_id own) const;
+
+    /// Returns how many of the known instances, including this one, sent a message that arrived
+    /// at or after `cutoff`.
+    std::size_t reachable_count(instant cutoff) const;
 
     /// Returns the newest generation of the steering state that another instance reported.
     generation_id newest_generation() const;
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -131,6 +131,18 @@
      .action = "If it stays unconfirmed while there is a leader, check the connections to and "
                "from the other control instances."}};
 
+kernel::event_kind const connection_event{
+    {.number = 725,
+     .name = "roster.connection_changed",
+     .level = kernel::severity::warning,
+     .meaning =
+         "Entries may rely on this instance from now on, or must leave it (`connected`): it hears "
+         "`heard` of `of` control instances, itself included, and `synchronized` is whether its "
+         "table of targets holds every acknowledged leave.",
+     .action = "If it stays unconnected while it hears most of the others, see "
+               "`roster.synchronized`; otherwise check the connections between control instances "
+               "and whether `of` counts some that are gone."}};
+
 /// Keeps the targets, the entries and the other control instances of the fleet: accepts
 /// announcements, replicates them to the other control instances, and answers entries' polls
 /// and callers' look-ups.
@@ -173,6 +185,7 @@
             begin_synchronization(ctx.now);
         finish_synchronization(ctx);
         update_confirmation(ctx);
+        record_connection_change(ctx);
         // A new steering state is announced immediately, so that the other instances request
         // it or count this instance among its holders.
         history_.add(steering().steering());
@@ -206,10 +219,10 @@
         return entries_.notices();
     }
 
-    bool held_by_majority(generation_id generation) const override
+    state_spread spread_of(generation_id generation) const override
     {
         auto const own = services_.require<steering_view>().steering()->generation;
-        return controls_.held_by_majority(generation, own);
+        return {.holders = controls_.holder_count(generation, own), .total = controls_.total()};
     }
 
     std::optional<instance_id> leader(instant now) const override
@@ -331,6 +344,19 @@
              {"newest", std::to_string(controls_.newest_generation().value())}});
     }
 
+    void record_connection_change(context& ctx)
+    {
+        bool const connected = is_connected(ctx.now);
+        if (std::exchange(was_connected_, connected) == connected)
+            return;
+        ctx.events.record(
+            connection_event,
+            {{"connected", connected ? "true" : "false"},
+             {"heard", std::to_string(controls_.reachable_count(ctx.now - control_timeout))},
+             {"of", std::to_string(controls_.size())},
+             {"synchronized", sync_.is_synchronized() ? "true" : "false"}});
+    }
+
     /// Returns the time since the steering state was confirmed, rounded up; nothing if it never
     /// was.
     std::optional<milliseconds> confirmed_age(instant now) const
@@ -689,6 +715,7 @@
     state_history history_;
     std::optional<instant> confirmed_at_; ///< Of the steering state, as of the last tick.
     bool was_current_ = false;            ///< As of the last tick.
+    bool was_connected_ = false;          ///< As of the last tick.
     std::map<instance_id, entry_process> entry_processes_;
     std::map<instance_id, held_poll> polls_;
     std::vector<pending_leave> pending_leaves_;
--- a/plugins/control/steering/steering_orders.cpp
+++ b/plugins/control/steering/steering_orders.cpp
@@ -41,7 +41,9 @@
     {.number = 750,
      .name = "steering.order_answered",
      .level = kernel::severity::info,
-     .meaning = "An order of an operator was decided; the field `result` is the decision.",
+     .meaning = "An order of an operator was decided; the field `result` is the decision, `holders` "
+                "how many control instances held an accepted one at its acknowledgement, `of` how "
+                "many there are; 0 where that does not matter.",
      .action = "If it was refused, correct the order at the places that its answer lists."}};
 kernel::event_kind const changed_event{{.number = 751,
                                         .name = "steering.changed",
@@ -257,9 +259,12 @@
         std::erase_if(unreplicated_,
                       [&](accepted_order const& it)
                       {
-                          if (replication == nullptr ||
-                              replication->held_by_majority(it.generation))
-                              answer(it.requester, it.name, it.decision, ctx);
+                          auto const spread = replication == nullptr
+                                                  ? std::nullopt
+                                                  : std::optional(
+                                                        replication->spread_of(it.generation));
+                          if (!spread || spread->is_majority())
+                              answer(it.requester, it.name, it.decision, ctx, spread);
                           else if (it.deadline <= ctx.now)
                               ctx.answer(it.requester, outcome_unknown{});
                           else
@@ -269,14 +274,17 @@
     }
 
     static void answer(operator_request_id requester, std::string const& name,
-                       steering_answer const& decision, context& ctx)
+                       steering_answer const& decision, context& ctx,
+                       std::optional<state_spread> const& spread = std::nullopt)
     {
         static constexpr std::array names{"accepted", "conflict", "refused"};
         ctx.events.record(order_event,
                           {{"order", name},
                            {"result", names.at(static_cast<std::size_t>(decision.result))},
                            {"newest", std::to_string(decision.newest.value())},
-                           {"errors", std::to_string(decision.failed.size())}});
+                           {"errors", std::to_string(decision.failed.size())},
+                           {"holders", std::to_string(spread ? spread->holders : 0)},
+                           {"of", std::to_string(spread ? spread->total.value_or(0) : 0)}});
         ctx.answer(requester, decision);
     }
 
--- a/plugins/entry/plan_routes/plan_routes_stage.cpp
+++ b/plugins/entry/plan_routes/plan_routes_stage.cpp
@@ -71,6 +71,8 @@
         if (route == nullptr)
             return refuse(no_route);
         what.steering = newest;
+        if (auto const age = services_.require<plan_view>().plan_age(with.now))
+            what.plan_confirmed_at = with.now - *age;
         what.planned = route;
         what.route = route->id;
         what.repeatable = route->repeatable;
--- a/plugins/entry/request_log/request_log_stage.cpp
+++ b/plugins/entry/request_log/request_log_stage.cpp
@@ -25,7 +25,9 @@
     {.number = 310,
      .name = "request.ended",
      .level = kernel::severity::info,
-     .meaning = "A request got its final answer; the fields contain the reasons for it.",
+     .meaning = "A request got its final answer; the fields contain the reasons for it. "
+                "`plan_age_ms` is the time for which the plan of `generation` had not been "
+                "confirmed when the request arrived, -1 if it never was.",
      .action = "Interpret `reason`, `why` and `attempts` as docs/OPERATIONS.md describes."}};
 kernel::event_kind const attempt_event{
     {.number = 311,
@@ -98,6 +100,9 @@
              {"service", req.service.value()},
              {"object", req.object.value()},
              {"generation", std::to_string(generation)},
+             {"plan_age_ms", req.plan_confirmed_at
+                                 ? milliseconds_text(req.arrived - *req.plan_confirmed_at)
+                                 : "-1"},
              {"reason", std::string(refusal != nullptr ? refusal->why->what().name : "answered")},
              {"run", std::string(to_string(refusal != nullptr ? refusal->run : verdict::ran))},
              {"why", req.why},
