Replace a lost voter before the next machine may be lost

Cause: a voter was replaced 4.0 to 4.5 s after the leader noticed that it was silent. If it was the leader, its silence counted from the election of the next one, 1.2 s later, and the instance that was to join began only with the next announcement of its start, up to 1 s after. A further machine may be lost once the successor of the first one has run for CatchUp (4 s), and a successor may start at the moment of the loss. Found with real processes on: three control instances replaced, each 5.5 s after the start of the one before. The second change was appended 0.1 s after the third loss.

Change: a voter is replaced after 2 s without a message of any kind, counted from its last message also across an election; checks every 0.1 s; a joining instance is replicated to at once, under its newest known disk. A new leader gives voters 0.6 s to answer first. An instance that is to join keeps its 4 s, as a setting of its own (voters/join_limit).

--- a/include/mulberryrudder/control/roster.hpp
+++ b/include/mulberryrudder/control/roster.hpp
@@ -5,6 +5,7 @@
 #include <mulberryrudder/core/error.hpp>
 #include <mulberryrudder/messages/roster.hpp>
 
+#include <optional>
 #include <vector>
 
 namespace mulberryrudder::control
@@ -62,6 +63,10 @@
     /// Returns the other control instances that were heard since a time.
     virtual std::vector<instance_description> control_since(instant since) const = 0;
 
+    /// Returns when the last message of another control instance arrived; nothing if none did
+    /// lately.
+    virtual std::optional<instant> control_last_heard(instance_id id) const = 0;
+
     /// Returns the newest notices of the entries, which contain the outcomes of rollouts.
     virtual std::vector<messages::entry_notice> entry_notices() const = 0;
 };
--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -107,9 +107,23 @@
                     "the previous membership is committed");
     append_command(any_message::of(messages::membership_changed{.members = std::move(next)}));
     report_peer_addresses();
+    track_joining_peers();
     send_to_idle_peers();
 }
 
+void replica::track_joining_peers()
+{
+    for (auto const& change : members().pending)
+    {
+        // The newest disk of an instance stands last.
+        auto const found = std::find_if(state_.starts.rbegin(), state_.starts.rend(),
+                                        [&](start_record const& it)
+                                        { return it.instance == change.joining; });
+        if (found != state_.starts.rend() && !peers_.contains(change.joining))
+            track_peer(change.joining, found->disk);
+    }
+}
+
 void replica::handle_list_members(operator_request_id id, list_members const&, context& ctx)
 {
     members_listed out{.leader = leader_,
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -154,6 +154,9 @@
     // changing_members.cpp: membership changes on the leader and operators' requests.
     void advance_membership_change();
     void append_membership(group_membership next);
+    /// Begins to replicate to the instances that are to join, without waiting for the next
+    /// announcement of their start.
+    void track_joining_peers();
     /// Returns whether a round of this term was opened recently.
     bool is_recent(messages::round_id round) const;
     /// Returns whether a replica replied recently, and in this term.
--- a/plugins/control/roster/control_table.cpp
+++ b/plugins/control/roster/control_table.cpp
@@ -118,6 +118,14 @@
     return is_majority(reachable_count(cutoff));
 }
 
+std::optional<instant> control_table::last_heard(instance_id id) const
+{
+    auto const found = rows_.find(id);
+    return found != rows_.end() && found->second.is_heard
+               ? std::optional(found->second.last_message)
+               : std::nullopt;
+}
+
 control_table::row const* control_table::leader(instant cutoff) const
 {
     row const* out = nullptr;
--- a/plugins/control/roster/control_table.hpp
+++ b/plugins/control/roster/control_table.hpp
@@ -92,6 +92,9 @@
     /// one, arrived at or after `cutoff`.
     bool is_majority_reachable(instant cutoff) const;
 
+    /// Returns when the last message of an instance arrived; nothing if none did.
+    std::optional<instant> last_heard(instance_id id) const;
+
     /// Returns the instance that most recently reported, at or after `cutoff`, that it leads, or
     /// null. The pointer holds until the next change of the table.
     row const* leader(instant cutoff) const;
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -214,6 +214,11 @@
         return controls_.instances_since(cutoff);
     }
 
+    std::optional<instant> control_last_heard(instance_id id) const override
+    {
+        return controls_.last_heard(id);
+    }
+
     std::vector<messages::entry_notice> entry_notices() const override
     {
         return entries_.notices();
--- a/plugins/control/voters/voter_keeper.cpp
+++ b/plugins/control/voters/voter_keeper.cpp
@@ -18,8 +18,9 @@
 struct voter_settings
 {
     std::int64_t tolerated_disk_losses = 1;
-    milliseconds silence_timeout{4000};
-    milliseconds check_interval{500};
+    milliseconds silence_timeout{2000};
+    milliseconds joining_timeout{4000};
+    milliseconds check_interval{100};
 };
 
 constexpr kernel::limits time_limits{10, 600'000};
@@ -33,9 +34,12 @@
             "loss of accepted state. The group grows to twice this number of voters plus one, "
             "or to all control instances if there are fewer; it never shrinks."),
         kernel::field("replace_after", &voter_settings::silence_timeout, time_limits,
-                      "Milliseconds without an answer from a voter after which another control "
-                      "instance replaces it, and after which one that was to join blocks no other "
-                      "change."),
+                      "Milliseconds without a message from a voter after which another control "
+                      "instance replaces it. Together with an election and the time to join it "
+                      "must be below the time after which a further instance may be lost."),
+        kernel::field("join_limit", &voter_settings::joining_timeout, time_limits,
+                      "Milliseconds without an answer from an instance that is to join after which "
+                      "it blocks no other change."),
         kernel::field("check_period", &voter_settings::check_interval, time_limits,
                       "Milliseconds between two checks of the voters."),
     }};
@@ -51,7 +55,7 @@
     {.number = 730,
      .name = "voters.replacing",
      .level = kernel::severity::warning,
-     .meaning = "No answer came from a voter for voters/replace_after; another control "
+     .meaning = "No message came from a voter for voters/replace_after; another control "
                 "instance replaces it.",
      .action = "Check the silent instance. It joins again automatically when it returns."}};
 
@@ -59,12 +63,17 @@
     {.number = 732,
      .name = "voters.abandoned",
      .level = kernel::severity::warning,
-     .meaning = "A change of the voters was given up: no answer came for voters/replace_after from "
+     .meaning = "A change of the voters was given up: no answer came for voters/join_limit from "
                 "the control instance that was to join, and another change is due.",
      .action = "Check the joining instance. It joins as a voter when one is needed again."}};
 
 /// How long an instance that did not join is the last choice.
 constexpr seconds avoidance{30};
+/// Time from the beginning of a term until the voters are judged: a few heartbeats and round trips
+/// between regions, within which each voter that works answers.
+constexpr milliseconds first_check_delay{600};
+/// Time within which an instance must have been heard to become a voter: a few exchange intervals.
+constexpr milliseconds candidate_silence{1000};
 
 /// Maintains the voters of the control group while this instance leads: adds voters up to the
 /// required number and replaces a voter that stays silent. New voters are reachable instances
@@ -83,7 +92,7 @@
     {
         silent_since_.clear();
         avoided_until_.clear();
-        next_check_ = ctx.now;
+        next_check_ = ctx.now + first_check_delay;
     }
 
     void tick(context& ctx) override
@@ -99,7 +108,7 @@
         for (auto const& it : abandoned)
             avoided_until_[it.joining] = ctx.now + avoidance;
         auto const reachable =
-            services_.require<roster_view>().control_since(ctx.now - config_.check_interval * 2);
+            services_.require<roster_view>().control_since(ctx.now - candidate_silence);
         if (auto const change = choose_replacement(reachable, abandoned, ctx.now))
             replace_voter(*change, abandoned, ctx);
         else if (needs_more_voters())
@@ -110,6 +119,7 @@
     voter_group& group() { return services_.require<voter_group>(); }
 
     /// Notes since when the voters, and the instances that are to join, do not answer the leader.
+    /// One that was silent before this instance led counts from its last message of any kind.
     void update_silence(instant now)
     {
         auto const& members = group().membership();
@@ -124,14 +134,19 @@
             if (group().answers(id))
                 silent_since_.erase(id);
             else
-                silent_since_.try_emplace(id, now);
+                silent_since_.try_emplace(id, last_heard(id).value_or(now));
         }
     }
 
-    bool has_been_silent(instance_id id, instant now) const
+    std::optional<instant> last_heard(instance_id id)
+    {
+        return services_.require<roster_view>().control_last_heard(id);
+    }
+
+    bool has_been_silent(instance_id id, milliseconds limit, instant now) const
     {
         auto const found = silent_since_.find(id);
-        return found != silent_since_.end() && found->second + config_.silence_timeout <= now;
+        return found != silent_since_.end() && found->second + limit <= now;
     }
 
     /// Returns the pending changes whose joining instance is not there. They block no other one.
@@ -140,7 +155,8 @@
         auto const& members = group().membership();
         std::vector<replacement> out;
         for (auto const& it : members.pending)
-            if (members.find(it.joining) == nullptr && has_been_silent(it.joining, now))
+            if (members.find(it.joining) == nullptr &&
+                has_been_silent(it.joining, config_.joining_timeout, now))
                 out.push_back(it);
         return out;
     }
@@ -171,20 +187,30 @@
                        std::find(abandoned.begin(), abandoned.end(), each) == abandoned.end();
             };
             auto const is_same = [&](replacement const& each) { return each == change; };
-            if (has_been_silent(it.id, now) && !is_pending(replaces) && !is_pending(is_same))
+            if (has_been_silent(it.id, config_.silence_timeout, now) && !is_pending(replaces) &&
+                !is_pending(is_same))
                 return change;
         }
         return std::nullopt;
     }
 
+    /// Returns the number of voters in each region that has a reachable instance.
+    std::map<region_id, int>
+    count_voters_by_region(std::vector<instance_description> const& reachable)
+    {
+        auto const& members = group().membership();
+        std::map<region_id, int> out;
+        ++out[self_.self.region];
+        for (auto const& it : reachable)
+            out[it.region] += members.find(it.id) != nullptr;
+        return out;
+    }
+
     /// Returns the reachable instance to make a voter next; null if all of them are voters.
     instance_description const* best_candidate(std::vector<instance_description> const& reachable)
     {
         auto const& members = group().membership();
-        std::map<region_id, int> voters_by_region;
-        ++voters_by_region[self_.self.region];
-        for (auto const& it : reachable)
-            voters_by_region[it.region] += members.find(it.id) != nullptr;
+        auto voters_by_region = count_voters_by_region(reachable);
         instance_description const* out = nullptr;
         std::tuple<bool, int, instance_id> lowest_cost{};
         for (auto const& it : reachable)
--- a/tests/control/steering/rollouts_test.cpp
+++ b/tests/control/steering/rollouts_test.cpp
@@ -36,6 +36,7 @@
         return version == v2 ? new_slots : old_slots;
     }
     std::vector<instance_description> control_since(instant) const override { return {}; }
+    std::optional<instant> control_last_heard(instance_id) const override { return std::nullopt; }
     std::vector<messages::entry_notice> entry_notices() const override { return {notice}; }
 
     std::vector<version_id> versions{v1, v2};
--- a/tests/control/support/fake_log.hpp
+++ b/tests/control/support/fake_log.hpp
@@ -5,6 +5,7 @@
 #include <mulberryrudder/control/replicated_log.hpp>
 
 #include <deque>
+#include <utility>
 #include <vector>
 
 namespace mulberryrudder::control::testing
@@ -41,6 +42,11 @@
         if (step_down)
             ctx.observers.publish_following();
         step_down = false;
+        if (std::exchange(takes_the_lead, false))
+        {
+            leads = true;
+            ctx.observers.publish_leading();
+        }
         for (; !committed.empty(); committed.pop_front())
         {
             last_applied = committed.front().index;
@@ -62,6 +68,7 @@
     }
 
     bool leads = true;
+    bool takes_the_lead = false; ///< The next tick tells the components that it leads.
     bool step_down = false; ///< The next tick calls publish_following().
     term_id current_term{1};
     std::optional<instance_id> known_leader;
--- a/tests/control/support/replica.hpp
+++ b/tests/control/support/replica.hpp
@@ -92,6 +92,7 @@
         return answers_.at(id);
     }
 
+    instant now() const { return now_; }
     std::string const& events() const { return events_.text; }
 
     bool has_answer(operator_request_id id) const { return answers_.contains(id); }
