Spread the voters again when a region is back

What callers would see: no order acknowledged and no plan read back while one region, of which the platform allows the loss, is down.

Cause: the voter of a region that is lost is replaced by an instance of another region and stays there. The loss of that region then takes two voters of three. Known by reading (lost-replacement, related paths); quicker replacements would have made it more likely.

Change: while all voters work, a region with several of them gives one up for a region that has none, once that one can take it for 2 s. The voter that leaves keeps its vote until the new one has joined.

Result: voters_are_spread_again_when_a_region_is_back; it cannot pass without the change, since nothing else moves a voter that works.

--- a/plugins/control/voters/voter_keeper.cpp
+++ b/plugins/control/voters/voter_keeper.cpp
@@ -67,6 +67,17 @@
                 "the control instance that was to join, and another change is due.",
      .action = "Check the joining instance. It joins as a voter when one is needed again."}};
 
+kernel::event_kind const spreading_event{
+    {.number = 733,
+     .name = "voters.spreading",
+     .level = kernel::severity::info,
+     .meaning = "A region has several voters and another one none; a control instance of that one "
+                "takes the place of a voter.",
+     .action = "None."}};
+
+/// Time for which a region must be able to take a voter before the voters are spread again: below
+/// the time after which another region may be lost.
+constexpr milliseconds spreading_delay{2000};
 /// How long an instance that did not join is the last choice.
 constexpr seconds avoidance{30};
 /// Time from the beginning of a term until the voters are judged: a few heartbeats and round trips
@@ -92,6 +103,7 @@
     {
         silent_since_.clear();
         avoided_until_.clear();
+        spread_at_.reset();
         next_check_ = ctx.now + first_check_delay;
     }
 
@@ -113,6 +125,8 @@
             replace_voter(*change, abandoned, ctx);
         else if (needs_more_voters())
             add_voter(reachable, abandoned, ctx);
+        else
+            spread_voters(reachable, ctx);
     }
 
 private:
@@ -245,6 +259,41 @@
                                          {"voters", std::to_string(voters)}});
     }
 
+    /// Returns the change that moves a voter from a region with several of them to one without any,
+    /// if all voters work.
+    std::optional<replacement>
+    choose_spreading(std::vector<instance_description> const& reachable)
+    {
+        auto const* const joining = best_candidate(reachable);
+        if (joining == nullptr || !silent_since_.empty() || avoided_until_.contains(joining->id))
+            return std::nullopt;
+        auto voters_by_region = count_voters_by_region(reachable);
+        if (voters_by_region[joining->region] != 0)
+            return std::nullopt;
+        auto const& members = group().membership();
+        for (auto const& it : reachable)
+            if (members.find(it.id) != nullptr && voters_by_region[it.region] > 1)
+                return replacement{
+                    .leaving = it.id, .joining = joining->id, .peer = joining->peer};
+        return std::nullopt;
+    }
+
+    /// Spreads the voters again once a region is back for a while, since the loss of a region with
+    /// most voters would end the group's work.
+    void spread_voters(std::vector<instance_description> const& reachable, context& ctx)
+    {
+        auto const change = choose_spreading(reachable);
+        if (!change)
+            return spread_at_.reset();
+        spread_at_ = spread_at_.value_or(ctx.now + spreading_delay);
+        if (ctx.now < *spread_at_ || !group().begin_replacement(*change, {}, ctx.now))
+            return;
+        spread_at_.reset();
+        ctx.events.record(spreading_event,
+                          {{"leaving", std::to_string(change->leaving.value())},
+                           {"joining", std::to_string(change->joining.value())}});
+    }
+
     void replace_voter(replacement const& change, std::vector<replacement> const& abandoned,
                        context& ctx)
     {
@@ -269,6 +318,7 @@
     voter_settings const& config_;
     identity const& self_;
     instant next_check_;
+    std::optional<instant> spread_at_; ///< When the voters are spread, if the need lasts.
     std::map<instance_id, instant> silent_since_;  ///< Voters and instances that are to join.
     std::map<instance_id, instant> avoided_until_; ///< They did not join when they were to.
 };
--- a/tests/control/voters/voter_keeper_test.cpp
+++ b/tests/control/voters/voter_keeper_test.cpp
@@ -108,6 +108,8 @@
     CPPUNIT_TEST(a_lost_replacement_is_kept_while_no_other_change_is_due);
     CPPUNIT_TEST(an_addition_that_does_not_answer_is_tried_with_another_instance);
     CPPUNIT_TEST(the_group_grows_to_the_required_number_of_voters);
+    CPPUNIT_TEST(voters_are_spread_again_when_a_region_is_back);
+    CPPUNIT_TEST(voters_are_not_moved_while_one_is_silent);
     CPPUNIT_TEST(any_number_of_losses_is_accepted);
     CPPUNIT_TEST(a_group_that_is_to_tolerate_no_loss_stays_as_it_is);
     CPPUNIT_TEST(a_group_that_is_to_tolerate_many_losses_takes_all_instances);
@@ -273,6 +275,29 @@
                                change.joining == instance_id(3));
     }
 
+    // Guards against CONFIG: the voter of a region that was lost was replaced by one of another
+    // region, and stayed there. The loss of that region, one alone, then took most voters.
+    void voters_are_spread_again_when_a_region_is_back()
+    {
+        group().reachable = {instance_in(2, "e"), instance_in(3, "e"), instance_in(4, "e")};
+        run_for(seconds(5));
+        CPPUNIT_ASSERT_MESSAGE("no region without voters", group().begun_replacements.empty());
+        group().reachable.push_back(instance_in(5, "u"));
+        run_for(catch_up - join_time);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, group().begun_replacements.size());
+        auto const& change = group().begun_replacements.front();
+        CPPUNIT_ASSERT(change.leaving == instance_id(2) || change.leaving == instance_id(3));
+        CPPUNIT_ASSERT(change.joining == instance_id(5));
+    }
+
+    void voters_are_not_moved_while_one_is_silent()
+    {
+        group().reachable = {instance_in(2, "e"), instance_in(3, "e"), instance_in(5, "u")};
+        group().failed_disks.insert(instance_id(3));
+        run_for(milliseconds(1500));
+        CPPUNIT_ASSERT(group().begun_replacements.empty());
+    }
+
     // Guards against control instances that do not start, since the platform states a number of
     // losses that the settings refuse.
     void any_number_of_losses_is_accepted()
