Stop counting seeds that are gone; let only the leader's side of a cut forget the other

Cause: the number of control instances, of which a majority is taken for acknowledgements and for `connected`, is learnt from messages.

Change: contacts that are gone do not count until they are heard again; messages to them go on. An instance forgets others only while its steering state is confirmed, which takes a round trip with a leader whose lease holds, so only one side of a cut can. Lists of control instances name all that count, not those of the last 20 s, so that an instance that restarts on the other side of a cut learns of them.

--- a/plugins/control/roster/control_table.cpp
+++ b/plugins/control/roster/control_table.cpp
@@ -37,6 +37,7 @@
     known.operator_address = exchange.operators;
     known.leads = exchange.leads;
     known.is_heard = true;
+    known.is_counted = true;
     known.last_message = now;
     known.boot = exchange.boot;
     known.received = exchange.number;
@@ -56,8 +57,25 @@
 {
     auto const is_gone = [&](row const& it)
     { return it.is_heard ? it.last_message < cutoff : it.last_named < named_cutoff; };
+    for (auto& [id, it] : rows_)
+        if (is_gone(it))
+            it.is_counted = it.intact = false;
     std::erase_if(rows_,
-                  [&](auto const& it) { return !it.second.is_contact && is_gone(it.second); });
+                  [](auto const& it) { return !it.second.is_contact && !it.second.is_counted; });
+}
+
+template <class Property>
+std::size_t control_table::count_others(Property const& property) const
+{
+    auto const count =
+        std::count_if(rows_.begin(), rows_.end(),
+                      [&](auto const& it) { return it.second.is_counted && property(it.second); });
+    return static_cast<std::size_t>(count);
+}
+
+std::size_t control_table::size() const
+{
+    return count_others([](row const&) { return true; }) + 1;
 }
 
 std::optional<std::size_t> control_table::total() const
@@ -78,18 +96,14 @@
 
 std::size_t control_table::acknowledged_count(sequence_id number) const
 {
-    auto const count =
-        std::count_if(rows_.begin(), rows_.end(),
-                      [&](auto const& it) { return it.second.acknowledged >= number; });
-    return static_cast<std::size_t>(count) + 1;
+    return count_others([number](row const& it) { return it.acknowledged >= number; }) + 1;
 }
 
 std::size_t control_table::holder_count(generation_id generation, generation_id own) const
 {
-    auto const held =
-        std::count_if(rows_.begin(), rows_.end(),
-                      [&](auto const& it) { return it.second.generation >= generation; });
-    return static_cast<std::size_t>(held + (own >= generation));
+    auto const others =
+        count_others([generation](row const& it) { return it.generation >= generation; });
+    return others + (own >= generation ? 1 : 0);
 }
 
 generation_id control_table::newest_generation() const
@@ -107,10 +121,7 @@
 
 std::size_t control_table::reachable_count(instant cutoff) const
 {
-    auto const reachable =
-        std::count_if(rows_.begin(), rows_.end(),
-                      [cutoff](auto const& it) { return was_heard_since(it.second, cutoff); });
-    return static_cast<std::size_t>(reachable) + 1;
+    return count_others([cutoff](row const& it) { return was_heard_since(it, cutoff); }) + 1;
 }
 
 bool control_table::is_majority_reachable(instant cutoff) const
@@ -149,6 +160,15 @@
     return out;
 }
 
+std::vector<instance_description> control_table::known_instances() const
+{
+    std::vector<instance_description> out;
+    for (auto const& [id, it] : rows_)
+        if (it.is_heard && it.is_counted)
+            out.push_back(it.description);
+    return out;
+}
+
 std::vector<instance_id> control_table::heard_since(instant cutoff) const
 {
     std::vector<instance_id> out;
--- a/plugins/control/roster/control_table.hpp
+++ b/plugins/control/roster/control_table.hpp
@@ -23,7 +23,8 @@
         instance_description description;
         endpoint operator_address; ///< Where it accepts operators' requests.
         bool leads = false;
-        bool is_contact = false;        ///< Named in the settings; never expires.
+        bool is_contact = false;        ///< Named in the settings; messages to it never end.
+        bool is_counted = true;         ///< False for a contact that is gone.
         bool is_heard = false;          ///< A message of its own arrived.
         instant last_message;           ///< When its last message arrived.
         instant last_named;             ///< When another instance named it last.
@@ -54,8 +55,11 @@
     /// instance that has just started knows too few instances to determine a majority.
     void mark_members_received() { members_received_ = true; }
 
-    /// Removes instances whose last message is older than `cutoff`, except contacts. One that sent
-    /// none is removed once no other instance has named it since `named_cutoff`.
+    /// Removes instances whose last message is older than `cutoff`. One that sent none is removed
+    /// once no other instance has named it since `named_cutoff`. Contacts stay, but do not count
+    /// until they are heard. Precondition: the steering state is confirmed, so that of two groups
+    /// that are cut off from each other only the leader's forgets the other one. If both did, each
+    /// would become a majority of those that it remembers.
     void expire(instant cutoff, instant named_cutoff);
 
     std::map<instance_id, row>& rows() { return rows_; }
@@ -69,7 +73,7 @@
     std::size_t acknowledged_count(sequence_id number) const;
 
     /// Returns the number of known instances, including this one.
-    std::size_t size() const { return rows_.size() + 1; }
+    std::size_t size() const;
 
     /// Returns the number of all instances; nothing until another one sent its list of them.
     std::optional<std::size_t> total() const;
@@ -102,10 +106,17 @@
     /// Returns the instances whose last message arrived at or after `cutoff`.
     std::vector<instance_description> instances_since(instant cutoff) const;
 
+    /// Returns the instances of which a message arrived and that are not removed. These are named to
+    /// other instances: one that restarts while it is cut off from the rest must count the rest.
+    std::vector<instance_description> known_instances() const;
+
     /// Returns the ids of the instances whose last message arrived at or after `cutoff`.
     std::vector<instance_id> heard_since(instant cutoff) const;
 
 private:
+    /// Returns the number of other instances that count and have a property.
+    template <class Property>
+    std::size_t count_others(Property const& property) const;
     bool is_majority(std::size_t count) const;
 
     std::map<instance_id, row> rows_;
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -475,7 +475,7 @@
         if (ctx.now >= member_list_due_)
         {
             member_list_due_ = ctx.now + member_list_interval;
-            common.control = controls_.instances_since(ctx.now - control_retention);
+            common.control = controls_.known_instances();
         }
         // Tables that come while too few instances can be reached do not end the synchronization.
         bool const wants_tables = is_majority_reachable(ctx.now);
@@ -494,7 +494,7 @@
             {
                 out.targets = targets_.all(ctx.now);
                 out.has_all_targets = true;
-                out.control = controls_.instances_since(ctx.now - control_retention);
+                out.control = controls_.known_instances();
             }
             else
             {
@@ -582,7 +582,8 @@
     {
         targets_.expire(ctx.now - config_.target_timeout, ctx.now);
         entries_.expire(ctx.now - config_.entry_timeout);
-        controls_.expire(ctx.now - control_retention, ctx.now - naming_retention);
+        if (is_current(ctx.now))
+            controls_.expire(ctx.now - control_retention, ctx.now - naming_retention);
     }
 
     // Entries.
--- a/tests/control/roster/control_table_test.cpp
+++ b/tests/control/roster/control_table_test.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(an_instance_that_is_gone_is_forgotten_although_others_name_it);
     CPPUNIT_TEST(an_instance_that_others_hear_is_kept);
     CPPUNIT_TEST(an_instance_that_sent_no_message_is_not_reachable);
+    CPPUNIT_TEST(a_contact_that_is_gone_does_not_count);
+    CPPUNIT_TEST(a_contact_that_is_back_counts_again);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,6 +71,29 @@
         CPPUNIT_ASSERT(table.is_majority_reachable(now_));
     }
 
+    // Guards against CONFIG: instances that the settings name were counted for good. Once all of
+    // them had been replaced, the loss of a region left too few of those that were counted, and no
+    // order was acknowledged.
+    void a_contact_that_is_gone_does_not_count()
+    {
+        auto& table = tables_[0];
+        table.add(description_of(gone), true, now_);
+        hear(0, gone);
+        run_for(retention + seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.size());
+        CPPUNIT_ASSERT(table.rows().contains(instance_id(gone)));
+    }
+
+    void a_contact_that_is_back_counts_again()
+    {
+        auto& table = tables_[0];
+        table.add(description_of(gone), true, now_);
+        run_for(retention);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.size());
+        hear(0, gone);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, table.size());
+    }
+
 private:
     static constexpr std::uint32_t gone = 9;
 
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -35,6 +35,9 @@
 /// Limit of what a daemon of any role sends and receives for control.
 constexpr std::int64_t max_bytes_per_second = 4000;
 
+/// Time after which control instances that are gone are forgotten.
+constexpr seconds forgetting_time{25};
+
 /// Limit of the time after which the loss of control instances excuses nothing any more.
 constexpr milliseconds contact{3000};
 
@@ -47,6 +50,8 @@
     CPPUNIT_TEST(an_order_that_no_majority_holds_is_not_acknowledged);
     CPPUNIT_TEST(entries_receive_an_order_that_their_control_instance_cannot_request);
     CPPUNIT_TEST(entries_receive_an_order_after_most_control_instances_return);
+    CPPUNIT_TEST(an_order_is_acknowledged_after_seeds_are_gone_for_good);
+    CPPUNIT_TEST(two_groups_that_are_cut_off_are_not_both_a_majority);
     CPPUNIT_TEST(entries_with_a_slow_link_do_not_send_requests_by_an_old_plan);
     CPPUNIT_TEST(entries_serve_again_once_their_link_is_free);
     CPPUNIT_TEST(entries_do_not_rely_on_what_a_restarted_control_instance_missed);
@@ -210,6 +215,36 @@
         }
     }
 
+    // Guards against a violation of AckTimeout: seeds of the settings that were gone counted as
+    // members for good, so that the loss of one more instance left no majority.
+    void an_order_is_acknowledged_after_seeds_are_gone_for_good()
+    {
+        start_six();
+        fleet_->isolate({1, 2});
+        fleet_->run(forgetting_time);
+        fleet_->isolate({1, 2, 3});
+        fleet_->run(seconds(1));
+        acknowledge_evacuation();
+    }
+
+    // Guards against a violation of DRAIN: of two groups of control instances that were cut off for
+    // longer than they remember each other, each took itself for the majority. The one without a
+    // leader acknowledged a leave that the entries of the other one did not learn of.
+    void two_groups_that_are_cut_off_are_not_both_a_majority()
+    {
+        start_six();
+        fleet_->partition({1, 2, 3});
+        fleet_->run(forgetting_time);
+        auto const id = fleet_->leave(1, 11);
+        fleet_->run(seconds(2));
+        CPPUNIT_ASSERT(!is_held(id));
+        fleet_->restart_control(3);
+        fleet_->run(seconds(2));
+        auto const second = fleet_->leave(3, 12);
+        fleet_->run(seconds(2));
+        CPPUNIT_ASSERT_MESSAGE("nor after a restart", !is_held(second));
+    }
+
     // Guards against a violation of HOME and CONFIG: on a link that other traffic fills, the
     // answers of control are late by seconds. Entries took them for fresh, and served by plans
     // that had been replaced.
@@ -420,6 +455,16 @@
             CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(targets), fleet_->serving_count(n));
     }
 
+    /// Starts a fleet of six control instances, three of which are seeds of the settings.
+    void start_six()
+    {
+        fleet_ = std::make_unique<roster_fleet>(roster_fleet::options{.controls = 6});
+        fleet_->apply_first_plan();
+        fleet_->start_target(11);
+        fleet_->start_target(12);
+        fleet_->run(seconds(3));
+    }
+
     /// Target 11 deregisters while this control instance and all entries cannot be reached. When
     /// this returns, control instances do not forward the leave any more.
     void leave_without(std::size_t control)
