Do not let an instance that hears few others replace an entry's list of control instances

Cause: each answer of a control instance with the figures of the fleet replaced the entry's list of control instances. One that has just started, or is cut off, names itself alone. The entry forgot all others but the contacts of its settings. Where these are gone, as after the seeds were replaced, it had nobody to ask once that instance ended. Nothing answered any more, so nothing was slow, and its plan never counted as outdated.

Change: only an answer of an instance that hears most of the others shortens the list; any answer may lengthen it.

--- a/plugins/entry/roster/control_choice.cpp
+++ b/plugins/entry/roster/control_choice.cpp
@@ -32,7 +32,7 @@
 }
 
 std::vector<instance_description>
-control_choice::update_group(std::vector<instance_description> const& group)
+control_choice::update_group(std::vector<instance_description> const& group, naming named)
 {
     std::vector<instance_description> out;
     for (auto const& it : group)
@@ -42,6 +42,8 @@
             out.push_back(it);
         known.instance = it;
     }
+    if (named == naming::some)
+        return out;
     std::erase_if(instances_,
                   [&](auto const& entry)
                   {
--- a/plugins/entry/roster/control_choice.hpp
+++ b/plugins/entry/roster/control_choice.hpp
@@ -22,9 +22,18 @@
     /// Adds an instance that the settings list as a contact; it is never removed.
     void add_contact(instance_id id);
 
-    /// Replaces the group of control instances; contacts stay. Returns the instances that are
-    /// new or have a new address.
-    std::vector<instance_description> update_group(std::vector<instance_description> const& group);
+    /// Which of the control instances an answer names.
+    enum class naming
+    {
+        some, ///< Its sender hears few of the others, and knows less than this entry does.
+        most  ///< Its sender hears most of the others.
+    };
+
+    /// Adds the control instances that an answer names. If it names most of them, those that it
+    /// leaves out are forgotten, except contacts. Returns the instances that are new or have a new
+    /// address.
+    std::vector<instance_description> update_group(std::vector<instance_description> const& group,
+                                                   naming named);
 
     /// Returns all instances that are known.
     std::vector<instance_id> all() const;
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -390,7 +390,9 @@
     void apply_update(messages::roster_update const& update, context& ctx)
     {
         if (update.has_fleet)
-            for (auto const& each : control_choice_.update_group(update.control))
+            for (auto const& each : control_choice_.update_group(
+                     update.control, update.connected ? control_choice::naming::most
+                                                      : control_choice::naming::some))
                 ctx.out.push_back(learn_instance{.id = each.id, .peer = each.peer});
         for (auto const& changed : listed_.update(update.targets, ctx.now))
             publish_change(changed, ctx);
--- a/tests/entry/plan_stages/control_choice_test.cpp
+++ b/tests/entry/plan_stages/control_choice_test.cpp
@@ -25,22 +25,23 @@
     CPPUNIT_TEST(an_instance_that_failed_is_selected_last_for_a_limited_time);
     CPPUNIT_TEST(among_equally_near_instances_the_last_one_to_answer_is_selected);
     CPPUNIT_TEST(contacts_are_never_removed);
+    CPPUNIT_TEST(an_instance_that_hears_few_others_makes_none_forgotten);
     CPPUNIT_TEST(only_new_addresses_are_returned);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void the_nearest_instance_is_selected()
     {
-        choice_.update_group(
+        update(
             {instance_at(1, "e", "e-a"), instance_at(2, "m", "m-b"), instance_at(3, "m", "m-a")});
         CPPUNIT_ASSERT(best() == instance_id(3));
-        choice_.update_group({instance_at(1, "e", "e-a"), instance_at(2, "m", "m-b")});
+        update({instance_at(1, "e", "e-a"), instance_at(2, "m", "m-b")});
         CPPUNIT_ASSERT(best() == instance_id(2));
     }
 
     void an_instance_that_failed_is_selected_last_for_a_limited_time()
     {
-        choice_.update_group({instance_at(1, "e", "e-a"), instance_at(3, "m", "m-a")});
+        update({instance_at(1, "e", "e-a"), instance_at(3, "m", "m-a")});
         choice_.failed(instance_id(3), now_);
         CPPUNIT_ASSERT(best() == instance_id(1));
         now_ += seconds(6);
@@ -49,7 +50,7 @@
 
     void among_equally_near_instances_the_last_one_to_answer_is_selected()
     {
-        choice_.update_group(
+        update(
             {instance_at(1, "e", "e-a"), instance_at(2, "e", "e-b"), instance_at(3, "u", "u-a")});
         last_answered_ = instance_id(2);
         for (int n = 0; n != 20; ++n)
@@ -59,20 +60,36 @@
     void contacts_are_never_removed()
     {
         choice_.add_contact(instance_id(7));
-        choice_.update_group({instance_at(1, "e", "e-a")});
-        choice_.update_group({});
+        update({instance_at(1, "e", "e-a")});
+        update({});
         CPPUNIT_ASSERT(best() == instance_id(7));
     }
 
+    // Guards against CONFIG: the answer of a control instance that had just started named that
+    // instance alone, and the entry forgot all others.
+    void an_instance_that_hears_few_others_makes_none_forgotten()
+    {
+        update({instance_at(1, "e", "e-a"), instance_at(3, "m", "m-a")});
+        update({instance_at(1, "e", "e-a")}, control_choice::naming::some);
+        CPPUNIT_ASSERT(best() == instance_id(3));
+    }
+
     void only_new_addresses_are_returned()
     {
         CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                             choice_.update_group({instance_at(1, "e", "e-a")}).size());
+                             update({instance_at(1, "e", "e-a")}).size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{0},
-                             choice_.update_group({instance_at(1, "e", "e-a")}).size());
+                             update({instance_at(1, "e", "e-a")}).size());
     }
 
 private:
+    std::vector<instance_description>
+    update(std::vector<instance_description> const& group,
+           control_choice::naming named = control_choice::naming::most)
+    {
+        return choice_.update_group(group, named);
+    }
+
     std::optional<instance_id> best()
     {
         return choice_.best(instance_at(9, "m", "m-a"), last_answered_, now_, random_);
--- a/tests/roster_fleet/roster_fleet.cpp
+++ b/tests/roster_fleet/roster_fleet.cpp
@@ -108,7 +108,8 @@
 {
     entry::identity self;
     self.self = describe(entry_id(n), n % config_.controls, 2000 + n);
-    self.control = {control_id(0), control_id(1), control_id(2)};
+    for (auto const seed : config_.entry_seeds)
+        self.control.push_back(control_id(seed));
     auto const seed = next_seed();
     self.boot = boot_id(seed);
     return std::make_unique<entry::core>(entry::core::options{
--- a/tests/roster_fleet/roster_fleet.hpp
+++ b/tests/roster_fleet/roster_fleet.hpp
@@ -33,6 +33,8 @@
         byte_count entry_link{60}; ///< Bytes per millisecond for messages of control instances.
         std::uint64_t seed = 1;
         bool counts_traffic = false; ///< traffic() is counted, which takes time.
+        /// Control instances that the settings of entries name.
+        std::vector<std::size_t> entry_seeds{0, 1, 2};
     };
 
     /// Messages between control instances of one kind.
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(entries_receive_an_order_after_most_control_instances_return);
     CPPUNIT_TEST(an_order_is_acknowledged_after_seeds_are_gone_for_good);
     CPPUNIT_TEST(two_groups_that_are_cut_off_are_not_both_a_majority);
+    CPPUNIT_TEST(entries_find_control_after_an_instance_that_hears_nobody);
     CPPUNIT_TEST(entries_with_a_slow_link_do_not_send_requests_by_an_old_plan);
     CPPUNIT_TEST(entries_serve_again_once_their_link_is_free);
     CPPUNIT_TEST(entries_do_not_rely_on_what_a_restarted_control_instance_missed);
@@ -245,6 +246,30 @@
         CPPUNIT_ASSERT_MESSAGE("nor after a restart", !is_held(second));
     }
 
+    // Guards against a violation of CONFIG: a control instance that has just started hears nobody,
+    // and its answer was taken for the list of all. Entries forgot the others; once that instance
+    // ended, they had nobody left to ask, and served by their last plan for good.
+    void entries_find_control_after_an_instance_that_hears_nobody()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            fleet_ = std::make_unique<roster_fleet>(
+                roster_fleet::options{.seed = seed, .entry_seeds = {4}});
+            fleet_->apply_first_plan();
+            fleet_->run(seconds(1));
+            fleet_->partition({4});
+            fleet_->restart_control(4);
+            fleet_->isolate({0, 1, 2, 3, 5, 6, 7, 8});
+            fleet_->run(seconds(3));
+            fleet_->isolate({4});
+            fleet_->run(contact);
+            acknowledge_evacuation();
+            fleet_->run(config_limit);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("entries with an older state", 0,
+                                         entries_before(generation_id(2)));
+        }
+    }
+
     // Guards against a violation of HOME and CONFIG: on a link that other traffic fills, the
     // answers of control are late by seconds. Entries took them for fresh, and served by plans
     // that had been replaced.
