Accept callers with a first plan once control confirms it

Change: the first plan lets callers in once an answer of control confirms it. Where control has no leader, or cannot be reached, the instance serves what it can after entry_roster/first_plan_limit (3 s), and says so (plan.unconfirmed, 313). So the age of the plan of a first request is at most max_plan_age, 2 s, unless control confirmed nothing for 3 s.

Result: callers_wait_until_control_confirms_the_first_plan cannot pass without the change, which sent accept_callers with the first plan.

--- a/plugins/entry/roster/roster_events.cpp
+++ b/plugins/entry/roster/roster_events.cpp
@@ -86,6 +86,14 @@
                 "whether it begins.",
      .action = "Check the load of this instance's network link; see `control.round_trip`."}};
 
+kernel::event_kind const plan_unconfirmed_event{
+    {.number = 313,
+     .name = "plan.unconfirmed",
+     .level = kernel::severity::warning,
+     .meaning = "This instance has just started and accepts callers with a plan that control did "
+                "not confirm within entry_roster/first_plan_limit; a newer one may be in force.",
+     .action = "Check whether control has a leader, and the connections to it."}};
+
 kernel::event_kind const target_departed_event{
     {.number = 312,
      .name = "target.departed",
--- a/plugins/entry/roster/roster_settings.hpp
+++ b/plugins/entry/roster/roster_settings.hpp
@@ -14,6 +14,7 @@
     milliseconds min_report_interval{40};
     milliseconds disconnected_retry_delay{150};
     milliseconds max_plan_age{2000};
+    milliseconds first_plan_timeout{3000};
     milliseconds max_round_trip{500};
 };
 
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -86,6 +86,7 @@
             send_report(ctx);
         if (search_.is_round_due(ctx.now))
             send_probes(ctx);
+        accept_unconfirmed_plan(ctx);
         record_outdated_change(ctx);
     }
 
@@ -218,7 +219,7 @@
         messages::roster_poll out{.self = {.who = ctx.self.self,
                                            .boot = ctx.self.boot,
                                            .sequence = last_report_,
-                                           .ready = active_steering_ != nullptr && !stopping_,
+                                           .ready = accepts_callers_ && !stopping_,
                                            .demand = {},
                                            .outcomes = {}},
                                   .generation = steering_->generation,
@@ -287,12 +288,15 @@
         ctx.counters.observe(round_trips, answer.round_trip(ctx.now));
         currency_.record(answer, ctx.now);
         record_outdated_change(ctx);
+        // A late answer tells what held when it was sent.
+        bool const confirms = update.current && is_recent(answer, ctx.now);
+        if (confirms && generation_of(update) <= steering_->generation)
+            accept_callers_once(ctx);
         if (!attaches)
             return;
         if (!update.connected)
             detach(sender, ctx);
-        // A late answer tells what held when it was sent.
-        if (update.connected && update.current && is_recent(answer, ctx.now))
+        if (update.connected && confirms)
             end_search(sender, ctx);
         else if (!update.connected || !update.current)
             begin_search(update.connected ? "unconfirmed" : "apart", update.confirmed_age, ctx.now,
@@ -461,13 +465,34 @@
         if (is_first || active_steering_->plan->limits != state->plan->limits)
             ctx.out.push_back(limit_callers{state->plan->limits});
         active_steering_ = state;
-        if (!is_first)
+        if (is_first)
+            accept_callers_at_ = ctx.now + config_.first_plan_timeout;
+    }
+
+    /// Lets callers in once there is a plan, unless they were before.
+    void accept_callers_once(context& ctx)
+    {
+        if (!std::exchange(accept_callers_at_, std::nullopt))
             return;
+        accepts_callers_ = true;
         ctx.out.push_back(accept_callers{});
         // Control announces this instance to callers after a report that it is ready.
         send_report(ctx);
     }
 
+    /// Goes on with a first plan that control did not confirm in time: where control has no leader,
+    /// or cannot be reached, this instance serves what it can.
+    void accept_unconfirmed_plan(context& ctx)
+    {
+        if (!accept_callers_at_ || ctx.now < *accept_callers_at_)
+            return;
+        ctx.events.record(
+            plan_unconfirmed_event,
+            {{"generation", std::to_string(steering_->generation.value())},
+             {"waited_ms", std::to_string(config_.first_plan_timeout.count())}});
+        accept_callers_once(ctx);
+    }
+
     void publish_change(messages::target_notice const& notice, context& ctx)
     {
         ctx.events.record(target_learned_event,
@@ -495,7 +520,9 @@
     bool was_outdated_ = false; ///< As of the last input that could change it.
     shared_steering steering_ = std::make_shared<steering_state const>();
     shared_steering active_steering_; ///< The newest one that contains a plan.
-    bool takes_difference_ = false;   ///< The next report asks for a difference from it.
+    std::optional<instant> accept_callers_at_; ///< Although the first plan is not confirmed.
+    bool accepts_callers_ = false;
+    bool takes_difference_ = false; ///< The next report asks for a difference from it.
     instant fleet_due_;               ///< When a report asks for the figures of the fleet.
     std::int64_t entries_ = 1;
     std::int64_t entries_in_domain_ = 1;
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST_SUITE(roster_stage_test);
     CPPUNIT_TEST(the_first_report_goes_to_a_configured_contact);
     CPPUNIT_TEST(callers_are_accepted_once_a_plan_arrived);
+    CPPUNIT_TEST(callers_wait_until_control_confirms_the_first_plan);
+    CPPUNIT_TEST(callers_are_accepted_without_a_confirmation_after_the_limit);
     CPPUNIT_TEST(caller_limits_follow_the_newest_plan);
     CPPUNIT_TEST(an_older_steering_state_is_ignored);
     CPPUNIT_TEST(the_next_report_goes_to_another_instance_after_a_timeout);
@@ -88,6 +90,35 @@
         CPPUNIT_ASSERT(poll_.generation == generation_id(4));
     }
 
+    // Guards against CONFIG: an entry that had just started, after a loss of power of most
+    // machines, served by the first plan that a control instance held, which may be any old one.
+    void callers_wait_until_control_confirms_the_first_plan()
+    {
+        tick();
+        auto const first = reported_to_;
+        answer({.current = false, .steering = state(4, true)});
+        CPPUNIT_ASSERT(!accepts_callers_);
+        tick(milliseconds(10));
+        reply(other(first), {.generation = generation_id(5), .connected = true, .current = true});
+        CPPUNIT_ASSERT(reported_to_ == other(first));
+        CPPUNIT_ASSERT(!poll_.self.ready);
+        answer({.boot = boot_id(8), .steering = state(5, true)});
+        CPPUNIT_ASSERT(accepts_callers_);
+        CPPUNIT_ASSERT(poll_.self.ready);
+    }
+
+    // Guards against an entry that never serves since control has no leader, or since its failure
+    // domain is cut off.
+    void callers_are_accepted_without_a_confirmation_after_the_limit()
+    {
+        tick();
+        answer({.current = false, .steering = state(4, true)});
+        tick(milliseconds(2900));
+        CPPUNIT_ASSERT(!accepts_callers_);
+        tick(milliseconds(200));
+        CPPUNIT_ASSERT(accepts_callers_);
+    }
+
     void caller_limits_follow_the_newest_plan()
     {
         tick();
