--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -116,9 +116,9 @@
     for (auto const& change : members().pending)
     {
         // The newest disk of an instance stands last.
-        auto const found = std::find_if(state_.starts.rbegin(), state_.starts.rend(),
-                                        [&](start_record const& it)
-                                        { return it.instance == change.joining; });
+        auto const found =
+            std::find_if(state_.starts.rbegin(), state_.starts.rend(),
+                         [&](start_record const& it) { return it.instance == change.joining; });
         if (found != state_.starts.rend() && !peers_.contains(change.joining))
             track_peer(change.joining, found->disk);
     }
--- a/plugins/control/roster/control_table.hpp
+++ b/plugins/control/roster/control_table.hpp
@@ -106,8 +106,8 @@
     /// Returns the instances whose last message arrived at or after `cutoff`.
     std::vector<instance_description> instances_since(instant cutoff) const;
 
-    /// Returns the instances of which a message arrived and that are not removed. These are named to
-    /// other instances: one that restarts while it is cut off from the rest must count the rest.
+    /// Returns the instances of which a message arrived and that are not removed. These are named
+    /// to other instances: one that restarts while it is cut off from the rest must count the rest.
     std::vector<instance_description> known_instances() const;
 
     /// Returns the ids of the instances whose last message arrived at or after `cutoff`.
--- a/plugins/control/steering/steering_orders.cpp
+++ b/plugins/control/steering/steering_orders.cpp
@@ -41,9 +41,10 @@
     {.number = 750,
      .name = "steering.order_answered",
      .level = kernel::severity::info,
-     .meaning = "An order of an operator was decided; the field `result` is the decision, `holders` "
-                "how many control instances held an accepted one at its acknowledgement, `of` how "
-                "many there are; 0 where that does not matter.",
+     .meaning =
+         "An order of an operator was decided; the field `result` is the decision, `holders` "
+         "how many control instances held an accepted one at its acknowledgement, `of` how "
+         "many there are; 0 where that does not matter.",
      .action = "If it was refused, correct the order at the places that its answer lists."}};
 kernel::event_kind const changed_event{{.number = 751,
                                         .name = "steering.changed",
@@ -259,10 +260,10 @@
         std::erase_if(unreplicated_,
                       [&](accepted_order const& it)
                       {
-                          auto const spread = replication == nullptr
-                                                  ? std::nullopt
-                                                  : std::optional(
-                                                        replication->spread_of(it.generation));
+                          auto const spread =
+                              replication == nullptr
+                                  ? std::nullopt
+                                  : std::optional(replication->spread_of(it.generation));
                           if (!spread || spread->is_majority())
                               answer(it.requester, it.name, it.decision, ctx, spread);
                           else if (it.deadline <= ctx.now)
--- a/plugins/control/voters/voter_keeper.cpp
+++ b/plugins/control/voters/voter_keeper.cpp
@@ -261,8 +261,7 @@
 
     /// Returns the change that moves a voter from a region with several of them to one without any,
     /// if all voters work.
-    std::optional<replacement>
-    choose_spreading(std::vector<instance_description> const& reachable)
+    std::optional<replacement> choose_spreading(std::vector<instance_description> const& reachable)
     {
         auto const* const joining = best_candidate(reachable);
         if (joining == nullptr || !silent_since_.empty() || avoided_until_.contains(joining->id))
@@ -273,8 +272,7 @@
         auto const& members = group().membership();
         for (auto const& it : reachable)
             if (members.find(it.id) != nullptr && voters_by_region[it.region] > 1)
-                return replacement{
-                    .leaving = it.id, .joining = joining->id, .peer = joining->peer};
+                return replacement{.leaving = it.id, .joining = joining->id, .peer = joining->peer};
         return std::nullopt;
     }
 
@@ -289,9 +287,8 @@
         if (ctx.now < *spread_at_ || !group().begin_replacement(*change, {}, ctx.now))
             return;
         spread_at_.reset();
-        ctx.events.record(spreading_event,
-                          {{"leaving", std::to_string(change->leaving.value())},
-                           {"joining", std::to_string(change->joining.value())}});
+        ctx.events.record(spreading_event, {{"leaving", std::to_string(change->leaving.value())},
+                                            {"joining", std::to_string(change->joining.value())}});
     }
 
     void replace_voter(replacement const& change, std::vector<replacement> const& abandoned,
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -486,10 +486,9 @@
     {
         if (!accept_callers_at_ || ctx.now < *accept_callers_at_)
             return;
-        ctx.events.record(
-            plan_unconfirmed_event,
-            {{"generation", std::to_string(steering_->generation.value())},
-             {"waited_ms", std::to_string(config_.first_plan_timeout.count())}});
+        ctx.events.record(plan_unconfirmed_event,
+                          {{"generation", std::to_string(steering_->generation.value())},
+                           {"waited_ms", std::to_string(config_.first_plan_timeout.count())}});
         accept_callers_once(ctx);
     }
 
@@ -519,11 +518,11 @@
     plan_currency currency_;
     bool was_outdated_ = false; ///< As of the last input that could change it.
     shared_steering steering_ = std::make_shared<steering_state const>();
-    shared_steering active_steering_; ///< The newest one that contains a plan.
+    shared_steering active_steering_;          ///< The newest one that contains a plan.
     std::optional<instant> accept_callers_at_; ///< Although the first plan is not confirmed.
     bool accepts_callers_ = false;
     bool takes_difference_ = false; ///< The next report asks for a difference from it.
-    instant fleet_due_;               ///< When a report asks for the figures of the fleet.
+    instant fleet_due_;             ///< When a report asks for the figures of the fleet.
     std::int64_t entries_ = 1;
     std::int64_t entries_in_domain_ = 1;
     std::map<customer_id, per_mille> shares_;
--- a/tests/control/support/fake_log.hpp
+++ b/tests/control/support/fake_log.hpp
@@ -69,7 +69,7 @@
 
     bool leads = true;
     bool takes_the_lead = false; ///< The next tick tells the components that it leads.
-    bool step_down = false; ///< The next tick calls publish_following().
+    bool step_down = false;      ///< The next tick calls publish_following().
     term_id current_term{1};
     std::optional<instance_id> known_leader;
     log_index last_applied;
--- a/tests/control/voters/voter_keeper_test.cpp
+++ b/tests/control/voters/voter_keeper_test.cpp
@@ -171,8 +171,8 @@
         CPPUNIT_ASSERT(group().begun_replacements.front().leaving == instance_id(3));
     }
 
-    // Guards against voters that are replaced though they work: a new leader has no answers yet, and
-    // their messages of other kinds are lost.
+    // Guards against voters that are replaced though they work: a new leader has no answers yet,
+    // and their messages of other kinds are lost.
     void a_new_leader_gives_the_voters_time_to_answer()
     {
         replica_->log().leads = false;
--- a/tests/entry/plan_stages/control_choice_test.cpp
+++ b/tests/entry/plan_stages/control_choice_test.cpp
@@ -76,10 +76,8 @@
 
     void only_new_addresses_are_returned()
     {
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                             update({instance_at(1, "e", "e-a")}).size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0},
-                             update({instance_at(1, "e", "e-a")}).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, update({instance_at(1, "e", "e-a")}).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, update({instance_at(1, "e", "e-a")}).size());
     }
 
 private:
