Take a voter from the region with the most of them

Now the region with the most voters gives one up if it has two more than the region of the instance that joins. a_voter_leaves_the_region_with_the_most_of_them has these five; the rule before took the first voter of any region with several of them.

--- a/plugins/control/voters/voter_keeper.cpp
+++ b/plugins/control/voters/voter_keeper.cpp
@@ -71,8 +71,8 @@
     {.number = 733,
      .name = "voters.spreading",
      .level = kernel::severity::info,
-     .meaning = "A region has several voters and another one none; a control instance of that one "
-                "takes the place of a voter.",
+     .meaning = "A region has more voters than another one by two or more; a control instance of "
+                "that one takes the place of a voter.",
      .action = "None."}};
 
 /// Time for which a region must be able to take a voter before the voters are spread again: below
@@ -259,21 +259,25 @@
                                          {"voters", std::to_string(voters)}});
     }
 
-    /// Returns the change that moves a voter from a region with several of them to one without any,
-    /// if all voters work.
+    /// Returns the change that moves a voter from the region with the most of them to one that has
+    /// fewer by two or more, if all voters work.
     std::optional<replacement> choose_spreading(std::vector<instance_description> const& reachable)
     {
         auto const* const joining = best_candidate(reachable);
         if (joining == nullptr || !silent_since_.empty() || avoided_until_.contains(joining->id))
             return std::nullopt;
         auto voters_by_region = count_voters_by_region(reachable);
-        if (voters_by_region[joining->region] != 0)
-            return std::nullopt;
         auto const& members = group().membership();
+        instance_description const* leaving = nullptr;
         for (auto const& it : reachable)
-            if (members.find(it.id) != nullptr && voters_by_region[it.region] > 1)
-                return replacement{.leaving = it.id, .joining = joining->id, .peer = joining->peer};
-        return std::nullopt;
+            if (members.find(it.id) != nullptr &&
+                (leaving == nullptr ||
+                 voters_by_region[it.region] > voters_by_region[leaving->region]))
+                leaving = &it;
+        if (leaving == nullptr ||
+            voters_by_region[leaving->region] < voters_by_region[joining->region] + 2)
+            return std::nullopt;
+        return replacement{.leaving = leaving->id, .joining = joining->id, .peer = joining->peer};
     }
 
     /// Spreads the voters again once a region is back for a while, since the loss of a region with
--- a/tests/control/voters/voter_keeper_test.cpp
+++ b/tests/control/voters/voter_keeper_test.cpp
@@ -109,6 +109,7 @@
     CPPUNIT_TEST(an_addition_that_does_not_answer_is_tried_with_another_instance);
     CPPUNIT_TEST(the_group_grows_to_the_required_number_of_voters);
     CPPUNIT_TEST(voters_are_spread_again_when_a_region_is_back);
+    CPPUNIT_TEST(a_voter_leaves_the_region_with_the_most_of_them);
     CPPUNIT_TEST(voters_are_not_moved_while_one_is_silent);
     CPPUNIT_TEST(any_number_of_losses_is_accepted);
     CPPUNIT_TEST(a_group_that_is_to_tolerate_no_loss_stays_as_it_is);
@@ -290,6 +291,22 @@
         CPPUNIT_ASSERT(change.joining == instance_id(5));
     }
 
+    // Guards against a region that keeps three voters of five, whose loss leaves no majority.
+    void a_voter_leaves_the_region_with_the_most_of_them()
+    {
+        configure(2);
+        group().members.voters.push_back({.id = instance_id(4)});
+        group().members.voters.push_back({.id = instance_id(5)});
+        // Instance 1 leads in a region of its own here.
+        group().reachable = {instance_in(2, "e"), instance_in(3, "u"), instance_in(4, "u"),
+                             instance_in(5, "u"), instance_in(6, "e"), instance_in(7, "m")};
+        run_for(catch_up - join_time);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, group().begun_replacements.size());
+        auto const& change = group().begun_replacements.front();
+        CPPUNIT_ASSERT(change.leaving == instance_id(3));
+        CPPUNIT_ASSERT(change.joining == instance_id(7));
+    }
+
     void voters_are_not_moved_while_one_is_silent()
     {
         group().reachable = {instance_in(2, "e"), instance_in(3, "e"), instance_in(5, "u")};
