--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -472,7 +472,7 @@
     /// Lets callers in once there is a plan, unless they were before.
     void accept_callers_once(context& ctx)
     {
-        if (!std::exchange(accept_callers_at_, std::nullopt))
+        if (!std::exchange(accept_callers_at_, std::nullopt) || stopping_)
             return;
         accepts_callers_ = true;
         ctx.out.push_back(accept_callers{});
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(callers_are_accepted_once_a_plan_arrived);
     CPPUNIT_TEST(callers_wait_until_control_confirms_the_first_plan);
     CPPUNIT_TEST(callers_are_accepted_without_a_confirmation_after_the_limit);
+    CPPUNIT_TEST(an_entry_that_stops_accepts_no_callers);
     CPPUNIT_TEST(caller_limits_follow_the_newest_plan);
     CPPUNIT_TEST(an_older_steering_state_is_ignored);
     CPPUNIT_TEST(the_next_report_goes_to_another_instance_after_a_timeout);
@@ -119,6 +120,19 @@
         CPPUNIT_ASSERT(accepts_callers_);
     }
 
+    // Guards against LOST: callers that are let in while the entry waits for a first plan to be
+    // confirmed and is stopped meanwhile.
+    void an_entry_that_stops_accepts_no_callers()
+    {
+        tick();
+        answer({.current = false, .steering = state(4, true)});
+        effects out;
+        core_->handle(now_, stop_requested{}, out);
+        collect(out);
+        tick(seconds(4));
+        CPPUNIT_ASSERT(!accepts_callers_);
+    }
+
     void caller_limits_follow_the_newest_plan()
     {
         tick();
