State the majority rule once, and derive whether an entry accepts callers

The rule of a majority stood in control_table and in state_spread, which the first now calls. Whether callers are accepted followed from the plan and the time until which an entry waits, and was kept a second time. An entry that was stopped while it waited logged plan.unconfirmed, which says that it accepts callers, although it let none in; the wait now ends with the stop. The admission of a request looks the plan up once instead of three times.

--- a/plugins/control/roster/control_table.cpp
+++ b/plugins/control/roster/control_table.cpp
@@ -1,5 +1,7 @@
 #include "control_table.hpp"
 
+#include <mulberryrudder/control/steering.hpp>
+
 #include <algorithm>
 
 namespace mulberryrudder::control
@@ -85,8 +87,7 @@
 
 bool control_table::is_majority(std::size_t count) const
 {
-    auto const all = total();
-    return all && count * 2 > *all;
+    return state_spread{.holders = count, .total = total()}.is_majority();
 }
 
 bool control_table::acknowledged_by_majority(sequence_id number) const
--- a/plugins/entry/plan_routes/plan_routes_stage.cpp
+++ b/plugins/entry/plan_routes/plan_routes_stage.cpp
@@ -61,17 +61,18 @@
 
     step admit(request& what, context& with) override
     {
-        auto const& newest = services_.require<plan_view>().steering();
+        auto const& view = services_.require<plan_view>();
+        auto const& newest = view.steering();
         if (!newest)
             return refuse(no_plan, start_pause);
-        if (services_.require<plan_view>().is_plan_outdated(with.now))
+        if (view.is_plan_outdated(with.now))
             return refuse_as_outdated(with);
         refresh(newest);
         auto const* const route = index_.find(what.host, what.content->path);
         if (route == nullptr)
             return refuse(no_route);
         what.steering = newest;
-        if (auto const age = services_.require<plan_view>().plan_age(with.now))
+        if (auto const age = view.plan_age(with.now))
             what.plan_confirmed_at = with.now - *age;
         what.planned = route;
         what.route = route->id;
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -64,6 +64,7 @@
     void stopping(context& ctx) override
     {
         stopping_ = true;
+        accept_callers_at_.reset();
         send_report(ctx);
     }
 
@@ -216,19 +217,20 @@
     {
         ctx.counters.add(reports_counter);
         last_report_ = next_message_number(last_report_, ctx.random);
-        messages::roster_poll out{.self = {.who = ctx.self.self,
-                                           .boot = ctx.self.boot,
-                                           .sequence = last_report_,
-                                           .ready = accepts_callers_ && !stopping_,
-                                           .demand = {},
-                                           .outcomes = {}},
-                                  .generation = steering_->generation,
-                                  .known_boot = positions_[recipient].boot,
-                                  .known = positions_[recipient].known,
-                                  .held = std::nullopt,
-                                  .searching = search_.is_active(),
-                                  .wants_fleet = ctx.now >= fleet_due_,
-                                  .takes_difference = takes_difference_};
+        messages::roster_poll out{
+            .self = {.who = ctx.self.self,
+                     .boot = ctx.self.boot,
+                     .sequence = last_report_,
+                     .ready = active_steering_ != nullptr && !accept_callers_at_ && !stopping_,
+                     .demand = {},
+                     .outcomes = {}},
+            .generation = steering_->generation,
+            .known_boot = positions_[recipient].boot,
+            .known = positions_[recipient].known,
+            .held = std::nullopt,
+            .searching = search_.is_active(),
+            .wants_fleet = ctx.now >= fleet_due_,
+            .takes_difference = takes_difference_};
         // Control answers a report with a summary at once, so that the plan is confirmed sooner.
         if (recipient != current_control_ || currency_.is_slow(ctx.now))
             out.held = listed_.summary(ctx.now);
@@ -465,16 +467,15 @@
         if (is_first || active_steering_->plan->limits != state->plan->limits)
             ctx.out.push_back(limit_callers{state->plan->limits});
         active_steering_ = state;
-        if (is_first)
+        if (is_first && !stopping_)
             accept_callers_at_ = ctx.now + config_.first_plan_timeout;
     }
 
     /// Lets callers in once there is a plan, unless they were before.
     void accept_callers_once(context& ctx)
     {
-        if (!std::exchange(accept_callers_at_, std::nullopt) || stopping_)
+        if (!std::exchange(accept_callers_at_, std::nullopt))
             return;
-        accepts_callers_ = true;
         ctx.out.push_back(accept_callers{});
         // Control announces this instance to callers after a report that it is ready.
         send_report(ctx);
@@ -518,9 +519,9 @@
     plan_currency currency_;
     bool was_outdated_ = false; ///< As of the last input that could change it.
     shared_steering steering_ = std::make_shared<steering_state const>();
-    shared_steering active_steering_;          ///< The newest one that contains a plan.
-    std::optional<instant> accept_callers_at_; ///< Although the first plan is not confirmed.
-    bool accepts_callers_ = false;
+    shared_steering active_steering_; ///< The newest one that contains a plan.
+    /// When callers are accepted although the first plan is not confirmed; nothing once they are.
+    std::optional<instant> accept_callers_at_;
     bool takes_difference_ = false; ///< The next report asks for a difference from it.
     instant fleet_due_;             ///< When a report asks for the figures of the fleet.
     std::int64_t entries_ = 1;
