--- a/tests/control/replica/fake_group.cpp
+++ b/tests/control/replica/fake_group.cpp
@@ -279,16 +279,34 @@
 {
     if (instance.disk.fails)
         return;
+    bool const is_idle = instance.disk.unsynced() == 0;
     instance.disk.add(std::move(data));
-    auto const id = instance.id.value();
-    schedule(now_ + sync_delay,
-             [this, id, start = instance.start]
+    if (is_idle)
+        sync_batch(instance.id.value(), instance.start);
+}
+
+void fake_group::sync_batch(std::uint32_t id, std::uint64_t start)
+{
+    // Writes of the same input belong to the same batch.
+    schedule(now_,
+             [=, this]
              {
-                 auto& writer = at(id);
-                 if (writer.start != start || !writer.decision_core)
-                     return;
-                 if (auto const ticket = writer.disk.sync_one())
-                     deliver_when_running(id, start, disk_synced{*ticket});
+                 auto const size = at(id).disk.unsynced();
+                 schedule(now_ + at(id).sync_delay.value_or(sync_delay),
+                          [=, this]
+                          {
+                              auto& writer = at(id);
+                              if (writer.start != start || !writer.decision_core)
+                                  return;
+                              std::optional<disk_ticket> newest;
+                              for (std::size_t n = 0; n != size; ++n)
+                                  if (auto const ticket = writer.disk.sync_one())
+                                      newest = ticket;
+                              if (writer.disk.unsynced() != 0)
+                                  sync_batch(id, start);
+                              if (newest)
+                                  deliver_when_running(id, start, disk_synced{*newest});
+                          });
              });
 }
 
--- a/tests/control/replica/fake_group.hpp
+++ b/tests/control/replica/fake_group.hpp
@@ -40,6 +40,7 @@
     instance_id id;
     std::unique_ptr<core> decision_core; ///< Null while the process is down.
     fake_disk disk;
+    std::optional<span> sync_delay; ///< Of its disk; that of the group without one.
     kernel::counter_set counters;
     event_recorder events;
     double clock_rate = 1;
@@ -110,9 +111,9 @@
     random_source& random() { return random_; }
     std::vector<any_message> answers; ///< All of them, the oldest first.
     network_options network;
-    span sync_delay = milliseconds(2);
-    bool seeds_by_address = false; ///< The settings give the seeds by address, without ids.
-    bool may_found = true;         ///< Instances with blank disks may found a group.
+    span sync_delay = milliseconds(2); ///< Of a batch of writes.
+    bool seeds_by_address = false;     ///< The settings give the seeds by address, without ids.
+    bool may_found = true;             ///< Instances with blank disks may found a group.
 
 private:
     struct event
@@ -135,6 +136,8 @@
     void perform(fake_instance& instance, effects const& out);
     void transmit(envelope const& message);
     void write(fake_instance& instance, fake_disk::write data);
+    /// Syncs all writes that wait, one batch after the other as the disk duty does.
+    void sync_batch(std::uint32_t id, std::uint64_t start);
     /// Tells an instance that its disk was reopened, or what it holds, once it is mended.
     void reopen_disk_when_mended(std::uint32_t id, std::uint64_t start);
     void check_entries(persist const& written);
--- a/tests/control/replica/replica_test.cpp
+++ b/tests/control/replica/replica_test.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr std::uint64_t seed = 20261204;
+/// Time within which the platform expects service after all machines are back.
+constexpr seconds recovery_time{15};
 
 std::ptrdiff_t event_count(fake_group& group, std::uint32_t id, std::string const& name)
 {
@@ -123,6 +125,9 @@
     CPPUNIT_TEST(an_isolated_leader_stops_within_its_lease);
     CPPUNIT_TEST(a_frozen_leader_may_not_act_after_it_resumes);
     CPPUNIT_TEST(a_returning_isolated_replica_does_not_depose_the_leader);
+    CPPUNIT_TEST(a_leader_is_elected_after_a_loss_of_power_although_all_disks_are_slow);
+    CPPUNIT_TEST(an_election_waits_for_voters_whose_disks_are_slow);
+    CPPUNIT_TEST(a_leader_is_kept_while_the_others_wait_for_their_disks);
     CPPUNIT_TEST(a_replica_gets_no_vote_while_the_leader_reaches_others);
     CPPUNIT_TEST(a_replica_with_a_failed_disk_neither_votes_nor_leads);
     CPPUNIT_TEST(disks_that_were_full_in_turn_cost_no_voter);
@@ -240,6 +245,57 @@
         CPPUNIT_ASSERT(term == group.log_of(leader).term());
     }
 
+    // Guards against CONFIG: no leader for good after a loss of power, since elections ended before
+    // the disks had synced the votes, and each new one added writes.
+    void a_leader_is_elected_after_a_loss_of_power_although_all_disks_are_slow()
+    {
+        for (auto const sync_delay : {100, 300, 700, 1500})
+            for (std::size_t size : {3, 5})
+            {
+                running_group group(size);
+                group.propose_many(3);
+                for (std::uint32_t id = 1; id <= size; ++id)
+                    group.kill(id);
+                group.sync_delay = milliseconds(sync_delay);
+                for (std::uint32_t id = 1; id <= size; ++id)
+                    group.start(id);
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(sync_delay) + " ms",
+                                       group.wait_for_leader(recovery_time));
+                for (std::uint64_t n = 1; n <= group.proposed; ++n)
+                    CPPUNIT_ASSERT(group.has_value(group.acting_leader(), n));
+            }
+    }
+
+    // Guards against the same where only the voters' disks are slow, so that the candidate cannot
+    // tell from its own disk how long a vote takes.
+    void an_election_waits_for_voters_whose_disks_are_slow()
+    {
+        running_group group(3);
+        auto const lost = group.acting_leader();
+        for (std::uint32_t id = 1; id <= 3; ++id)
+            group.at(id).sync_delay = milliseconds(id == lost % 3 + 1 ? 2 : 2500);
+        group.kill(lost);
+        CPPUNIT_ASSERT(group.wait_for_leader(recovery_time));
+    }
+
+    // Guards against leaders that step down in turn, since the others answer them only once their
+    // disks have synced.
+    void a_leader_is_kept_while_the_others_wait_for_their_disks()
+    {
+        running_group group(3);
+        auto const leader = group.acting_leader();
+        group.sync_delay = milliseconds(1500);
+        CPPUNIT_ASSERT(group.propose(1));
+        group.run_for(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(leader, group.acting_leader());
+        CPPUNIT_ASSERT(group.propose(2));
+        group.run_for(seconds(4));
+        CPPUNIT_ASSERT_EQUAL(leader, group.acting_leader());
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, event_count(group, leader, "replica.not_leading"));
+        for (std::uint32_t id = 1; id <= 3; ++id)
+            CPPUNIT_ASSERT(group.has_value(id, 2));
+    }
+
     void a_replica_gets_no_vote_while_the_leader_reaches_others()
     {
         running_group group(3);
