Confirm a leader's lease without waiting for the followers' disks

Cause: a follower answered a round of the leader only once all that it had received was synced. With syncs longer than the lease, or than the time until a new leader needs a majority's answer, the lease lapsed and the leader stepped down, although all of them heard it. Change: a follower whose answer waits for its disk tells at once that the round arrived (round_received). That counts for the lease only: the log, the commit index and the judgement whether a voter works rest on the synced answer. Why this is safe: a follower's promise to vote for nobody else is kept in memory, and after a restart it waits for the lease's duration before it votes.

--- a/include/mulberryrudder/messages/replica.hpp
+++ b/include/mulberryrudder/messages/replica.hpp
@@ -34,6 +34,15 @@
     log_index last; ///< Last entry known to match, or a place to try next if none did.
 };
 
+/// Tells at once that a leader's message was received, if the answer to it has to wait for the
+/// disk. It confirms the leader's lease, which rests on no disk, and nothing of the log.
+struct round_received
+{
+    term_id term;
+    control::disk_id disk;
+    round_id round;
+};
+
 /// Asks for a vote, or whether a vote would be given (`trial`, the pre-vote).
 struct vote_request
 {
--- a/plugins/control/replica/following.cpp
+++ b/plugins/control/replica/following.cpp
@@ -8,6 +8,15 @@
 namespace mulberryrudder::control
 {
 
+void replica::confirm_round(instance_id leader, messages::round_id round)
+{
+    // Voting for no other replica during the lease takes no disk, and neither does the wait after a
+    // restart.
+    if (!sync_queue_.is_idle())
+        ctx_->send(leader, messages::round_received{
+                               .term = state_.term, .disk = state_.disk, .round = round});
+}
+
 bool replica::accept_leader(instance_id sender, term_id term, disk_id to_disk)
 {
     if (to_disk != state_.disk || !is_registered() || term < state_.term)
@@ -41,12 +50,14 @@
     {
         ctx_->counters.add(replica_events::appends_rejected);
         reply.last = std::min(log_.last().index, index_before(req.previous));
+        confirm_round(sender, req.round);
         return send_after_sync(sender, reply);
     }
     append_missing(req.entries);
     reply.matched = true;
     reply.last = index_after(req.previous, req.entries.size());
     commit_up_to(std::max(commit_index_, std::min(req.committed, reply.last)));
+    confirm_round(sender, req.round);
     send_after_sync(sender, reply);
 }
 
--- a/plugins/control/replica/leading.cpp
+++ b/plugins/control/replica/leading.cpp
@@ -103,10 +103,27 @@
     ctx_->send(receiver, std::move(out));
 }
 
-bool replica::accept_reply(instance_id sender, disk_id disk, term_id term, messages::round_id round)
+progress* replica::find_peer(instance_id sender, disk_id disk)
 {
     auto const found = peers_.find(sender);
-    if (!is_leader() || found == peers_.end() || found->second.disk != disk)
+    bool const is_tracked = is_leader() && found != peers_.end() && found->second.disk == disk;
+    return is_tracked ? &found->second : nullptr;
+}
+
+void replica::handle_round_received(instance_id sender, messages::round_received const& notice,
+                                    context&)
+{
+    if (find_peer(sender, notice.disk) == nullptr || notice.term != state_.term)
+        return;
+    lease_.record_reply({.id = sender, .disk = notice.disk}, notice.round);
+    extend_lease();
+    announce_leadership_if_confirmed();
+}
+
+bool replica::accept_reply(instance_id sender, disk_id disk, term_id term, messages::round_id round)
+{
+    auto* const peer = find_peer(sender, disk);
+    if (peer == nullptr)
         return false;
     if (term > state_.term)
     {
@@ -115,7 +132,7 @@
     }
     if (term < state_.term)
         return false;
-    found->second.replied_round = std::max(found->second.replied_round, round);
+    peer->replied_round = std::max(peer->replied_round, round);
     lease_.record_reply({.id = sender, .disk = disk}, round);
     extend_lease();
     return true;
--- a/plugins/control/replica/replica.cpp
+++ b/plugins/control/replica/replica.cpp
@@ -137,6 +137,7 @@
         on<&replica::handle_vote_request>(),   on<&replica::handle_vote_reply>(),
         on<&replica::handle_start_request>(),  on<&replica::handle_start_reply>(),
         on<&replica::handle_snapshot_piece>(), on<&replica::handle_snapshot_reply>(),
+        on<&replica::handle_round_received>(),
     };
     ctx_ = &ctx;
     if (message.body.get<messages::roster_exchange>() != nullptr)
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -154,6 +154,11 @@
     /// counts it for the lease. Steps down on a higher term.
     bool accept_reply(instance_id sender, disk_id disk, term_id term, messages::round_id round);
     void handle_append_reply(instance_id sender, messages::append_reply const& reply, context& ctx);
+    /// Returns the state that is kept for the sender if a message of it with its tracked disk is
+    /// for this leader, else null.
+    progress* find_peer(instance_id sender, disk_id disk);
+    void handle_round_received(instance_id sender, messages::round_received const& notice,
+                               context& ctx);
     void extend_lease();
     void remove_departed_peers();
     void record_match(progress& peer, log_index match_index, messages::round_id round);
@@ -198,6 +203,8 @@
     /// Follows the sender as the leader of `term` and renews its lease; returns false if the
     /// message is of an earlier term or for another disk.
     bool accept_leader(instance_id sender, term_id term, disk_id to_disk);
+    /// Tells the leader that its message was received, if the reply waits for the disk.
+    void confirm_round(instance_id leader, messages::round_id round);
     void handle_append_request(instance_id sender, messages::append_request const& req,
                                context& ctx);
     bool matches_previous_entry(messages::append_request const& req) const;
--- a/plugins/control/replica/snapshotting.cpp
+++ b/plugins/control/replica/snapshotting.cpp
@@ -52,6 +52,7 @@
     bool const complete = piece.base_index <= commit_index_ || collect_piece(piece);
     if (complete && piece.base_index > commit_index_)
         install_snapshot();
+    confirm_round(sender, piece.round);
     auto const held = incoming_snapshot_ ? incoming_snapshot_->parts.size() : 0;
     send_after_sync(sender, messages::snapshot_reply{.term = state_.term,
                                                      .disk = state_.disk,
--- a/plugins/control/replica/sync_queue.cpp
+++ b/plugins/control/replica/sync_queue.cpp
@@ -29,7 +29,7 @@
 
 bool sync_queue::pass_or_hold(envelope const& message)
 {
-    if (issued_ == synced_)
+    if (is_idle())
         return true;
     held_messages_.push_back({.required_ticket = issued_, .message = message});
     return false;
--- a/plugins/control/replica/sync_queue.hpp
+++ b/plugins/control/replica/sync_queue.hpp
@@ -25,6 +25,9 @@
     /// Discards all writes and messages; the recovered log ends at `last`.
     void reset(log_index last);
 
+    /// Returns whether all writes issued so far are synced.
+    bool is_idle() const { return issued_ == synced_; }
+
     /// Returns whether a message may be sent at once. Otherwise keeps a copy until all writes
     /// issued so far are synced.
     bool pass_or_hold(envelope const& message);
--- a/plugins/peer/codecs/replica_codec.cpp
+++ b/plugins/peer/codecs/replica_codec.cpp
@@ -60,6 +60,20 @@
             .last = log_index(from.getLast())};
 }
 
+void encode_round_received(round_received const& from, wired::RoundReceived::Builder to)
+{
+    to.setTerm(from.term.value());
+    to.setDisk(from.disk.value());
+    to.setRound(from.round.value());
+}
+
+round_received decode_round_received(wired::RoundReceived::Reader from)
+{
+    return {.term = term_id(from.getTerm()),
+            .disk = disk_id(from.getDisk()),
+            .round = round_id(from.getRound())};
+}
+
 void encode_vote(vote_request const& from, wired::VoteRequest::Builder to)
 {
     to.setTerm(from.term.value());
@@ -221,6 +235,9 @@
 registrar<membership_changed, wired::MembershipChanged, &encode_membership,
           &decode_membership> const membership{109};
 
+registrar<round_received, wired::RoundReceived, &encode_round_received,
+          &decode_round_received> const round_notice{110};
+
 } // namespace
 
 } // namespace mulberryrudder
--- a/schemas/replica.capnp
+++ b/schemas/replica.capnp
@@ -94,6 +94,12 @@
   last @4 :UInt64;
 }
 
+struct RoundReceived {
+  term @0 :UInt64;
+  disk @1 :UInt64;
+  round @2 :UInt64;
+}
+
 struct VoteRequest {
   term @0 :UInt64;
   toDisk @1 :UInt64;
