Let an election outlast the disks of its candidate and voters

Cause: timers that restart work which waits for a disk and know nothing of it. A candidate gave its election up after 233 to 700 ms; its votes came after two writes in a row, and a voter wrote twice. Each new term added writes. Replicas whose timers expired while a vote was being written became candidates too. Change: - an election stays open until this replica begins another one, leads or steps down; votes count meanwhile - no replica asks for pre-votes before its term, vote and log are synced, and its timer then runs anew - a replica that voted grants no pre-vote until its vote is synced and the candidate has had time to be heard as the leader - votes are requested while the candidate's own one is written, and it leads only once that is synced; the voter writes term and vote at once Ruled out: requesting votes for a log that is not synced, since a vote for it may be counted after a crash that lost it.

--- a/plugins/control/replica/election.cpp
+++ b/plugins/control/replica/election.cpp
@@ -3,13 +3,17 @@
 
 #include <mulberryrudder/core/invariant.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace mulberryrudder::control
 {
 
 namespace
 {
 
-/// Divides the election timeout; the result is the shortest wait before another election.
+/// Divides the election timeout; the result is the shortest wait before another election, within
+/// which a candidate whose election succeeded is heard as the leader.
 constexpr int election_retry_divisor = 3;
 
 } // namespace
@@ -44,18 +48,51 @@
     return log_position{.term = req.last_term, .index = req.last} >= log_.last();
 }
 
+bool replica::is_term_synced() const
+{
+    return sync_queue_.synced_ticket() >= term_ticket_;
+}
+
+bool replica::is_log_synced() const
+{
+    return sync_queue_.durable() >= log_.last().index;
+}
+
+void replica::handle_term_synced()
+{
+    if (std::exchange(voted_, false))
+        candidate_awaited_until_ = now() + config_.election_timeout / election_retry_divisor;
+    // The time that the disk took does not count, so that an election outlasts a disk of any
+    // speed, and replicas whose timers expired meanwhile do not all become candidates at once.
+    if (auto const due = election_due_; majority(members()) > 1)
+    {
+        reset_election_retry_timer();
+        election_due_ = std::max(election_due_, due);
+    }
+    if (!election_)
+        return campaign_if_due();
+    election_->vote_synced = election_->vote_synced.value_or(now());
+    count_vote(self_.self.id);
+}
+
+bool replica::awaits_candidate() const
+{
+    return voted_ || now() < candidate_awaited_until_;
+}
+
 void replica::campaign_if_due()
 {
-    if (now() < election_due_ || leader_lease_holds() || !has_vote() || !is_registered())
+    // What a vote is granted for must survive a crash: the vote may be counted after it.
+    bool const may_campaign = has_vote() && is_registered() && is_term_synced() && is_log_synced();
+    if (now() < election_due_ || leader_lease_holds() || !may_campaign)
         return;
     reset_election_retry_timer();
-    end_election("given_up");
     role_.election_timed_out();
     leader_.reset();
-    votes_.clear();
+    pre_votes_.clear();
     ctx_->counters.add(replica_events::pre_votes);
     request_votes(true);
-    count_vote(self_.self.id);
+    count_pre_vote(self_.self.id);
 }
 
 void replica::request_votes(bool pre_vote)
@@ -63,20 +100,28 @@
     auto const requested_term = pre_vote ? term_id(state_.term.value() + 1) : state_.term;
     for (auto const& it : members().voters)
         if (it.id != self_.self.id)
-            send_after_sync(it.id, messages::vote_request{.term = requested_term,
-                                                          .to_disk = it.disk,
-                                                          .trial = pre_vote,
-                                                          .last = log_.last().index,
-                                                          .last_term = log_.last().term});
+            ctx_->send(it.id, messages::vote_request{.term = requested_term,
+                                                     .to_disk = it.disk,
+                                                     .trial = pre_vote,
+                                                     .last = log_.last().index,
+                                                     .last_term = log_.last().term});
+}
+
+void replica::count_pre_vote(instance_id voter_id)
+{
+    pre_votes_.insert(voter_id);
+    if (pre_votes_.size() >= majority(members()))
+        start_election();
 }
 
 void replica::count_vote(instance_id voter_id)
 {
     votes_.insert(voter_id);
-    if (votes_.size() < majority(members()))
+    // Votes are requested while the own one is written, so that others hear of the election before
+    // they begin one. To lead without it would allow a second leadership in this term after a
+    // crash.
+    if (votes_.size() < majority(members()) || !election_->vote_synced)
         return;
-    if (role_.current() == role::pre_candidate)
-        return start_election();
     end_election("won");
     role_.election_won();
     become_leader();
@@ -84,14 +129,16 @@
 
 void replica::start_election()
 {
+    end_election("given_up");
     role_.pre_vote_won();
-    reset_election_retry_timer();
+    pre_votes_.clear();
     votes_.clear();
     ctx_->counters.add(replica_events::elections);
     state_.term = term_id(state_.term.value() + 1);
     state_.voted_for = self_.self.id;
-    persist_state();
-    election_ = {.begun = now(), .vote_ticket = sync_queue_.newest_ticket(), .vote_synced = {}};
+    voted_ = true;
+    persist_term();
+    election_ = {.begun = now(), .vote_synced = {}};
     request_votes(false);
 }
 
@@ -112,13 +159,15 @@
     election_.reset();
 }
 
-void replica::adopt_term(term_id term)
+void replica::adopt_term(term_id term, std::optional<instance_id> vote)
 {
     check_invariant(term > state_.term, "the term increases");
     end_election("lost");
     state_.term = term;
-    state_.voted_for.reset();
-    persist_state();
+    state_.voted_for = vote;
+    voted_ = vote.has_value();
+    candidate_awaited_until_ = {};
+    persist_term();
     step_down();
 }
 
@@ -127,6 +176,7 @@
     end_election("lost");
     role_.step_down();
     leader_.reset();
+    pre_votes_.clear();
     votes_.clear();
     lease_.reset();
     peers_.clear();
@@ -146,14 +196,15 @@
     // While the leader's lease holds, the term does not change, so that a returning instance
     // with a higher term does not depose the leader.
     if (!req.trial && !leader_lease_holds() && req.term > state_.term)
-        adopt_term(req.term);
+        adopt_term(req.term, candidate_is_up_to_date(req) ? std::optional(sender) : std::nullopt);
     bool const granted = grants_vote(sender, req);
     if (!granted)
         ctx_->counters.add(replica_events::votes_refused);
     if (granted && !req.trial && !state_.voted_for)
     {
         state_.voted_for = sender;
-        persist_state();
+        voted_ = true;
+        persist_term();
         reset_election_timer();
     }
     send_after_sync(sender, messages::vote_reply{.term = granted ? req.term : state_.term,
@@ -166,8 +217,9 @@
 {
     if (leader_lease_holds() || is_leader() || !candidate_is_up_to_date(req))
         return false;
+    // A new term would end the election that this replica has just voted in.
     if (req.trial)
-        return req.term > state_.term;
+        return req.term > state_.term && !awaits_candidate();
     return req.term == state_.term && (!state_.voted_for || *state_.voted_for == sender);
 }
 
@@ -183,9 +235,9 @@
     }
     bool const for_pre_vote = reply.trial && role_.current() == role::pre_candidate &&
                               reply.term == term_id(state_.term.value() + 1);
-    bool const for_vote =
-        !reply.trial && role_.current() == role::candidate && reply.term == state_.term;
-    if (for_pre_vote || for_vote)
+    if (for_pre_vote)
+        count_pre_vote(sender);
+    else if (!reply.trial && election_ && reply.term == state_.term)
         count_vote(sender);
 }
 
--- a/plugins/control/replica/replica.cpp
+++ b/plugins/control/replica/replica.cpp
@@ -52,7 +52,7 @@
         append_entry(entry);
     }
     sync_queue_.reset(log_.last().index);
-    persist_state();
+    persist_term();
     report_peer_addresses();
     // This replica may have granted a leader its lease before the restart.
     bool const lease_granted = !fresh_disk_ && members().voters.size() != 1;
@@ -82,14 +82,11 @@
             resume();
         return;
     }
+    bool const was_term_synced = is_term_synced();
     for (auto& held : sync_queue_.synced(sync.ticket))
         ctx.out.push_back(send_message{std::move(held)});
-    if (election_ && !election_->vote_synced &&
-        sync_queue_.synced_ticket() >= election_->vote_ticket)
-    {
-        election_->vote_synced = now();
-        count_vote(self_.self.id);
-    }
+    if (!was_term_synced && is_term_synced() && !is_leader())
+        handle_term_synced();
     if (is_leader())
         advance_commit_index();
 }
@@ -103,6 +100,7 @@
     sync_queue_.discard_held();
     incoming_snapshot_.reset();
     restoring_ticket_.reset();
+    voted_ = false;
     role_.disk_failed();
     ctx.out.push_back(reopen_disk{});
 }
@@ -196,6 +194,12 @@
     ctx_->out.push_back(persist{.ticket = sync_queue_.issue(log_.last().index), .state = state_});
 }
 
+void replica::persist_term()
+{
+    persist_state();
+    term_ticket_ = sync_queue_.newest_ticket();
+}
+
 void replica::persist_log(std::optional<log_index> cut_from, std::vector<log_entry> entries)
 {
     ctx_->out.push_back(persist{.ticket = sync_queue_.issue(log_.last().index),
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -37,8 +37,7 @@
 struct own_election
 {
     instant begun;
-    disk_ticket vote_ticket; ///< The own vote counts once this write is synced.
-    std::optional<instant> vote_synced;
+    std::optional<instant> vote_synced; ///< The own vote counts from then on.
 };
 
 /// Replicates the control group's log: elects a leader, replicates and commits commands,
@@ -84,6 +83,8 @@
     void renew_disk_id();
     void record_own_start();
     void persist_state();
+    /// Persists the state with a new term or vote, or that of a start.
+    void persist_term();
     void persist_log(std::optional<log_index> cut_from, std::vector<log_entry> entries);
     /// Takes part in the group again, after a failure of the disk.
     void resume();
@@ -128,13 +129,21 @@
     /// Returns whether this replica must refuse its vote because a leader's lease holds.
     bool leader_lease_holds() const;
     bool candidate_is_up_to_date(messages::vote_request const& req) const;
+    /// Returns whether the newest term and vote are on the disk.
+    bool is_term_synced() const;
+    bool is_log_synced() const;
+    void handle_term_synced();
+    /// Returns whether this replica has voted and the candidate may still become the leader.
+    bool awaits_candidate() const;
     void campaign_if_due();
     void request_votes(bool pre_vote);
+    void count_pre_vote(instance_id voter_id);
     void count_vote(instance_id voter_id);
     void start_election();
     /// Records the end of the own election, if one is open.
     void end_election(char const* outcome);
-    void adopt_term(term_id term);
+    /// Takes over a higher term, with a vote for its candidate if there is one.
+    void adopt_term(term_id term, std::optional<instance_id> vote = std::nullopt);
     void step_down();
     void handle_vote_request(instance_id sender, messages::vote_request const& req, context& ctx);
     void handle_vote_reply(instance_id sender, messages::vote_reply const& reply, context& ctx);
@@ -248,9 +257,15 @@
     std::optional<instance_id> leader_;
     instant election_due_;
     instant leader_lease_until_; ///< No vote for another replica before then.
+    std::set<instance_id> pre_votes_;
     std::set<instance_id> votes_;
-    std::optional<own_election> election_; ///< While it is open.
-    instant recovered_at_;                 ///< When the disk was read.
+    /// Open until this replica leads, steps down or begins another one: the votes may arrive while
+    /// it requests pre-votes for the next one.
+    std::optional<own_election> election_;
+    disk_ticket term_ticket_;         ///< Newest write of a term or vote.
+    bool voted_ = false;              ///< It is a vote, and is not synced.
+    instant candidate_awaited_until_; ///< No pre-vote for another replica before then.
+    instant recovered_at_;            ///< When the disk was read.
 
     leader_lease lease_;
     std::map<instance_id, progress> peers_;
--- a/plugins/control/replica/role.cpp
+++ b/plugins/control/replica/role.cpp
@@ -61,6 +61,7 @@
         row<follower, election_timed_out_event, pre_candidate>,
         row<pre_candidate, election_timed_out_event, pre_candidate>,
         row<pre_candidate, pre_vote_won_event, candidate>,
+        row<pre_candidate, election_won_event, leader>,
         row<pre_candidate, step_down_event, follower>,
         row<pre_candidate, disk_failed_event, stopped>,
         row<candidate, election_timed_out_event, pre_candidate>,
--- a/tests/control/replica/random_schedules_test.cpp
+++ b/tests/control/replica/random_schedules_test.cpp
@@ -54,7 +54,7 @@
         copy_disk();
     }
 
-    void run(std::array<fault, 16> const& faults)
+    void run(std::array<fault, 17> const& faults)
     {
         group_.network.loss_probability = 0.05 * random_fraction();
         group_.network.duplicate_probability = 0.1 * random_fraction();
@@ -79,6 +79,7 @@
     {
         auto const settled = [this] { return all_vote() && group_.acting_leader() != 0; };
         group_.heal();
+        group_.sync_delay = milliseconds(1 + random_below(30));
         mend_disks();
         for (std::uint32_t id = 1; id <= size_; ++id)
             if (!group_.is_up(id))
@@ -163,6 +164,11 @@
         group_.run_for(milliseconds(random_below(4000)));
         group_.mend_disk(leader);
     }
+    /// Lets syncs take up to twice the longest election timeout in every second case.
+    void change_disk_speed()
+    {
+        group_.sync_delay = milliseconds(1 + random_below(random_below(2) == 0 ? 30 : 4000));
+    }
     void replace_disk() { replace_disk_contents({}); }
     void copy_disk() { copied_disk_ = group_.at(1 + copy_count_++ % size_).disk.contents(); }
     void restore_copied_disk()
@@ -262,7 +268,7 @@
     std::ostringstream trace_;
 };
 
-constexpr std::array<fault, 16> faults{{
+constexpr std::array<fault, 17> faults{{
     {"nothing", [](schedule& it) { it.nothing(); }},
     {"kill", [](schedule& it) { it.kill_one(); }},
     {"restart", [](schedule& it) { it.restart_one(); }},
@@ -275,6 +281,7 @@
     {"fail_disk", [](schedule& it) { it.fail_disk(); }},
     {"mend_disks", [](schedule& it) { it.mend_disks(); }},
     {"fill_disk_of_leader", [](schedule& it) { it.fill_disk_of_leader(); }},
+    {"change_disk_speed", [](schedule& it) { it.change_disk_speed(); }},
     {"replace_disk", [](schedule& it) { it.replace_disk(); }},
     {"copy_disk", [](schedule& it) { it.copy_disk(); }},
     {"restore_copied_disk", [](schedule& it) { it.restore_copied_disk(); }},
