Write term and vote in place, once for each batch

Cause: `state` was replaced as a whole for each term, vote and recorded start: two syncs and a rename each, one after the other. Change: `state` has two slots that are written in turn, with a checksum and a number, and one write of the state serves all that wait. The state goes before the log of its batch, so that the log holds no entry of a term that the state does not know; a disk where it does is refused. Tests: the old test of a damaged file damaged padding now; it damages both slots, and a second one asks that damage of the newest slot is refused where the log shows it. Elsewhere it leaves the state before, as the end of the log does: a write that was torn cannot be told from it. Two tests wrote an entry of a term that no state had; they write that state now. New: each length of a torn write, files of earlier versions, growth; two terms in one batch take one write and one sync.

--- a/plugins/control_io/disk/disk_store.cpp
+++ b/plugins/control_io/disk/disk_store.cpp
@@ -19,7 +19,6 @@
 constexpr char const* state_name = "state";
 constexpr char const* snapshot_name = "snapshot";
 constexpr char const* origin_name = "origin";
-constexpr char const* temporary_suffix = ".new";
 constexpr char const* probe_name = "probe";
 constexpr std::size_t probe_size = 4096;
 /// Whole files are framed as a segment of one batch.
@@ -108,6 +107,10 @@
 
 } // namespace
 
+disk_store::disk_store(file_system& files) : files_(files), state_(files, state_name), log_(files)
+{
+}
+
 result<disk_store::contents> disk_store::recover()
 {
     contents out;
@@ -133,17 +136,16 @@
     bool const has_log = out.recovered.base || !out.recovered.entries.empty();
     if (out.recovered.blank && has_log)
         return malformed(state_name, "nothing, although there is a log");
+    auto const& kept = out.recovered.entries;
+    if (!kept.empty() && kept.back().term > out.recovered.state.term)
+        return malformed(state_name, "one of an earlier term than the log");
     return out;
 }
 
 result<void> disk_store::apply(control::persist const& it)
 {
     if (it.state)
-    {
-        // The writes before this one must not come to the disk after it.
-        BOOST_LEAF_CHECK(log_.sync());
-        BOOST_LEAF_CHECK(write_state(*it.state));
-    }
+        unsynced_state_ = *it.state;
     if (it.cut_from)
     {
         capnp::MallocMessageBuilder message;
@@ -161,14 +163,28 @@
 
 result<void> disk_store::apply(control::persist_snapshot const& it)
 {
-    BOOST_LEAF_CHECK(log_.sync());
-    BOOST_LEAF_CHECK(replace(snapshot_name, encoded<wired::Snapshot>(it.base)));
+    BOOST_LEAF_CHECK(sync());
+    batch_number const only(file_batch_before.value() + 1);
+    auto const body = encoded<wired::Snapshot>(it.base);
+    BOOST_LEAF_CHECK(replace_file(files_, snapshot_name, frame(only, true, body)));
     return log_.remove_up_to(it.base.index);
 }
 
+result<void> disk_store::sync()
+{
+    // The state comes first, so that the log holds no entry of a term that the state does not
+    // know. Nothing of a batch is told to others before all of it is synced.
+    if (unsynced_state_)
+        BOOST_LEAF_CHECK(write_state(*unsynced_state_));
+    unsynced_state_.reset();
+    return log_.sync();
+}
+
 result<void> disk_store::reopen()
 {
     BOOST_LEAF_CHECK(probe());
+    unsynced_state_.reset();
+    state_.reopen();
     return log_.reopen();
 }
 
@@ -191,7 +207,7 @@
 
 result<void> disk_store::read_state(control::disk_recovered& out)
 {
-    BOOST_LEAF_AUTO(body, read_whole(state_name));
+    BOOST_LEAF_AUTO(body, state_.recover());
     auto const read = [&](wired::StateFile::Reader it)
     {
         out.copied = it.getOrigin() != origin_;
@@ -207,23 +223,7 @@
     auto file = message.initRoot<wired::StateFile>();
     file.setOrigin(origin_);
     wire::encode(it, file.initState());
-    return replace(state_name, flatten(message));
-}
-
-result<void> disk_store::replace(std::string const& name, std::string const& body)
-{
-    auto const temporary = name + temporary_suffix;
-    BOOST_LEAF_AUTO(names, files_.list());
-    if (std::find(names.begin(), names.end(), temporary) != names.end())
-        BOOST_LEAF_CHECK(files_.remove(temporary));
-    {
-        BOOST_LEAF_AUTO(file, files_.open(temporary));
-        batch_number const only(file_batch_before.value() + 1);
-        BOOST_LEAF_CHECK(file->append(frame(only, true, body)));
-        BOOST_LEAF_CHECK(file->sync());
-    }
-    BOOST_LEAF_CHECK(files_.rename(temporary, name));
-    return files_.sync_folder();
+    return state_.write(flatten(message));
 }
 
 result<std::string> disk_store::read_whole(std::string const& name)
--- a/plugins/control_io/disk/disk_store.hpp
+++ b/plugins/control_io/disk/disk_store.hpp
@@ -2,15 +2,17 @@
 #define MULBERRYRUDDER_PLUGINS_CONTROL_IO_DISK_DISK_STORE_HPP
 
 #include "segment_log.hpp"
+#include "state_file.hpp"
 
 #include <mulberryrudder/control/inputs.hpp>
 
+#include <optional>
+
 namespace mulberryrudder::disk
 {
 
-/// Keeps a replica's hard state, snapshot and log in one folder. The first two are
-/// files that are replaced as a whole (temporary file, sync, rename, sync of the
-/// folder); the log is a segment_log.
+/// Keeps a replica's hard state, snapshot and log in one folder: a state_file, a file that is
+/// replaced as a whole, and a segment_log.
 /// A file that is never written again tells a folder from its copies.
 ///
 /// Thread safety: one owner. After a call that failed, only reopen() is allowed: what a failed
@@ -18,7 +20,7 @@
 class disk_store
 {
 public:
-    explicit disk_store(file_system& files) : files_(files), log_(files) {}
+    explicit disk_store(file_system& files);
 
     /// What the folder held.
     struct contents
@@ -39,7 +41,8 @@
     result<void> apply(control::persist const& it);
     result<void> apply(control::persist_snapshot const& it);
 
-    result<void> sync() { return log_.sync(); }
+    /// Writes the newest state and then the log; several writes of the state take one.
+    result<void> sync();
 
 private:
     result<void> read_state(control::disk_recovered& out);
@@ -47,11 +50,12 @@
     result<void> make_origin();
     /// Writes and removes a file, to find out whether the folder takes writes.
     result<void> probe();
-    result<void> replace(std::string const& name, std::string const& body);
     result<std::string> read_whole(std::string const& name);
 
     file_system& files_;
+    state_file state_;
     segment_log log_;
+    std::optional<control::hard_state> unsynced_state_;
     std::uint64_t origin_ = 0; ///< Of the folder, known once it was recovered.
 };
 
--- a/plugins/control_io/disk/file_system.hpp
+++ b/plugins/control_io/disk/file_system.hpp
@@ -44,6 +44,13 @@
     virtual result<std::uint64_t> origin(std::string const& name) = 0;
     /// Opens a file at its end and makes it if it is absent.
     virtual result<std::unique_ptr<output_file>> open(std::string const& name) = 0;
+    /// Writes bytes within a file and waits until they are on the disk. After an error the
+    /// contents of this range are unknown.
+    /// Precondition: the file reaches to the end of the range.
+    virtual result<void> overwrite(std::string const& name, std::uint64_t offset,
+                                   std::string_view bytes) = 0;
+    /// Waits until everything written to a file, also before a crash, is on the disk.
+    virtual result<void> sync(std::string const& name) = 0;
     virtual result<void> truncate(std::string const& name, std::uint64_t size) = 0;
     virtual result<void> rename(std::string const& from, std::string const& to) = 0;
     virtual result<void> remove(std::string const& name) = 0;
@@ -51,6 +58,10 @@
     virtual result<void> sync_folder() = 0;
 };
 
+/// Replaces a file as a whole, or makes it, and waits until that is on the disk. After an error the
+/// file is the former or the new one.
+result<void> replace_file(file_system& files, std::string const& name, std::string_view bytes);
+
 /// Opens a folder of the machine for this process alone; makes it if it is absent.
 result<std::unique_ptr<file_system>> open_folder(std::string const& path);
 
--- a/plugins/control_io/disk/posix_file_system.cpp
+++ b/plugins/control_io/disk/posix_file_system.cpp
@@ -48,6 +48,21 @@
     int value_;
 };
 
+/// Returns false with the cause in errno if not all bytes could be written.
+bool write_all(int file, std::string_view bytes)
+{
+    while (!bytes.empty())
+    {
+        auto const n = ::write(file, bytes.data(), bytes.size());
+        if (n < 0 && errno == EINTR)
+            continue;
+        if (n < 0)
+            return false;
+        bytes.remove_prefix(static_cast<std::size_t>(n));
+    }
+    return true;
+}
+
 class posix_file final : public output_file
 {
 public:
@@ -57,15 +72,8 @@
 
     result<void> append(std::string_view bytes) override
     {
-        while (!bytes.empty())
-        {
-            auto const n = ::write(file_.get(), bytes.data(), bytes.size());
-            if (n < 0 && errno == EINTR)
-                continue;
-            if (n < 0)
-                return system_failure(path_);
-            bytes.remove_prefix(static_cast<std::size_t>(n));
-        }
+        if (!write_all(file_.get(), bytes))
+            return system_failure(path_);
         return {};
     }
 
@@ -145,6 +153,25 @@
         return std::make_unique<posix_file>(path_ + "/" + name, std::move(file));
     }
 
+    result<void> overwrite(std::string const& name, std::uint64_t offset,
+                           std::string_view bytes) override
+    {
+        descriptor const file(::openat(folder_.get(), name.c_str(), O_WRONLY | O_CLOEXEC));
+        // The size stays, so that the file system need not write its journal.
+        if (!file.is_open() || ::lseek(file.get(), static_cast<off_t>(offset), SEEK_SET) < 0 ||
+            !write_all(file.get(), bytes) || ::fdatasync(file.get()) != 0)
+            return system_failure(path_ + "/" + name);
+        return {};
+    }
+
+    result<void> sync(std::string const& name) override
+    {
+        descriptor const file(::openat(folder_.get(), name.c_str(), O_WRONLY | O_CLOEXEC));
+        if (!file.is_open() || ::fsync(file.get()) != 0)
+            return system_failure(path_ + "/" + name);
+        return {};
+    }
+
     result<void> truncate(std::string const& name, std::uint64_t size) override
     {
         descriptor const file(::openat(folder_.get(), name.c_str(), O_WRONLY | O_CLOEXEC));
--- a/plugins/control_io/disk/record_format.cpp
+++ b/plugins/control_io/disk/record_format.cpp
@@ -5,7 +5,6 @@
 #include <capnp/serialize.h>
 
 #include <algorithm>
-#include <optional>
 
 namespace mulberryrudder::disk
 {
@@ -42,8 +41,19 @@
     return crc.checksum();
 }
 
-/// Returns the whole record at the beginning of `bytes`, if there is one.
-std::optional<found_record> read_one(std::string_view bytes)
+/// Returns the newest batch of all whole records, wherever they begin.
+batch_number newest_anywhere(std::string_view bytes)
+{
+    batch_number newest;
+    for (std::size_t at = 0; at + head_size < bytes.size(); ++at)
+        if (auto const it = read_record(bytes.substr(at)))
+            newest = std::max(newest, it->batch);
+    return newest;
+}
+
+} // namespace
+
+std::optional<found_record> read_record(std::string_view bytes)
 {
     if (bytes.size() < head_size)
         return std::nullopt;
@@ -59,18 +69,11 @@
                         .body = covered.substr(batch_size)};
 }
 
-/// Returns the newest batch of all whole records, wherever they begin.
-batch_number newest_anywhere(std::string_view bytes)
+std::uint64_t framed_size(found_record const& record)
 {
-    batch_number newest;
-    for (std::size_t at = 0; at + head_size < bytes.size(); ++at)
-        if (auto const it = read_one(bytes.substr(at)))
-            newest = std::max(newest, it->batch);
-    return newest;
+    return head_size + record.body.size();
 }
 
-} // namespace
-
 std::string frame(batch_number batch, bool last, std::string_view body)
 {
     std::string covered;
@@ -87,11 +90,11 @@
     scan_result out{.newest = before};
     std::vector<std::string_view> batch;
     std::uint64_t at = 0;
-    while (auto const it = read_one(bytes.substr(at)))
+    while (auto const it = read_record(bytes.substr(at)))
     {
         if (it->batch.value() != out.newest.value() + 1)
             break;
-        at += head_size + it->body.size();
+        at += framed_size(*it);
         batch.push_back(it->body);
         if (!it->last)
             continue;
--- a/plugins/control_io/disk/record_format.hpp
+++ b/plugins/control_io/disk/record_format.hpp
@@ -6,6 +6,7 @@
 #include <capnp/message.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +30,12 @@
 /// batch plus one if it is the batch's last record, body; little-endian numbers.
 std::string frame(batch_number batch, bool last, std::string_view body);
 
+/// Returns the whole record at the beginning of `bytes`, if there is one. It points into `bytes`.
+std::optional<found_record> read_record(std::string_view bytes);
+
+/// Returns the number of bytes that a record takes with its frame.
+std::uint64_t framed_size(found_record const& record);
+
 /// What a segment's bytes hold.
 struct scan_result
 {
--- a/tests/control_io/disk/disk_store_test.cpp
+++ b/tests/control_io/disk/disk_store_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <random>
 
 namespace mulberryrudder::disk::testing
@@ -55,6 +56,11 @@
     CPPUNIT_TEST(a_torn_tail_is_cut_off_and_the_log_goes_on);
     CPPUNIT_TEST(a_damaged_synced_record_is_refused);
     CPPUNIT_TEST(a_damaged_state_file_is_refused);
+    CPPUNIT_TEST(a_state_older_than_the_log_is_refused);
+    CPPUNIT_TEST(a_state_that_was_torn_leaves_the_one_before);
+    CPPUNIT_TEST(a_state_file_of_an_earlier_version_is_read);
+    CPPUNIT_TEST(a_state_that_outgrows_its_file_is_kept);
+    CPPUNIT_TEST(a_new_term_takes_one_write_in_place);
     CPPUNIT_TEST(a_copied_folder_is_recovered_as_copied);
     CPPUNIT_TEST(a_missing_segment_is_refused);
     CPPUNIT_TEST(what_was_synced_survives_a_failure_at_any_operation);
@@ -86,7 +92,7 @@
     void a_cut_removes_entries_for_good()
     {
         write({.state = some_state(), .entries = {entry(1), entry(2), entry(3)}});
-        write({.cut_from = log_index(2), .entries = {entry(2, 2)}});
+        write({.state = state_of_term(2), .cut_from = log_index(2), .entries = {entry(2, 2)}});
         reopen();
         CPPUNIT_ASSERT_EQUAL(std::string("1 2"), indexes());
         CPPUNIT_ASSERT(term_id(2) == found_.recovered.entries.back().term);
@@ -135,7 +141,6 @@
         write({.entries = {entry(2)}});
         write({.entries = {entry(3)}});
         auto& bytes = files_.contents(files_.newest_segment());
-        constexpr std::size_t in_the_first_record = 30;
         bytes[in_the_first_record] = static_cast<char>(bytes[in_the_first_record] ^ 1);
         CPPUNIT_ASSERT(outcome_of_reopen().find("checksums") != std::string::npos);
     }
@@ -143,10 +148,91 @@
     void a_damaged_state_file_is_refused()
     {
         write({.state = some_state()});
-        files_.contents("state").back() ^= 1;
+        write({.state = some_state()});
+        auto& bytes = files_.contents("state");
+        for (std::size_t const slot : {std::size_t{0}, bytes.size() / 2})
+            bytes[slot + in_the_first_record] ^= 1;
+        CPPUNIT_ASSERT(outcome_of_reopen().find("state") != std::string::npos);
+    }
+
+    // Guards against a vote that is given twice: damage of the newest state must not go unnoticed
+    // where the log shows that there was one.
+    void a_state_older_than_the_log_is_refused()
+    {
+        write({.state = state_of_term(1), .entries = {entry(1)}});
+        write({.state = state_of_term(2), .entries = {entry(2, 2)}});
+        auto& bytes = files_.contents("state");
+        bytes[bytes.size() / 2 + in_the_first_record] ^= 1;
         CPPUNIT_ASSERT(outcome_of_reopen().find("state") != std::string::npos);
     }
 
+    void a_state_that_was_torn_leaves_the_one_before()
+    {
+        for (std::size_t kept = 0; kept != 200; ++kept)
+        {
+            files_ = {};
+            reopen();
+            write({.state = state_of_term(1)});
+            write({.state = state_of_term(2)});
+            files_.fail_after(1);
+            CPPUNIT_ASSERT(write({.state = state_of_term(3)}) != done);
+            files_.crash([&](std::size_t unsynced) { return std::min(kept, unsynced); });
+            reopen();
+            auto const term = found_.recovered.state.term;
+            CPPUNIT_ASSERT(term == term_id(2) || term == term_id(3));
+            CPPUNIT_ASSERT_EQUAL(done, write({.state = state_of_term(4)}));
+            reopen();
+            CPPUNIT_ASSERT(term_id(4) == found_.recovered.state.term);
+        }
+    }
+
+    void a_state_file_of_an_earlier_version_is_read()
+    {
+        write({.state = state_of_term(5)});
+        auto& bytes = files_.contents("state");
+        bytes.resize(framed_size(*read_record(bytes)));
+        reopen();
+        CPPUNIT_ASSERT(term_id(5) == found_.recovered.state.term);
+        CPPUNIT_ASSERT_EQUAL(done, write({.state = state_of_term(6)}));
+        reopen();
+        CPPUNIT_ASSERT(term_id(6) == found_.recovered.state.term);
+    }
+
+    void a_state_that_outgrows_its_file_is_kept()
+    {
+        auto state = some_state();
+        for (std::uint64_t n = 1; n != 2000; ++n)
+        {
+            state.term = term_id(n);
+            state.starts.push_back({.instance = instance_id(static_cast<std::uint32_t>(n)),
+                                    .disk = control::disk_id(n),
+                                    .nonce = control::start_nonce(n)});
+            CPPUNIT_ASSERT_EQUAL(done, write({.state = state}));
+            if (n % 100 != 0)
+                continue;
+            reopen();
+            CPPUNIT_ASSERT(state == found_.recovered.state);
+        }
+    }
+
+    // Guards against elections that wait for the file system's journal: where a file is replaced,
+    // each vote takes two syncs and frees a block.
+    void a_new_term_takes_one_write_in_place()
+    {
+        write({.state = state_of_term(1)});
+        auto const before = files_.operations();
+        CPPUNIT_ASSERT_EQUAL(done,
+                             outcome(
+                                 [&]() -> result<void>
+                                 {
+                                     BOOST_LEAF_CHECK(store_->apply({.state = state_of_term(2)}));
+                                     BOOST_LEAF_CHECK(store_->apply({.state = state_of_term(3)}));
+                                     return store_->sync();
+                                 }));
+        constexpr int write_and_sync = 2;
+        CPPUNIT_ASSERT_EQUAL(before + write_and_sync, files_.operations());
+    }
+
     void a_copied_folder_is_recovered_as_copied()
     {
         write({.state = some_state(), .entries = {entry(1)}});
@@ -213,7 +299,7 @@
             CPPUNIT_ASSERT(ended || store_reopened() != done);
             files_.mend();
             CPPUNIT_ASSERT_EQUAL(done, store_reopened());
-            CPPUNIT_ASSERT_EQUAL(done, write({.state = some_state(),
+            CPPUNIT_ASSERT_EQUAL(done, write({.state = state_of_term(2),
                                               .cut_from = log_index(synced + 1),
                                               .entries = {entry(synced + 1, 2)}}));
             files_.crash([&](std::size_t unsynced) { return random() % (unsynced + 1); });
@@ -236,6 +322,13 @@
 
 private:
     static inline std::string const done = "done";
+    /// A position in the body of a file's or slot's first record.
+    static constexpr std::size_t in_the_first_record = 30;
+
+    static control::hard_state state_of_term(std::uint64_t term)
+    {
+        return {.term = term_id(term), .disk = control::disk_id(9)};
+    }
 
     static control::hard_state some_state()
     {
--- a/tests/control_io/disk/memory_file_system.cpp
+++ b/tests/control_io/disk/memory_file_system.cpp
@@ -36,11 +36,7 @@
     {
         if (!owner_.step())
             return injected();
-        auto& it = owner_.files_[name_];
-        it.synced = it.bytes.size();
-        if (auto const known = owner_.synced_names_.find(name_);
-            known != owner_.synced_names_.end())
-            known->second = it;
+        owner_.mark_synced(name_);
         return {};
     }
 
@@ -79,6 +75,38 @@
     return std::make_unique<memory_file>(*this, name);
 }
 
+void memory_file_system::mark_synced(std::string const& name)
+{
+    auto& it = files_[name];
+    it.synced = it.bytes.size();
+    it.replaced.clear();
+    if (auto const known = synced_names_.find(name); known != synced_names_.end())
+        known->second = it;
+}
+
+result<void> memory_file_system::overwrite(std::string const& name, std::uint64_t offset,
+                                           std::string_view bytes)
+{
+    if (!step())
+        return injected();
+    auto& it = files_.at(name);
+    it.replaced = it.bytes.substr(offset, bytes.size());
+    it.replaced_at = offset;
+    it.bytes.replace(offset, bytes.size(), bytes);
+    if (!step())
+        return injected();
+    mark_synced(name);
+    return {};
+}
+
+result<void> memory_file_system::sync(std::string const& name)
+{
+    if (!step())
+        return injected();
+    mark_synced(name);
+    return {};
+}
+
 result<void> memory_file_system::truncate(std::string const& name, std::uint64_t size)
 {
     if (!step())
@@ -122,6 +150,9 @@
             it = newest->second;
         it.bytes.resize(it.synced + kept(it.bytes.size() - it.synced));
         it.synced = it.bytes.size();
+        auto const n = kept(it.replaced.size());
+        it.bytes.replace(it.replaced_at + n, it.replaced.size() - n, it.replaced, n);
+        it.replaced.clear();
     }
     files_ = synced_names_;
     until_failure_ = -1;
--- a/tests/control_io/disk/memory_file_system.hpp
+++ b/tests/control_io/disk/memory_file_system.hpp
@@ -18,13 +18,16 @@
     result<std::string> read(std::string const& name) override;
     result<std::uint64_t> origin(std::string const&) override { return folder; }
     result<std::unique_ptr<output_file>> open(std::string const& name) override;
+    result<void> overwrite(std::string const& name, std::uint64_t offset,
+                           std::string_view bytes) override;
+    result<void> sync(std::string const& name) override;
     result<void> truncate(std::string const& name, std::uint64_t size) override;
     result<void> rename(std::string const& from, std::string const& to) override;
     result<void> remove(std::string const& name) override;
     result<void> sync_folder() override;
 
     /// Loses what was not synced, but for the first bytes that `kept` grants of
-    /// each file's unsynced tail.
+    /// each file's unsynced tail or write in place.
     void crash(std::function<std::size_t(std::size_t unsynced)> const& kept);
 
     /// Lets the operation after this many further ones fail.
@@ -47,9 +50,13 @@
     {
         std::string bytes;
         std::size_t synced = 0;
+        /// What stood before a write in place that is not synced.
+        std::string replaced;
+        std::size_t replaced_at = 0;
     };
 
     bool step();
+    void mark_synced(std::string const& name);
 
     std::map<std::string, file_state> files_;
     std::map<std::string, file_state> synced_names_; ///< As of the last folder sync.
