Sync the log's newest batch when it is read

A process that is killed between a write and its sync leaves a batch that the next process reads and counts as durable: it may acknowledge and commit it, and a loss of power then loses what was acknowledged. Change: the newest segment is synced once it is read. Test: a_batch_read_after_a_crash_survives_a_loss_of_power; without the sync it recovers one entry of two.

--- a/plugins/control_io/disk/segment_log.cpp
+++ b/plugins/control_io/disk/segment_log.cpp
@@ -91,6 +91,8 @@
         return out;
     }
     BOOST_LEAF_ASSIGN(open_, files_.open(segments_.back().name));
+    // A process that was killed may have left a batch that was written and not synced.
+    BOOST_LEAF_CHECK(open_->sync());
     return out;
 }
 
--- a/tests/control_io/disk/disk_store_test.cpp
+++ b/tests/control_io/disk/disk_store_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(a_state_file_of_an_earlier_version_is_read);
     CPPUNIT_TEST(a_state_that_outgrows_its_file_is_kept);
     CPPUNIT_TEST(a_new_term_takes_one_write_in_place);
+    CPPUNIT_TEST(a_batch_read_after_a_crash_survives_a_loss_of_power);
     CPPUNIT_TEST(a_copied_folder_is_recovered_as_copied);
     CPPUNIT_TEST(a_missing_segment_is_refused);
     CPPUNIT_TEST(what_was_synced_survives_a_failure_at_any_operation);
@@ -233,6 +234,22 @@
         CPPUNIT_ASSERT_EQUAL(before + write_and_sync, files_.operations());
     }
 
+    // Guards against an acknowledged entry that is lost: a killed process leaves a batch that was
+    // written and not synced, and the next one acknowledges it.
+    void a_batch_read_after_a_crash_survives_a_loss_of_power()
+    {
+        write({.state = some_state(), .entries = {entry(1)}});
+        constexpr int log_append = 1;
+        files_.fail_after(log_append);
+        CPPUNIT_ASSERT(write({.entries = {entry(2)}}) != done);
+        files_.mend();
+        reopen();
+        CPPUNIT_ASSERT_EQUAL(std::string("1 2"), indexes());
+        files_.crash([](std::size_t) { return std::size_t{0}; });
+        reopen();
+        CPPUNIT_ASSERT_EQUAL(std::string("1 2"), indexes());
+    }
+
     void a_copied_folder_is_recovered_as_copied()
     {
         write({.state = some_state(), .entries = {entry(1)}});
