Accept callers with an unconfirmed plan only where control is not heard

Change: the limit counts from the last word of a control instance that hears most others. An entry that hears none, since it or they are cut off, serves by what it holds after 3 s, as before. Until then it has no plan in force, and refuses callers at once. Test: callers_wait_for_a_confirmation_as_long_as_control_is_heard failed before. The former test of the limit keeps its times and expectations, with the name of what it shows, silence; one for a control instance that is cut off is new.

--- a/plugins/entry/roster/roster_events.cpp
+++ b/plugins/entry/roster/roster_events.cpp
@@ -91,10 +91,11 @@
     {.number = 313,
      .name = "plan.unconfirmed",
      .level = kernel::severity::warning,
-     .meaning = "This instance has just started and accepts callers with a plan that control did "
-                "not confirm within entry_roster/first_plan_limit; a newer one may be in force. "
-                "`control` is the control instance that it reports to.",
-     .action = "Check whether control has a leader, and the connections to it."}};
+     .meaning = "This instance has just started and accepts callers with a plan that nobody has "
+                "confirmed; a newer one may be in force. For entry_roster/first_plan_limit it "
+                "heard no control instance that hears most others. `control` is the one that it "
+                "reports to.",
+     .action = "Check the connections to control instances and between them."}};
 
 kernel::event_kind const target_departed_event{
     {.number = 312,
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -296,6 +296,8 @@
         ctx.counters.observe(round_trips, answer.round_trip(ctx.now));
         currency_.record(answer, ctx.now);
         record_outdated_change(ctx);
+        if (update.connected)
+            await_confirmation(ctx.now);
         // A late answer tells what held when it was sent.
         bool const confirms = update.current && is_recent(answer, ctx.now);
         if (confirms && generation_of(update) <= steering_->generation)
@@ -362,6 +364,8 @@
     void handle_probe_reply(instance_id sender, messages::roster_probe_reply const& reply,
                             context& ctx)
     {
+        if (reply.connected)
+            await_confirmation(ctx.now);
         bool const is_reliable = reply.connected && reply.current;
         bool const is_newer = reply.generation > steering_->generation;
         bool const is_attached = sender == current_control_;
@@ -491,8 +495,17 @@
         send_report(ctx);
     }
 
-    /// Goes on with a first plan that control did not confirm in time: where control has no leader,
-    /// or cannot be reached, this instance serves what it can.
+    /// Restarts the time after which an unconfirmed first plan is used, since a control instance
+    /// is heard that hears most others. It confirms the newest plan once there is a leader; until
+    /// then it may hold any older one, such as that of its last snapshot.
+    void await_confirmation(instant now)
+    {
+        if (accept_callers_at_)
+            accept_callers_at_ = now + config_.first_plan_timeout;
+    }
+
+    /// Goes on with a first plan that nobody can confirm: where control is silent or cut off, this
+    /// instance serves what it can.
     void accept_unconfirmed_plan(context& ctx)
     {
         if (!accept_callers_at_ || ctx.now < *accept_callers_at_)
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -24,7 +24,9 @@
     CPPUNIT_TEST(the_first_report_goes_to_a_configured_contact);
     CPPUNIT_TEST(callers_are_accepted_once_a_plan_arrived);
     CPPUNIT_TEST(callers_wait_until_control_confirms_the_first_plan);
-    CPPUNIT_TEST(callers_are_accepted_without_a_confirmation_after_the_limit);
+    CPPUNIT_TEST(callers_wait_for_a_confirmation_as_long_as_control_is_heard);
+    CPPUNIT_TEST(callers_are_accepted_without_a_confirmation_while_control_is_cut_off);
+    CPPUNIT_TEST(callers_are_accepted_without_a_confirmation_while_control_is_silent);
     CPPUNIT_TEST(an_entry_that_stops_accepts_no_callers);
     CPPUNIT_TEST(caller_limits_follow_the_newest_plan);
     CPPUNIT_TEST(an_older_steering_state_is_ignored);
@@ -108,9 +110,39 @@
         CPPUNIT_ASSERT(poll_.self.ready);
     }
 
-    // Guards against an entry that never serves since control has no leader, or since its failure
-    // domain is cut off.
-    void callers_are_accepted_without_a_confirmation_after_the_limit()
+    // Guards against CONFIG: after a loss of all power and while there is no leader, entries served
+    // by the plan of a control instance's last snapshot, older than the acknowledged one.
+    void callers_wait_for_a_confirmation_as_long_as_control_is_heard()
+    {
+        tick();
+        answer({.current = false, .steering = state(4, true)});
+        for (int n = 0; n != 40; ++n)
+        {
+            tick(milliseconds(500));
+            answer({.current = false});
+            CPPUNIT_ASSERT(!accepts_callers_);
+        }
+        tick();
+        answer({.steering = state(5, true)});
+        CPPUNIT_ASSERT(accepts_callers_);
+    }
+
+    // Guards against an entry that never serves since its failure domain is cut off.
+    void callers_are_accepted_without_a_confirmation_while_control_is_cut_off()
+    {
+        tick();
+        answer({.connected = false, .current = false, .steering = state(4, true)});
+        for (int n = 0; n != 29; ++n)
+        {
+            tick(milliseconds(100));
+            answer({.connected = false, .current = false});
+            CPPUNIT_ASSERT(!accepts_callers_);
+        }
+        tick(milliseconds(200));
+        CPPUNIT_ASSERT(accepts_callers_);
+    }
+
+    void callers_are_accepted_without_a_confirmation_while_control_is_silent()
     {
         tick();
         answer({.current = false, .steering = state(4, true)});
