Refuse requests by a plan that only restarted control instances know

An entry that runs on while all control instances restart may lack a plan that was acknowledged just before: only their disks hold it until there is a leader. Change: a plan counts as outdated, and requests are refused, once its confirmation is over max_plan_age old and instances that hear most others have said for as long that none was confirmed since its start. An instance that did not restart passes the age of its confirmation on to the others, so that a lack of a leader alone refuses nothing; and without a word from control the entry goes on. Test: a_plan_is_outdated_if_control_restarts_and_has_no_leader fails without the change.

--- a/plugins/entry/roster/plan_currency.cpp
+++ b/plugins/entry/roster/plan_currency.cpp
@@ -31,10 +31,25 @@
 {
     bool const is_slow = arrived.round_trip(now) > limits_.max_round_trip;
     slow_until_ = is_slow ? now + max_silence : now;
+    record_restart(arrived.control_restarted, now);
     if (auto const confirmed_at = arrived.confirmed_at())
         confirmed_at_ = std::max(confirmed_at_.value_or(*confirmed_at), *confirmed_at);
 }
 
+void plan_currency::record_restart(bool restarted, instant now)
+{
+    if (!restarted)
+        return restarted_since_.reset();
+    restarted_since_ = restarted_since_.value_or(now);
+    restart_heard_ = now;
+}
+
+bool plan_currency::awaits_leader(instant now) const
+{
+    return restarted_since_ && now > *restarted_since_ + limits_.max_age &&
+           now < restart_heard_ + max_silence;
+}
+
 void plan_currency::tick(instant now)
 {
     if (was_paused(now))
@@ -56,7 +71,8 @@
 
 bool plan_currency::is_outdated(instant now) const
 {
-    return confirmed_at_ && now > *confirmed_at_ + limits_.max_age && is_slow(now);
+    return confirmed_at_ && now > *confirmed_at_ + limits_.max_age &&
+           (is_slow(now) || awaits_leader(now));
 }
 
 bool plan_currency::was_paused(instant now) const
--- a/plugins/entry/roster/plan_currency.hpp
+++ b/plugins/entry/roster/plan_currency.hpp
@@ -35,6 +35,9 @@
         milliseconds held{0}; ///< For which the control instance held the report.
         /// Time before the answer at which the state was confirmed; nothing if it never was.
         std::optional<milliseconds> confirmed_age;
+        /// The control instance hears most others, and none that it hears has been confirmed since
+        /// its start: what they hold may lack the newest acknowledged orders.
+        bool control_restarted = false;
 
         /// Returns the time for which the report and the answer were on their way.
         span round_trip(instant now) const;
@@ -57,16 +60,21 @@
     bool is_slow(instant now) const;
 
     /// Returns whether requests must not be sent by the state: it is too old, and answers of
-    /// control take long. Without a word from control this instance is cut off, and goes on with
-    /// the state that it holds.
+    /// control take long or come from instances that have restarted and wait for a leader. Without
+    /// a word from control this instance is cut off, and goes on with the state that it holds.
     bool is_outdated(instant now) const;
 
 private:
     bool was_paused(instant now) const;
+    void record_restart(bool restarted, instant now);
+    bool awaits_leader(instant now) const;
 
     options limits_;
     std::optional<instant> confirmed_at_;
     instant slow_until_; ///< Until when answers of control count as slow.
+    /// Since when control instances answer that they have restarted.
+    std::optional<instant> restarted_since_;
+    instant restart_heard_; ///< Last answer of that kind.
     std::optional<instant> last_tick_;
 };
 
--- a/plugins/entry/roster/roster_events.cpp
+++ b/plugins/entry/roster/roster_events.cpp
@@ -83,9 +83,10 @@
      .name = "plan.outdated",
      .level = kernel::severity::warning,
      .meaning = "This instance begins or ends to refuse requests since its plan is outdated: it "
-                "was confirmed `age_ms` ago, and answers of control take long. `outdated` is "
-                "whether it begins.",
-     .action = "Check the load of this instance's network link; see `control.round_trip`."}};
+                "was confirmed `age_ms` ago, and answers of control take long, or all control "
+                "instances have restarted and there is no leader. `outdated` is whether it begins.",
+     .action = "Check the load of this instance's network link; see `control.round_trip`. Check "
+               "whether control has a leader."}};
 
 kernel::event_kind const plan_unconfirmed_event{
     {.number = 313,
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -49,6 +49,8 @@
     CPPUNIT_TEST(a_late_answer_does_not_end_a_search);
     CPPUNIT_TEST(a_plan_that_control_confirms_late_is_outdated);
     CPPUNIT_TEST(a_plan_is_not_outdated_while_control_is_silent);
+    CPPUNIT_TEST(a_plan_is_outdated_if_control_restarts_and_has_no_leader);
+    CPPUNIT_TEST(a_plan_is_not_outdated_while_a_control_instance_did_not_restart);
     CPPUNIT_TEST(a_plan_is_outdated_after_a_pause_until_control_answers);
     CPPUNIT_TEST(reports_are_answered_at_once_while_control_is_slow);
     CPPUNIT_TEST(the_time_for_which_control_held_a_report_is_not_part_of_the_plans_age);
@@ -426,9 +428,7 @@
     // on serving.
     void a_plan_is_not_outdated_while_control_is_silent()
     {
-        tick();
-        answer(
-            {.boot = boot_id(9), .confirmed_age = milliseconds(100), .steering = state(4, true)});
+        receive_confirmed_plan();
         for (int n = 0; n != 400; ++n)
         {
             tick();
@@ -436,6 +436,39 @@
         }
     }
 
+    // Guards against CONFIG: a plan that was acknowledged just before all control instances were
+    // killed is known to their disks alone; entries that had not heard of it acted by the older one
+    // for as long as there was no leader.
+    void a_plan_is_outdated_if_control_restarts_and_has_no_leader()
+    {
+        receive_confirmed_plan();
+        for (int n = 0; n != 40; ++n)
+        {
+            tick(milliseconds(100));
+            answer({.boot = boot_id(10), .current = false});
+            auto const expected = n > 20;
+            CPPUNIT_ASSERT_EQUAL(expected, view().is_plan_outdated(now_));
+        }
+        tick();
+        answer({.boot = boot_id(10), .confirmed_age = milliseconds(100)});
+        CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
+    }
+
+    // Guards against an outage whenever there is no leader: instances that did not restart hold
+    // every acknowledged order.
+    void a_plan_is_not_outdated_while_a_control_instance_did_not_restart()
+    {
+        receive_confirmed_plan();
+        for (int n = 0; n != 100; ++n)
+        {
+            tick(milliseconds(100));
+            answer({.boot = boot_id(9),
+                    .current = false,
+                    .confirmed_age = milliseconds(100) * (n + 2)});
+            CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
+        }
+    }
+
     // Guards against a violation of HOME: a process that was suspended served the requests that
     // had waited for it by the plan of before its pause.
     void a_plan_is_outdated_after_a_pause_until_control_answers()
@@ -615,6 +648,13 @@
         return control == instance_id(1) ? instance_id(2) : instance_id(1);
     }
 
+    void receive_confirmed_plan()
+    {
+        tick();
+        answer(
+            {.boot = boot_id(9), .confirmed_age = milliseconds(100), .steering = state(4, true)});
+    }
+
     /// Receives a plan from a control instance, and then that its state is not confirmed.
     /// Returns that instance.
     instance_id attach_to_unconfirmed()
