--- a/plugins/control/replica/starting.cpp
+++ b/plugins/control/replica/starting.cpp
@@ -204,7 +204,7 @@
                           .index = log_index(1),
                           .command = any_message::of(std::move(founding))};
     append_entry(first);
-    persist_state();
+    persist_term();
     persist_log(std::nullopt, {first});
     ctx_->events.record(replica_events::founded, {});
 }
