--- a/tests/process/slow_disks.sh
+++ b/tests/process/slow_disks.sh
@@ -43,8 +43,11 @@
   done
   sleep 0.2
 done
-wait "$reader" || failures=$((failures + 1))
-echo "read back after $((SECONDS - begun)) s"
+if wait "$reader"; then
+  echo "read back after $((SECONDS - begun)) s"
+else
+  failures=$((failures + 1))
+fi
 sleep "$config_apply"
 expect_plan_in_force
 put "$ack_timeout"
