Judge whether a replica is reachable apart from its disk

Cause: a replica counted as reachable, and an instance that joins as caught up, only if it had answered one of the last three rounds, 0.6 s, and an answer waits for the disk. Change: it must have received one of the last three rounds, and have answered one of the last ten, 2 s; a disk that takes longer counts as hanging. When a silent voter is replaced is as before. Tests: a_voter_is_replaced_while_disks_are_slow_and_orders_go_on fails before, with syncs of 900 ms; a_voter_whose_disk_hangs_does_not_answer holds before and after.

--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -11,25 +11,30 @@
 namespace
 {
 
-/// Rounds within which a replica must have replied to count as reachable.
+/// Rounds within which a replica must have been heard to count as reachable.
 constexpr std::uint64_t recent_rounds = 3;
+/// Rounds within which it must have replied to, which waits for its disk. A disk that takes longer
+/// counts as hanging.
+constexpr std::uint64_t max_syncing_rounds = 10;
 
 } // namespace
 
-bool replica::is_recent(messages::round_id round) const
+bool replica::is_within(messages::round_id round, std::uint64_t count) const
 {
-    return round != messages::round_id() && round.value() + recent_rounds >= lease_.round().value();
+    return round != messages::round_id() && round.value() + count >= lease_.round().value();
 }
 
 bool replica::is_reachable(progress const& peer) const
 {
-    return is_recent(peer.matched_round);
+    return is_within(peer.heard_round, recent_rounds) &&
+           is_within(peer.matched_round, max_syncing_rounds);
 }
 
 bool replica::answers(instance_id id) const
 {
     auto const peer = peers_.find(id);
-    return id == self_.self.id || (peer != peers_.end() && is_recent(peer->second.replied_round));
+    return id == self_.self.id ||
+           (peer != peers_.end() && is_within(peer->second.replied_round, recent_rounds));
 }
 
 bool replica::is_caught_up(progress const& peer) const
--- a/plugins/control/replica/leading.cpp
+++ b/plugins/control/replica/leading.cpp
@@ -113,8 +113,10 @@
 void replica::handle_round_received(instance_id sender, messages::round_received const& notice,
                                     context&)
 {
-    if (find_peer(sender, notice.disk) == nullptr || notice.term != state_.term)
+    auto* const peer = find_peer(sender, notice.disk);
+    if (peer == nullptr || notice.term != state_.term)
         return;
+    peer->heard_round = std::max(peer->heard_round, notice.round);
     lease_.record_reply({.id = sender, .disk = notice.disk}, notice.round);
     extend_lease();
     announce_leadership_if_confirmed();
@@ -133,6 +135,7 @@
     if (term < state_.term)
         return false;
     peer->replied_round = std::max(peer->replied_round, round);
+    peer->heard_round = std::max(peer->heard_round, round);
     lease_.record_reply({.id = sender, .disk = disk}, round);
     extend_lease();
     return true;
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -29,6 +29,7 @@
     log_index match_index; ///< Index of the last entry known to be on the replica's disk.
     messages::round_id matched_round; ///< Newest round whose reply confirmed `match_index`.
     messages::round_id replied_round; ///< Newest round that the replica replied to.
+    messages::round_id heard_round;   ///< Newest round that it received, synced or not.
     std::uint32_t next_piece = 0;     ///< Position of the next snapshot piece to send.
     bool in_flight = false;           ///< Entries or a piece were sent and not yet answered.
 };
@@ -181,9 +182,9 @@
     /// Begins to replicate to the instances that are to join, without waiting for the next
     /// announcement of their start.
     void track_joining_peers();
-    /// Returns whether a round of this term was opened recently.
-    bool is_recent(messages::round_id round) const;
-    /// Returns whether a replica replied recently, and in this term.
+    /// Returns whether a round of this term is one of the newest `count`, or just before them.
+    bool is_within(messages::round_id round, std::uint64_t count) const;
+    /// Returns whether a replica was heard recently, and in this term, and its disk does not hang.
     bool is_reachable(progress const& peer) const;
     /// Returns whether a replica holds all committed entries and replied recently.
     bool is_caught_up(progress const& peer) const;
--- a/tests/control/replica/replica_test.cpp
+++ b/tests/control/replica/replica_test.cpp
@@ -128,6 +128,8 @@
     CPPUNIT_TEST(a_leader_is_elected_after_a_loss_of_power_although_all_disks_are_slow);
     CPPUNIT_TEST(an_election_waits_for_voters_whose_disks_are_slow);
     CPPUNIT_TEST(a_leader_is_kept_while_the_others_wait_for_their_disks);
+    CPPUNIT_TEST(a_voter_is_replaced_while_disks_are_slow_and_orders_go_on);
+    CPPUNIT_TEST(a_voter_whose_disk_hangs_does_not_answer);
     CPPUNIT_TEST(a_replica_gets_no_vote_while_the_leader_reaches_others);
     CPPUNIT_TEST(a_replica_with_a_failed_disk_neither_votes_nor_leads);
     CPPUNIT_TEST(disks_that_were_full_in_turn_cost_no_voter);
@@ -296,6 +298,38 @@
             CPPUNIT_ASSERT(group.has_value(id, 2));
     }
 
+    // Guards against a group that stays one loss away from the end of its work: a voter counted as
+    // working, and a joining instance as caught up, only if its disk had synced within 0.6 s.
+    void a_voter_is_replaced_while_disks_are_slow_and_orders_go_on()
+    {
+        running_group group(3);
+        auto const leaving = group.follower();
+        auto const joining = group.add_instance();
+        group.start(joining);
+        group.run_for(seconds(1));
+        group.kill(leaving);
+        group.sync_delay = milliseconds(900);
+        CPPUNIT_ASSERT(group.begin_replacement(
+            {.leaving = instance_id(leaving), .joining = instance_id(joining)}, {}));
+        auto const end = group.now() + recovery_time;
+        while (group.now() < end && !group.votes(joining))
+        {
+            CPPUNIT_ASSERT(group.propose(++group.proposed));
+            group.run_for(milliseconds(100));
+        }
+        CPPUNIT_ASSERT(group.votes(joining));
+    }
+
+    void a_voter_whose_disk_hangs_does_not_answer()
+    {
+        running_group group(3);
+        auto const hanging = group.follower();
+        group.at(hanging).sync_delay = seconds(3600);
+        CPPUNIT_ASSERT(group.propose(++group.proposed));
+        group.run_for(seconds(1));
+        CPPUNIT_ASSERT(!group.voters_of(group.acting_leader()).answers(instance_id(hanging)));
+    }
+
     void a_replica_gets_no_vote_while_the_leader_reaches_others()
     {
         running_group group(3);
