Refuse requests while the first plan waits for its confirmation

Cause: the entry's listener opens callers/start_limit, 10 s, after the start in any case, and the plan that nobody had confirmed was used then. Found when the fix of the first plan was read again: with no leader for good, the process test saw 114 requests at six entries answered by an older plan within 15 s. Change: a first plan that waits counts as outdated, and requests are refused at once with a Retry-After. A stop leaves it so. Tests: callers_wait_for_a_confirmation_as_long_as_control_is_heard asks for it and failed; slow_disks ends with a part without a leader, which failed. The disks of the process tests are in memory now: in a run beside builds the file system stalled all syncs for 13 s (disk.slow_sync, all six control instances at the same moment), and an order met its limit of 4 s.

--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -64,7 +64,6 @@
     void stopping(context& ctx) override
     {
         stopping_ = true;
-        accept_callers_at_.reset();
         send_report(ctx);
     }
 
@@ -169,7 +168,11 @@
 
     shared_steering const& steering() const override { return active_steering_; }
     std::optional<span> plan_age(instant now) const override { return currency_.age(now); }
-    bool is_plan_outdated(instant now) const override { return currency_.is_outdated(now); }
+    bool is_plan_outdated(instant now) const override
+    {
+        // Callers may come before they are accepted, from callers/start_limit on.
+        return accept_callers_at_ || currency_.is_outdated(now);
+    }
     std::map<target_id, listed_target> const& targets() const override { return listed_.all(); }
     std::optional<instance_id> control() const override { return current_control_; }
     std::int64_t entries() const override { return entries_; }
@@ -483,14 +486,14 @@
         if (is_first || active_steering_->plan->limits != state->plan->limits)
             ctx.out.push_back(limit_callers{state->plan->limits});
         active_steering_ = state;
-        if (is_first && !stopping_)
+        if (is_first)
             accept_callers_at_ = ctx.now + config_.first_plan_timeout;
     }
 
     /// Lets callers in once there is a plan, unless they were before.
     void accept_callers_once(context& ctx)
     {
-        if (!std::exchange(accept_callers_at_, std::nullopt))
+        if (stopping_ || !std::exchange(accept_callers_at_, std::nullopt))
             return;
         ctx.out.push_back(accept_callers{});
         // Control announces this instance to callers after a report that it is ready.
@@ -510,7 +513,7 @@
     /// instance serves what it can.
     void accept_unconfirmed_plan(context& ctx)
     {
-        if (!accept_callers_at_ || ctx.now < *accept_callers_at_)
+        if (stopping_ || !accept_callers_at_ || ctx.now < *accept_callers_at_)
             return;
         ctx.events.record(plan_unconfirmed_event,
                           {{"generation", std::to_string(steering_->generation.value())},
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -123,10 +123,13 @@
             tick(milliseconds(500));
             answer({.current = false});
             CPPUNIT_ASSERT(!accepts_callers_);
+            // Connections are taken from callers/start_limit on.
+            CPPUNIT_ASSERT(view().is_plan_outdated(now_));
         }
         tick();
         answer({.steering = state(5, true)});
         CPPUNIT_ASSERT(accepts_callers_);
+        CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
     }
 
     // Guards against an entry that never serves since its failure domain is cut off.
--- a/tests/process/platform_daemons.sh
+++ b/tests/process/platform_daemons.sh
@@ -2,7 +2,11 @@
 # Expects in the caller: bin (folder of the programs), net (first three bytes of the addresses, in
 # 127.0.0.0/8) and root (of the repository).
 
-work=$(mktemp -d)
+# The disks are in memory where that is possible, so that the test alone decides how long a sync
+# takes: on a file system that others use, one may take longer than an order's time limit.
+disks=${TMPDIR:-/tmp}
+[ "$(stat -f -c %T /dev/shm 2> /dev/null)" != tmpfs ] || [ ! -w /dev/shm ] || disks=/dev/shm
+work=$(mktemp -d -p "$disks")
 declare -A pid_of
 failures=0
 cleanup() {
--- a/tests/process/slow_disks.sh
+++ b/tests/process/slow_disks.sh
@@ -54,4 +54,21 @@
 sleep "$config_apply"
 expect_plan_in_force
 expect_read_back "$contact"
+
+kept=$(dirname "$(ls "$work"/disk-*/snapshot | head -n 1)")
+echo "- all processes are killed after r$newest, all disks but $(basename "$kept") are lost: no leader"
+crash "${!pid_of[@]}"
+for disk in "$work"/disk-*; do [ "$disk" = "$kept" ] || rm -rf "$disk"; done
+control_launcher=()
+start_all false
+end=$((SECONDS + recovery))
+while [ "$SECONDS" -lt "$end" ]; do
+  for entry in "${entries[@]}"; do
+    [ "$(status_at "$entry")" != 404 ] || fail "entry $entry handles r$newest by an older plan"
+  done
+  sleep 0.2
+done
+for entry in "${entries[@]}"; do
+  [ "$(status_at "$entry")" = 503 ] || fail "entry $entry does not refuse at once"
+done
 [ "$failures" -eq 0 ]
