Sync the folder's names when it is read

A process that is killed between the change of a name and the sync of its folder leaves a state file or a segment of the log that the next process reads and goes on writing in place: each write is synced, the name is not, and a loss of power takes the file with all that was acknowledged since. For the log this holds as long as there are segments. For the state it came with the writes in place: before, each write replaced the file and synced the folder. Change: the folder is synced before it is read. Tests: a_state_in_a_file_read_after_a_crash_survives_a_loss_of_power and a_batch_in_a_segment_read_after_a_crash_survives_a_loss_of_power, which both failed before. On ext4 the sync of the file is likely to cover its name; the interface of the file system promises less, and so does the one of tests.

--- a/plugins/control_io/disk/disk_store.cpp
+++ b/plugins/control_io/disk/disk_store.cpp
@@ -114,6 +114,8 @@
 result<disk_store::contents> disk_store::recover()
 {
     contents out;
+    // A process that was killed may have left names that are not on the disk yet.
+    BOOST_LEAF_CHECK(files_.sync_folder());
     BOOST_LEAF_AUTO(names, files_.list());
     auto const exists = [&](char const* name)
     { return std::find(names.begin(), names.end(), name) != names.end(); };
--- a/tests/control_io/disk/disk_store_test.cpp
+++ b/tests/control_io/disk/disk_store_test.cpp
@@ -62,6 +62,8 @@
     CPPUNIT_TEST(a_state_that_outgrows_its_file_is_kept);
     CPPUNIT_TEST(a_new_term_takes_one_write_in_place);
     CPPUNIT_TEST(a_batch_read_after_a_crash_survives_a_loss_of_power);
+    CPPUNIT_TEST(a_state_in_a_file_read_after_a_crash_survives_a_loss_of_power);
+    CPPUNIT_TEST(a_batch_in_a_segment_read_after_a_crash_survives_a_loss_of_power);
     CPPUNIT_TEST(a_copied_folder_is_recovered_as_copied);
     CPPUNIT_TEST(a_missing_segment_is_refused);
     CPPUNIT_TEST(what_was_synced_survives_a_failure_at_any_operation);
@@ -250,6 +252,39 @@
         CPPUNIT_ASSERT_EQUAL(std::string("1 2"), indexes());
     }
 
+    // Guards against a vote that is lost: a killed process leaves a renamed file whose name was not
+    // synced, and the next one writes in place.
+    void a_state_in_a_file_read_after_a_crash_survives_a_loss_of_power()
+    {
+        constexpr int folder_sync = 4;
+        files_.fail_after(folder_sync);
+        CPPUNIT_ASSERT(write({.state = state_of_term(1)}) != done);
+        files_.mend();
+        reopen();
+        CPPUNIT_ASSERT_EQUAL(done, write({.state = state_of_term(2)}));
+        files_.crash([](std::size_t) { return std::size_t{0}; });
+        reopen();
+        CPPUNIT_ASSERT(term_id(2) == found_.recovered.state.term);
+    }
+
+    // Guards against an acknowledged entry that is lost: a killed process leaves a new segment
+    // whose name was not synced, and the next one appends to it.
+    void a_batch_in_a_segment_read_after_a_crash_survives_a_loss_of_power()
+    {
+        write({.state = some_state(), .entries = {entry(1)}});
+        auto const oldest = files_.newest_segment();
+        constexpr int folder_sync_after_snapshot = 6;
+        files_.fail_after(folder_sync_after_snapshot);
+        CPPUNIT_ASSERT(save_snapshot(0) != done);
+        CPPUNIT_ASSERT(oldest != files_.newest_segment());
+        files_.mend();
+        reopen();
+        CPPUNIT_ASSERT_EQUAL(done, write({.entries = {entry(2)}}));
+        files_.crash([](std::size_t) { return std::size_t{0}; });
+        reopen();
+        CPPUNIT_ASSERT_EQUAL(std::string("1 2"), indexes());
+    }
+
     void a_copied_folder_is_recovered_as_copied()
     {
         write({.state = some_state(), .entries = {entry(1)}});
