Answer pre-votes without waiting for the disk

A pre-vote that was granted waited for the voter's disk like a vote. Cause: a pre-vote says whether a vote would be given now; it binds nobody and need not survive a crash. Change: it is answered at once. Test: a_pre_vote_is_answered_without_waiting_for_the_disk failed before.

--- a/plugins/control/replica/election.cpp
+++ b/plugins/control/replica/election.cpp
@@ -207,10 +207,15 @@
         persist_term();
         reset_election_timer();
     }
-    send_after_sync(sender, messages::vote_reply{.term = granted ? req.term : state_.term,
-                                                 .disk = state_.disk,
-                                                 .trial = req.trial,
-                                                 .granted = granted});
+    messages::vote_reply const reply{.term = granted ? req.term : state_.term,
+                                     .disk = state_.disk,
+                                     .trial = req.trial,
+                                     .granted = granted};
+    // A pre-vote binds nobody, and is of use only as long as no leader was heard.
+    if (req.trial)
+        ctx_->send(sender, reply);
+    else
+        send_after_sync(sender, reply);
 }
 
 bool replica::grants_vote(instance_id sender, messages::vote_request const& req)
--- a/tests/control/replica/replica_test.cpp
+++ b/tests/control/replica/replica_test.cpp
@@ -127,6 +127,7 @@
     CPPUNIT_TEST(a_returning_isolated_replica_does_not_depose_the_leader);
     CPPUNIT_TEST(a_leader_is_elected_after_a_loss_of_power_although_all_disks_are_slow);
     CPPUNIT_TEST(an_election_waits_for_voters_whose_disks_are_slow);
+    CPPUNIT_TEST(a_pre_vote_is_answered_without_waiting_for_the_disk);
     CPPUNIT_TEST(a_leader_is_kept_while_the_others_wait_for_their_disks);
     CPPUNIT_TEST(a_voter_is_replaced_while_disks_are_slow_and_orders_go_on);
     CPPUNIT_TEST(a_voter_whose_disk_hangs_does_not_answer);
@@ -280,6 +281,24 @@
         CPPUNIT_ASSERT(group.wait_for_leader(recovery_time));
     }
 
+    // Guards against a pre-vote that is granted, waits for the disk, and begins an election against
+    // the leader that was elected meanwhile.
+    void a_pre_vote_is_answered_without_waiting_for_the_disk()
+    {
+        running_group group(3);
+        auto const leader = group.acting_leader();
+        auto const candidate = leader % 3 + 1;
+        auto const voter = 6 - leader - candidate;
+        group.at(voter).sync_delay = seconds(10);
+        CPPUNIT_ASSERT(group.propose(1));
+        group.run_for(milliseconds(100));
+        group.kill(leader);
+        group.run_for(seconds(5));
+        CPPUNIT_ASSERT(
+            group.at(candidate).decision_core->services().require<replicated_log>().term() >
+            term_id(2));
+    }
+
     // Guards against leaders that step down in turn, since the others answer them only once their
     // disks have synced.
     void a_leader_is_kept_while_the_others_wait_for_their_disks()
