Refuse requests by an unconfirmed plan once restarted control is heard

An entry that is cut off accepts callers after 3 s by a plan that nobody confirmed, since it can know nothing newer. If it then hears control instances that hear most others, but have restarted and have no leader, it went on with that plan for as long as there was none: a plan counted as outdated only if it had been confirmed once. Change: a plan that was never confirmed counts as outdated as one does whose confirmation is old, if control has restarted and waits for a leader. The event gives the age -1 for it. Test: a_plan_accepted_while_cut_off_is_outdated_once_restarted_control_is_heard failed before.

--- a/plugins/entry/roster/plan_currency.cpp
+++ b/plugins/entry/roster/plan_currency.cpp
@@ -71,8 +71,9 @@
 
 bool plan_currency::is_outdated(instant now) const
 {
-    return confirmed_at_ && now > *confirmed_at_ + limits_.max_age &&
-           (is_slow(now) || awaits_leader(now));
+    if (confirmed_at_ && now <= *confirmed_at_ + limits_.max_age)
+        return false;
+    return awaits_leader(now) || (confirmed_at_ && is_slow(now));
 }
 
 bool plan_currency::was_paused(instant now) const
--- a/plugins/entry/roster/plan_currency.hpp
+++ b/plugins/entry/roster/plan_currency.hpp
@@ -59,9 +59,10 @@
     /// while it did not run.
     bool is_slow(instant now) const;
 
-    /// Returns whether requests must not be sent by the state: it is too old, and answers of
-    /// control take long or come from instances that have restarted and wait for a leader. Without
-    /// a word from control this instance is cut off, and goes on with the state that it holds.
+    /// Returns whether requests must not be sent by the state: it is too old or was never
+    /// confirmed, and control instances answer that they have restarted and wait for a leader; or
+    /// it is too old, and answers of control take long. Without a word from control this instance
+    /// is cut off, and goes on with the state that it holds.
     bool is_outdated(instant now) const;
 
 private:
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -333,8 +333,8 @@
         bool const outdated = currency_.is_outdated(ctx.now);
         if (std::exchange(was_outdated_, outdated) == outdated)
             return;
-        auto const age = currency_.age(ctx.now).value_or(span(0));
-        auto const age_ms = std::chrono::duration_cast<milliseconds>(age).count();
+        auto const age = currency_.age(ctx.now);
+        auto const age_ms = age ? std::chrono::duration_cast<milliseconds>(*age).count() : -1;
         ctx.events.record(plan_outdated_event, {{"outdated", outdated ? "true" : "false"},
                                                 {"age_ms", std::to_string(age_ms)}});
     }
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(a_plan_that_control_confirms_late_is_outdated);
     CPPUNIT_TEST(a_plan_is_not_outdated_while_control_is_silent);
     CPPUNIT_TEST(a_plan_is_outdated_if_control_restarts_and_has_no_leader);
+    CPPUNIT_TEST(a_plan_accepted_while_cut_off_is_outdated_once_restarted_control_is_heard);
     CPPUNIT_TEST(a_plan_is_not_outdated_while_a_control_instance_did_not_restart);
     CPPUNIT_TEST(a_plan_is_outdated_after_a_pause_until_control_answers);
     CPPUNIT_TEST(reports_are_answered_at_once_while_control_is_slow);
@@ -454,6 +455,22 @@
         CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
     }
 
+    // Guards against CONFIG after a loss of power: an entry whose control instance hears the others
+    // late accepts callers by the plan of a snapshot, and kept to it until there was a leader.
+    void a_plan_accepted_while_cut_off_is_outdated_once_restarted_control_is_heard()
+    {
+        tick();
+        answer({.connected = false, .current = false, .steering = state(4, true)});
+        tick(milliseconds(3100));
+        CPPUNIT_ASSERT(accepts_callers_);
+        for (int n = 0; n != 40; ++n)
+        {
+            tick(milliseconds(100));
+            answer({.boot = boot_id(10), .current = false});
+        }
+        CPPUNIT_ASSERT(view().is_plan_outdated(now_));
+    }
+
     // Guards against an outage whenever there is no leader: instances that did not restart hold
     // every acknowledged order.
     void a_plan_is_not_outdated_while_a_control_instance_did_not_restart()
