Let a leader that cannot commit give way

A leader is confirmed by voters that hear it, whatever their disks do. If it cannot commit, it led for good while another replica reached a majority that could: the voters that heard it refused others their votes. Two schedules, one hanging disk or two beside one cut link: - three voters, the leader's own disk hangs, one follower is cut from it. Change: a leader steps down if nothing was committed for 30 election timeouts while entries waited and a voter was not heard. As long as all are heard, no other leader could do better, so that slow disks alone end no leadership. Tests: a_leader_that_cannot_commit_gives_way_to_one_that_can and a_leader_of_voters_whose_disks_hang_gives_way; both failed before.

--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -43,6 +43,14 @@
            is_reachable(peer);
 }
 
+bool replica::is_heard(voter const& it) const
+{
+    auto const peer = peers_.find(it.id);
+    return (it.id == self_.self.id && it.disk == state_.disk) ||
+           (peer != peers_.end() && peer->second.disk == it.disk &&
+            is_within(peer->second.heard_round, recent_rounds));
+}
+
 bool replica::is_working(voter const& it) const
 {
     auto const peer = peers_.find(it.id);
--- a/plugins/control/replica/leading.cpp
+++ b/plugins/control/replica/leading.cpp
@@ -9,6 +9,15 @@
 namespace mulberryrudder::control
 {
 
+namespace
+{
+
+/// Election timeouts without a commit after which a leader lets another one try: more than several
+/// syncs of a slow disk take.
+constexpr int give_way_timeouts = 30;
+
+} // namespace
+
 void replica::become_leader()
 {
     leader_ = self_.self.id;
@@ -20,6 +29,7 @@
     append_command(any_message::of(messages::term_opened{}));
     term_start_ = log_.last().index;
     confirmation_deadline_ = now() + config_.election_timeout;
+    give_way_at_ = now() + config_.election_timeout * give_way_timeouts;
     open_round();
 }
 
@@ -27,12 +37,26 @@
 {
     if (now() >= confirmation_deadline_)
         return step_down();
+    if (!may_hold_up_commits())
+        give_way_at_ = now() + config_.election_timeout * give_way_timeouts;
+    // The lease needs no disk, so that it alone would keep a leader that is heard by voters whose
+    // disks hang.
+    else if (now() >= give_way_at_)
+        return step_down();
     if (now() >= heartbeat_due_)
         open_round();
     announce_leadership_if_confirmed();
     advance_membership_change();
 }
 
+bool replica::may_hold_up_commits() const
+{
+    auto const& voters = members().voters;
+    return log_.last().index > commit_index_ &&
+           !std::all_of(voters.begin(), voters.end(),
+                        [this](voter const& it) { return is_heard(it); });
+}
+
 bool replica::is_voter_or_joining(instance_id id) const
 {
     auto const joins = [&](replacement const& it) { return it.joining == id; };
@@ -221,6 +245,7 @@
     if (by_majority <= commit_index_ || log_.term_at(by_majority) != state_.term)
         return;
     commit_up_to(by_majority);
+    give_way_at_ = now() + config_.election_timeout * give_way_timeouts;
     bool const self_removed = members().find(self_.self.id) == nullptr;
     if (is_leader() && self_removed && memberships_.newest_index() <= commit_index_)
         return step_down();
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -153,6 +153,9 @@
     // leading.cpp: replication and commit on the leader.
     void become_leader();
     void tick_as_leader();
+    /// Returns whether entries wait to be committed while a voter is not heard, which another
+    /// leader may reach.
+    bool may_hold_up_commits() const;
     bool is_voter_or_joining(instance_id id) const;
     void track_peer(instance_id id, disk_id disk);
     void append_command(any_message command);
@@ -188,6 +191,8 @@
     bool is_reachable(progress const& peer) const;
     /// Returns whether a replica holds all committed entries and replied recently.
     bool is_caught_up(progress const& peer) const;
+    /// Returns whether a voter is this replica or one that was heard recently with its disk.
+    bool is_heard(voter const& it) const;
     /// Returns whether a voter is this replica or one that replied recently with its disk.
     bool is_working(voter const& it) const;
     /// Returns whether a majority of the candidate's voters works. A change to a
@@ -274,6 +279,7 @@
     bool leadership_announced_ = false; ///< publish_leading() was called in this term.
     instant heartbeat_due_;
     instant confirmation_deadline_; ///< Steps down unless a majority replies before then.
+    instant give_way_at_;           ///< Steps down then if nothing is committed before.
     /// Index of the membership entry that each open replace request waits for.
     std::map<operator_request_id, log_index> replace_requests_;
 
--- a/tests/control/replica/replica_test.cpp
+++ b/tests/control/replica/replica_test.cpp
@@ -130,6 +130,8 @@
     CPPUNIT_TEST(a_leader_is_kept_while_the_others_wait_for_their_disks);
     CPPUNIT_TEST(a_voter_is_replaced_while_disks_are_slow_and_orders_go_on);
     CPPUNIT_TEST(a_voter_whose_disk_hangs_does_not_answer);
+    CPPUNIT_TEST(a_leader_that_cannot_commit_gives_way_to_one_that_can);
+    CPPUNIT_TEST(a_leader_of_voters_whose_disks_hang_gives_way);
     CPPUNIT_TEST(a_replica_gets_no_vote_while_the_leader_reaches_others);
     CPPUNIT_TEST(a_replica_with_a_failed_disk_neither_votes_nor_leads);
     CPPUNIT_TEST(disks_that_were_full_in_turn_cost_no_voter);
@@ -330,6 +332,53 @@
         CPPUNIT_ASSERT(!group.voters_of(group.acting_leader()).answers(instance_id(hanging)));
     }
 
+    // Guards against a group that decides nothing for good: a leader whose disk hangs is confirmed
+    // by the one replica that it reaches, and does not reach the other one, while these two could
+    // decide.
+    void a_leader_that_cannot_commit_gives_way_to_one_that_can()
+    {
+        running_group group(3);
+        auto const leader = group.acting_leader();
+        auto const unreached = group.follower();
+        group.at(leader).sync_delay = seconds(3600);
+        group.set_link_cut(leader, unreached, true);
+        group.set_link_cut(unreached, leader, true);
+        auto const is_decided = [&]
+        {
+            group.propose(++group.proposed);
+            group.run_for(seconds(1));
+            return group.has_value(unreached, group.proposed);
+        };
+        bool decided = false;
+        for (int n = 0; n != 120 && !decided; ++n)
+            decided = is_decided();
+        CPPUNIT_ASSERT(decided);
+    }
+
+    // Guards against a group that decides nothing for good: a leader is confirmed by voters whose
+    // disks hang, and cannot commit, while another replica reaches a majority that can.
+    void a_leader_of_voters_whose_disks_hang_gives_way()
+    {
+        running_group group(5);
+        auto const leader = group.acting_leader();
+        std::vector<std::uint32_t> others;
+        for (std::uint32_t id = 1; id <= 5; ++id)
+            if (id != leader)
+                others.push_back(id);
+        for (auto const hanging : {others[0], others[1]})
+            group.at(hanging).sync_delay = seconds(3600);
+        group.set_link_cut(leader, others[2], true);
+        group.set_link_cut(others[2], leader, true);
+        bool decided = false;
+        for (int n = 0; n != 120 && !decided; ++n)
+        {
+            group.propose(++group.proposed);
+            group.run_for(seconds(1));
+            decided = group.has_value(others[3], group.proposed);
+        }
+        CPPUNIT_ASSERT(decided);
+    }
+
     void a_replica_gets_no_vote_while_the_leader_reaches_others()
     {
         running_group group(3);
