--- a/tests/control/replica/replica_test.cpp
+++ b/tests/control/replica/replica_test.cpp
@@ -1,5 +1,7 @@
 #include "fake_group.hpp"
 
+#include <plugins/control/replica/replica_events.hpp>
+
 #include <mulberryrudder/messages/replica.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -132,6 +134,7 @@
     CPPUNIT_TEST(a_voter_whose_disk_hangs_does_not_answer);
     CPPUNIT_TEST(a_leader_that_cannot_commit_gives_way_to_one_that_can);
     CPPUNIT_TEST(a_leader_of_voters_whose_disks_hang_gives_way);
+    CPPUNIT_TEST(a_snapshot_is_not_sent_again_while_its_receiver_syncs);
     CPPUNIT_TEST(a_replica_gets_no_vote_while_the_leader_reaches_others);
     CPPUNIT_TEST(a_replica_with_a_failed_disk_neither_votes_nor_leads);
     CPPUNIT_TEST(disks_that_were_full_in_turn_cost_no_voter);
@@ -379,6 +382,28 @@
         CPPUNIT_ASSERT(decided);
     }
 
+    // Guards against a slow disk that loads the network: each heartbeat sends the piece again,
+    // since it takes the reply that waits for the disk for a lost one.
+    void a_snapshot_is_not_sent_again_while_its_receiver_syncs()
+    {
+        running_group group(3, {.snapshot_threshold = 10});
+        auto const leader = group.acting_leader();
+        auto const id = group.follower();
+        group.kill(id);
+        group.propose_many(50);
+        group.at(id).sync_delay = seconds(3);
+        group.start(id);
+        auto const is_installed = [&]
+        { return event_count(group, id, "replica.snapshot_installed") > 0; };
+        CPPUNIT_ASSERT(group.run_until(is_installed, seconds(30)));
+        auto const pieces_sent = [&]
+        { return group.at(leader).counters.value(replica_events::pieces_sent); };
+        auto const before = pieces_sent();
+        group.run_for(milliseconds(2900));
+        CPPUNIT_ASSERT_EQUAL(leader, group.acting_leader());
+        CPPUNIT_ASSERT_LESSEQUAL(before + 1, pieces_sent());
+    }
+
     void a_replica_gets_no_vote_while_the_leader_reaches_others()
     {
         running_group group(3);
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(callers_are_accepted_once_a_plan_arrived);
     CPPUNIT_TEST(callers_wait_until_control_confirms_the_first_plan);
     CPPUNIT_TEST(callers_wait_for_a_confirmation_as_long_as_control_is_heard);
+    CPPUNIT_TEST(callers_are_accepted_if_control_has_no_leader_and_did_not_restart);
     CPPUNIT_TEST(callers_are_accepted_without_a_confirmation_while_control_is_cut_off);
     CPPUNIT_TEST(callers_are_accepted_without_a_confirmation_while_control_is_silent);
     CPPUNIT_TEST(an_entry_that_stops_accepts_no_callers);
@@ -130,6 +131,20 @@
         CPPUNIT_ASSERT(accepts_callers_);
     }
 
+    // Guards against an outage that grows with each entry that restarts: while there is no leader,
+    // the others serve by what instances that did not restart have confirmed before.
+    void callers_are_accepted_if_control_has_no_leader_and_did_not_restart()
+    {
+        tick();
+        answer({.current = false, .confirmed_age = milliseconds(5000), .steering = state(4, true)});
+        for (int n = 0; n != 40; ++n)
+        {
+            tick(milliseconds(500));
+            answer({.current = false, .confirmed_age = milliseconds(5500 + n * 500)});
+        }
+        CPPUNIT_ASSERT(accepts_callers_);
+    }
+
     // Guards against an entry that never serves since its failure domain is cut off.
     void callers_are_accepted_without_a_confirmation_while_control_is_cut_off()
     {
