Accept callers without a leader if control did not restart

Cause: the limit of an unconfirmed first plan counted from any word of control. Change: it counts from the last word of a control instance that has restarted together with all that it hears. Test: callers_are_accepted_if_control_has_no_leader_and_did_not_restart failed before.

--- a/plugins/entry/roster/roster_settings.cpp
+++ b/plugins/entry/roster/roster_settings.cpp
@@ -26,7 +26,7 @@
             "first_plan_limit", &roster_settings::first_plan_timeout, {0, 600'000},
             "Milliseconds after which an instance that has just started accepts callers with a "
             "first plan that is not confirmed, counted from the last word of a control instance "
-            "that hears most others."),
+            "that hears most others, all of which have restarted."),
         kernel::field("max_round_trip", &roster_settings::max_round_trip, {10, 60'000},
                       "Milliseconds that a report and its answer may be on their way; beyond it "
                       "control counts as heard with a delay."),
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -301,7 +301,7 @@
         ctx.counters.observe(round_trips, answer.round_trip(ctx.now));
         currency_.record(answer, ctx.now);
         record_outdated_change(ctx);
-        if (update.connected)
+        if (answer.control_restarted)
             await_confirmation(ctx.now);
         // A late answer tells what held when it was sent.
         bool const confirms = update.current && is_recent(answer, ctx.now);
@@ -369,8 +369,6 @@
     void handle_probe_reply(instance_id sender, messages::roster_probe_reply const& reply,
                             context& ctx)
     {
-        if (reply.connected)
-            await_confirmation(ctx.now);
         bool const is_reliable = reply.connected && reply.current;
         bool const is_newer = reply.generation > steering_->generation;
         bool const is_attached = sender == current_control_;
@@ -500,9 +498,9 @@
         send_report(ctx);
     }
 
-    /// Restarts the time after which an unconfirmed first plan is used, since a control instance
-    /// is heard that hears most others. It confirms the newest plan once there is a leader; until
-    /// then it may hold any older one, such as that of its last snapshot.
+    /// Restarts the time after which an unconfirmed first plan is used, since control is heard, but
+    /// has restarted. It confirms the newest plan once there is a leader; until then it may hold
+    /// any older one, such as that of its last snapshot.
     void await_confirmation(instant now)
     {
         if (accept_callers_at_)
