Show that a restart of all control instances forgets a leave

Cause: a leave is acknowledged once a majority of the control instances holds it in memory. After a restart of all of them none knows it, and a status report that the target sent before it left looks like the first one of a new target. Entry instances that had learned of the leave keep it; one that starts later learns of the target from control alone. Test: a_report_older_than_a_leave_restores_no_target_after_all_control_restarted fails with its first fleet: 1 of 18 entries, the one that was added, takes the target for serving. The other 23 cases of roster_fleet_tests pass.

--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(a_partition_of_control_instances_ends_with_one_table_from_each);
     CPPUNIT_TEST(a_restart_of_all_control_instances_removes_no_target);
     CPPUNIT_TEST(entries_learn_of_a_leave_that_all_control_instances_forgot);
+    CPPUNIT_TEST(a_report_older_than_a_leave_restores_no_target_after_all_control_restarted);
     CPPUNIT_TEST(an_announcement_reaches_each_control_instance_once);
     CPPUNIT_TEST(a_leave_is_forwarded_until_it_is_acknowledged);
     CPPUNIT_TEST(announcements_reach_control_instances_that_do_not_hear_their_recipient);
@@ -414,6 +415,33 @@
         }
     }
 
+    // Guards against a violation of DRAIN: all control instances restart after the
+    // acknowledgement of a leave. A status report that the target sent before it left arrives late
+    // and is taken for a new target, which an entry that was added meanwhile sends requests.
+    void a_report_older_than_a_leave_restores_no_target_after_all_control_restarted()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            start(small_total, seed);
+            auto const id = fleet_->deregister(7, 11);
+            fleet_->run(milliseconds(500));
+            CPPUNIT_ASSERT_MESSAGE("the leave is acknowledged", is_held(id));
+            for (std::size_t n = 0; n != 9; ++n)
+                fleet_->restart_control(n);
+            fleet_->restart_entry(4);
+            fleet_->run(drain_limit);
+            fleet_->deliver_old_announcement(seed, 11);
+            for (int n = 0; n != 100; ++n)
+            {
+                fleet_->run(milliseconds(100));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE("entries that still send requests", 0,
+                                             entries_serving(11));
+            }
+            for (std::size_t n = 0; n != fleet_->entries(); ++n)
+                CPPUNIT_ASSERT_EQUAL(std::size_t{small_total - 1}, fleet_->serving_count(n));
+        }
+    }
+
     // Guards against a violation of AckTimeout: each control instance forwarded the announcements
     // that others had forwarded to it, and with many targets had no time left to decide orders.
     void an_announcement_reaches_each_control_instance_once()
