Refuse a load beyond bounds and name the target

What happened: a target whose Server-Load held counts near 2^63 made the entry add them. The sum is undefined, and a value that cannot be read was dropped without a word. Cause: the codec read any count that is not below 0, and added two of them. The codecs report what they refuse as failures, so the tests call them through two functions that drop these; what they check is unchanged.

--- a/plugins/entry_io/target_http/exchange_codec.cpp
+++ b/plugins/entry_io/target_http/exchange_codec.cpp
@@ -68,22 +68,27 @@
     return shed ? std::optional(entry::attempt_failure::shed) : std::nullopt;
 }
 
-std::optional<entry::load_report> read_load(http_reply const& it)
+std::optional<entry::load_report> read_load(http_reply const& it, failures& failed)
 {
     std::string_view const text = it[header_names::load];
-    auto const slash = text.find('/');
-    if (slash == std::string_view::npos)
+    if (text.empty())
         return std::nullopt;
+    auto const slash = std::min(text.find('/'), text.size());
+    auto const last = text.substr(std::min(slash + 1, text.size()));
     std::int64_t busy = 0;
     std::int64_t total = 0;
     if (!http_fields::read_number(text.substr(0, slash), busy) ||
-        !http_fields::read_number(text.substr(slash + 1), total))
+        !http_fields::read_number(last, total) || std::max(busy, total) > max_load_count)
+    {
+        failed.push_back({.place = std::string(header_names::load),
+                          .expected = "two whole numbers up to a million, with '/' between"});
         return std::nullopt;
+    }
     return entry::load_report{.busy = slots(busy), .total = slots(total)};
 }
 
 /// The product's targets announce that they leave, and say how busy they are in their load.
-entry::target_wishes read_wishes(http_reply const&)
+entry::target_wishes read_wishes(http_reply const&, failures&)
 {
     return {};
 }
--- a/plugins/entry_io/target_http/target_duty.cpp
+++ b/plugins/entry_io/target_http/target_duty.cpp
@@ -1,5 +1,6 @@
 #include "pool.hpp"
 
+#include <mulberryrudder/core/repeat_filter.hpp>
 #include <mulberryrudder/kernel/asio_duty.hpp>
 #include <mulberryrudder/kernel/outbox.hpp>
 #include <mulberryrudder/peer/orders.hpp>
@@ -26,6 +27,26 @@
     replies_malformed("targets.replies_malformed",
                       "Replies that were cut, crossed, too large or not HTTP.");
 
+kernel::counter_kind const
+    values_refused("targets.values_refused",
+                   "Values in fields of replies that could not be read or were out of bounds.");
+kernel::event_kind const value_refused{
+    {.number = 330,
+     .name = "targets.value_refused",
+     .level = kernel::severity::warning,
+     .meaning = "A field of a target's reply holds a value that cannot be read or is out of "
+                "bounds. The reply counts without it, and a pause that is too long counts as the "
+                "longest one. At most once in 10 s for each target.",
+     .action = "Examine the software of that target."}};
+
+/// Least time between two events about values of one target.
+constexpr seconds value_event_interval{10};
+/// Limit of the targets about which events are held back; exceeds the number of targets whose
+/// replies one entry instance reads in that time.
+constexpr std::size_t max_value_senders = 4096;
+/// Characters of a refused value that are logged.
+constexpr std::size_t max_logged_value = 64;
+
 /// Speaks HTTP with targets: sends attempts and probes, checks whole replies.
 class target_duty final : public kernel::asio_duty
 {
@@ -97,8 +118,10 @@
             return report_failure(what.id,
                                   {entry::attempt_failure::malformed, verdict::may_have_run});
         }
-        auto const load = read_load(reply);
-        auto const wishes = read_wishes(reply);
+        failures failed;
+        auto const load = read_load(reply, failed);
+        auto const wishes = read_wishes(reply, failed);
+        record_refused_values(what.target, reply, failed);
         if (auto const cause = turned_away(reply))
             return tell(entry::attempt_failed{.id = what.id,
                                               .cause = *cause,
@@ -109,6 +132,22 @@
             .id = what.id, .content = decode(std::move(reply)), .load = load, .wishes = wishes});
     }
 
+    void record_refused_values(target_id const& from, http_reply const& reply,
+                               failures const& failed)
+    {
+        for (auto const& it : failed)
+        {
+            parts().counters.add(values_refused);
+            if (!value_events_.select(from.value(), monotonic_now()))
+                continue;
+            auto const value = std::string_view(reply[it.place]).substr(0, max_logged_value);
+            events().record(value_refused, {{"target", from.value()},
+                                            {"field", it.place},
+                                            {"value", std::string(value)},
+                                            {"expected", it.expected}});
+        }
+    }
+
     void report_failure(attempt_id id, exchange_failed const& how)
     {
         if (how.cause == entry::attempt_failure::malformed)
@@ -141,7 +180,9 @@
                           if (auto const* const reply = std::get_if<http_reply>(&how))
                           {
                               ended.healthy = reply->result_int() == 200;
-                              ended.load = read_load(*reply);
+                              failures failed;
+                              ended.load = read_load(*reply, failed);
+                              record_refused_values(id, *reply, failed);
                           }
                           tell(std::move(ended));
                           way->close();
@@ -154,6 +195,7 @@
     kernel::outbox<entry::input> to_decision_;
     kernel::byte_budget unread_{config_.most_unread};
     pool pool_;
+    repeat_filter value_events_{value_event_interval, max_value_senders};
     std::unordered_map<attempt_id, std::shared_ptr<connection>> running_;
 };
 
--- a/tests/platform/codecs/target_exchange_test.cpp
+++ b/tests/platform/codecs/target_exchange_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(only_the_targets_word_says_that_nothing_ran);
     CPPUNIT_TEST(load_counts_running_and_waiting_requests);
     CPPUNIT_TEST(a_load_that_cannot_be_read_is_none);
+    CPPUNIT_TEST(an_absurd_load_is_none);
     CPPUNIT_TEST(a_reply_keeps_its_seal_and_loses_fields_of_the_connection);
     CPPUNIT_TEST(a_leaving_target_says_so_in_any_answer);
     CPPUNIT_TEST(another_target_at_the_address_does_not_speak_for_the_expected_one);
@@ -72,7 +73,7 @@
     {
         auto reply = answer(200);
         reply.set("Server-Load", "3,2,8");
-        auto const load = read_load(reply);
+        auto const load = load_of(reply);
         CPPUNIT_ASSERT(load.has_value());
         CPPUNIT_ASSERT(load->busy == slots(5));
         CPPUNIT_ASSERT(load->total == slots(8));
@@ -84,10 +85,34 @@
         {
             auto reply = answer(200);
             reply.set("Server-Load", text);
-            CPPUNIT_ASSERT_MESSAGE(text, !read_load(reply));
+            CPPUNIT_ASSERT_MESSAGE(text, !load_of(reply));
         }
     }
 
+    // Guards against an overflow: counts near 2^63 were added as they were.
+    void an_absurd_load_is_none()
+    {
+        for (auto const* const text :
+             {"9223372036854775807,1,8", "1,9223372036854775807,8", "0,0,9223372036854775807",
+              "1000001,0,8", "0,1000001,8", "0,0,1000001", "9223372036854775808,0,8", "1.5,0,8",
+              "1e3,0,8", "nan,0,8"})
+        {
+            auto reply = answer(200);
+            reply.set("Server-Load", text);
+            CPPUNIT_ASSERT_MESSAGE(text, !load_of(reply));
+            failures failed;
+            read_load(reply, failed);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, failed.size());
+            CPPUNIT_ASSERT_EQUAL(std::string("Server-Load"), failed.front().place);
+        }
+        auto reply = answer(200);
+        reply.set("Server-Load", "1000000,1000000,1000000");
+        CPPUNIT_ASSERT(load_of(reply)->busy == slots(2'000'000));
+        failures failed;
+        read_load(answer(200), failed);
+        CPPUNIT_ASSERT_MESSAGE("no load is no fault", failed.empty());
+    }
+
     void a_reply_keeps_its_seal_and_loses_fields_of_the_connection()
     {
         auto from = answer(200);
@@ -106,11 +131,11 @@
         for (unsigned const status : {200U, 404U, 500U, 503U})
         {
             auto reply = answer(status);
-            CPPUNIT_ASSERT(!read_wishes(reply).leaving);
+            CPPUNIT_ASSERT(!wishes_of(reply).leaving);
             reply.set("Server-Leaving", "1");
-            CPPUNIT_ASSERT(read_wishes(reply).leaving);
+            CPPUNIT_ASSERT(wishes_of(reply).leaving);
             reply.set("Server-Leaving", "0");
-            CPPUNIT_ASSERT(!read_wishes(reply).leaving);
+            CPPUNIT_ASSERT(!wishes_of(reply).leaving);
         }
     }
 
@@ -119,30 +144,30 @@
     {
         auto reply = answer(421);
         reply.set("Server-Leaving", "1");
-        CPPUNIT_ASSERT(!read_wishes(reply).leaving);
+        CPPUNIT_ASSERT(!wishes_of(reply).leaving);
     }
 
     void a_target_that_turns_a_request_away_may_ask_for_a_pause()
     {
         auto reply = answer(503);
         reply.set(http::field::retry_after, "2.5");
-        CPPUNIT_ASSERT(read_wishes(reply).pause == milliseconds(2500));
+        CPPUNIT_ASSERT(wishes_of(reply).pause == milliseconds(2500));
         reply.set(http::field::retry_after, "99999999999");
-        CPPUNIT_ASSERT(read_wishes(reply).pause > seconds(100'000));
+        CPPUNIT_ASSERT(wishes_of(reply).pause > seconds(100'000));
         auto served = answer(200);
         served.set(http::field::retry_after, "2.5");
-        CPPUNIT_ASSERT(!read_wishes(served).pause);
+        CPPUNIT_ASSERT(!wishes_of(served).pause);
     }
 
     void a_pause_that_cannot_be_read_is_none()
     {
-        CPPUNIT_ASSERT(!read_wishes(answer(503)).pause);
+        CPPUNIT_ASSERT(!wishes_of(answer(503)).pause);
         for (auto const* const text : {"", "0", "0.0", "-1", "x", "1x", "1 2", "nan", "inf", "-inf",
                                        "1e999", "Fri, 04 Dec 2026 10:00:00 GMT"})
         {
             auto reply = answer(503);
             reply.set(http::field::retry_after, text);
-            CPPUNIT_ASSERT_MESSAGE(text, !read_wishes(reply).pause);
+            CPPUNIT_ASSERT_MESSAGE(text, !wishes_of(reply).pause);
         }
     }
 
@@ -165,6 +190,18 @@
                 .deadline = now_ + milliseconds(750)};
     }
 
+    static std::optional<entry::load_report> load_of(http_reply const& it)
+    {
+        failures failed;
+        return read_load(it, failed);
+    }
+
+    static entry::target_wishes wishes_of(http_reply const& it)
+    {
+        failures failed;
+        return read_wishes(it, failed);
+    }
+
     static http_reply answer(unsigned status)
     {
         return http_reply(static_cast<http::status>(status), 11);
