Refuse status reports with absurd slots and log who sent them

What happened: a status report whose Capacity was near 2^63 was taken, and the slots of two such targets overflow where entries and control add them up. A report that was refused left no trace in the log. Cause: the reader took any whole number that is not below 0 as slots. Change: more than a million slots are refused like any other value that names no target to use. What was refused reaches the roster, which logs roster.announcement_refused (726) with the target's name, at most once in 10 s for a target, and counts roster.refused; the answer is 400 with the errors, as before. Tests: an_absurd_number_of_slots_is_refused fails before; an_unreadable_announcement_is_told_with_its_target and an_announcement_that_is_refused_is_logged_with_its_target are new with the event.

--- a/include/mulberryrudder/control/roster.hpp
+++ b/include/mulberryrudder/control/roster.hpp
@@ -17,6 +17,19 @@
     messages::target_notice what;
 };
 
+/// A target announced itself in words that name no target to use.
+struct announcement_unreadable
+{
+    target_id id; ///< As the target names itself; any text.
+    failures failed;
+};
+
+/// Answers an announcement_unreadable.
+struct announcement_refused
+{
+    failures failed;
+};
+
 /// A target said that it stops. It names itself only, and its start if it knows it.
 struct target_leaves
 {
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -9,6 +9,7 @@
 #include <mulberryrudder/control/replicated_log.hpp>
 #include <mulberryrudder/control/roster.hpp>
 #include <mulberryrudder/control/steering.hpp>
+#include <mulberryrudder/core/repeat_filter.hpp>
 
 #include <algorithm>
 #include <array>
@@ -143,6 +144,23 @@
                "`roster.synchronized`; otherwise check the connections between control instances "
                "and whether `of` counts some that are gone."}};
 
+kernel::counter_kind const refused_counter{
+    "roster.refused", "Announcements that could not be read or held values out of bounds."};
+kernel::event_kind const refused_event{
+    {.number = 726,
+     .name = "roster.announcement_refused",
+     .level = kernel::severity::warning,
+     .meaning = "An announcement of a target could not be read, or a value in it is out of bounds; "
+                "it names no target to use. At most once in 10 s for each target.",
+     .action = "Examine the software of that target, or whoever else sent the announcement."}};
+/// Least time between two events about announcements of one target that are refused.
+constexpr seconds refused_event_interval{10};
+/// Limit of the targets about which events are held back; exceeds the number of targets that
+/// announce themselves to one instance in that time.
+constexpr std::size_t max_refused_senders = 4096;
+/// Characters that are logged of the name of a target whose announcement is refused.
+constexpr std::size_t max_logged_name = 64;
+
 /// Keeps the targets, the entries and the other control instances of the fleet: accepts
 /// announcements, replicates them to the other control instances, and answers entries' polls
 /// and callers' look-ups.
@@ -166,6 +184,7 @@
     {
         begin_input(ctx);
         static std::array const table{on<&roster::handle_announcement>(),
+                                      on<&roster::handle_unreadable_announcement>(),
                                       on<&roster::handle_leave>(), on<&roster::handle_look_up>()};
         return dispatch(*this, table, request.id, request.body, ctx);
     }
@@ -393,6 +412,21 @@
         await_majority(requester, announcement.what.id, ctx);
     }
 
+    void handle_unreadable_announcement(operator_request_id requester,
+                                        announcement_unreadable const& announcement, context& ctx)
+    {
+        ctx.counters.add(refused_counter);
+        auto const name = announcement.id.value().substr(0, max_logged_name);
+        if (refused_events_.select(name, ctx.now))
+        {
+            auto const& first = announcement.failed.front();
+            ctx.events.record(
+                refused_event,
+                {{"target", name}, {"place", first.place}, {"expected", first.expected}});
+        }
+        ctx.answer(requester, announcement_refused{announcement.failed});
+    }
+
     void handle_leave(operator_request_id requester, target_leaves const& leave, context& ctx)
     {
         ctx.counters.add(announced_counter);
@@ -712,6 +746,7 @@
     roster_settings const& config_;
     boot_id boot_; ///< Random; differs after each start.
     target_table targets_;
+    repeat_filter refused_events_{refused_event_interval, max_refused_senders};
     entry_table entries_;
     control_table controls_;
     table_sync sync_;
--- a/tests/control/roster/roster_schedules_test.cpp
+++ b/tests/control/roster/roster_schedules_test.cpp
@@ -8,6 +8,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <map>
 #include <memory>
 #include <set>
 
@@ -19,6 +20,24 @@
 
 using testing::fake_log;
 
+/// Keeps what was recorded of each kind of event.
+class recorded_events final : public kernel::event_sink
+{
+public:
+    void record(kernel::event_kind const& kind, std::vector<kernel::event_field> fields) override
+    {
+        all_[std::string(kind.what().name)].push_back(std::move(fields));
+    }
+
+    std::vector<std::vector<kernel::event_field>> const& of(std::string const& name)
+    {
+        return all_[name];
+    }
+
+private:
+    std::map<std::string, std::vector<std::vector<kernel::event_field>>> all_;
+};
+
 /// Several control instances on a shared virtual clock; the first three are the contacts of
 /// all. Messages are delayed, lost at random, and dropped for isolated instances.
 class control_fleet
@@ -83,6 +102,13 @@
                                     : std::optional(it->second.get<announcement_taken>()->held);
     }
 
+    bool is_refused(operator_request_id id) const
+    {
+        return answers_.at(id).get<announcement_refused>() != nullptr;
+    }
+
+    recorded_events& events() { return events_; }
+
     /// Returns the leader's address from the redirect that answers a request.
     std::optional<endpoint> redirected_leader(operator_request_id id) const
     {
@@ -209,7 +235,7 @@
     random_source random_;
     kernel::settings config_ = kernel::settings::defaults();
     kernel::counter_set counters_;
-    kernel::null_event_sink events_;
+    recorded_events events_;
     std::vector<std::unique_ptr<node>> nodes_;
     std::vector<transfer> transfers_;
     std::set<instance_id> isolated_;
@@ -250,6 +276,7 @@
     CPPUNIT_TEST(an_isolated_instance_reports_that_it_is_not_connected);
     CPPUNIT_TEST(a_poll_that_waited_for_a_suspended_instance_is_answered_as_not_connected);
     CPPUNIT_TEST(a_restarted_entry_is_reported_to_the_peer_link_once);
+    CPPUNIT_TEST(an_announcement_that_is_refused_is_logged_with_its_target);
     CPPUNIT_TEST(all_instances_converge_on_the_same_targets_despite_message_loss);
     CPPUNIT_TEST_SUITE_END();
 
@@ -264,6 +291,25 @@
             CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, fleet.serving_slots(n));
     }
 
+    // Guards against a target that is not used and of which the log does not tell why, and against
+    // a log that its announcements fill.
+    void an_announcement_that_is_refused_is_logged_with_its_target()
+    {
+        control_fleet fleet(3, 1);
+        announcement_unreadable const bad{
+            .id = target_id("t1"),
+            .failed = {{.place = "/Info/Capacity", .expected = "a whole number from 0 to 1"}}};
+        for (int n = 0; n != 11; ++n)
+        {
+            auto const id = fleet.request(0, bad);
+            CPPUNIT_ASSERT(fleet.is_refused(id));
+            fleet.run(seconds(1));
+        }
+        auto const& recorded = fleet.events().of("roster.announcement_refused");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, recorded.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"), recorded.front().front().value);
+    }
+
     void a_leave_is_acknowledged_after_a_majority_holds_it()
     {
         control_fleet fleet(6, 2);
--- a/tests/platform/codecs/announcement_reader_test.cpp
+++ b/tests/platform/codecs/announcement_reader_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(an_announcement_is_read_whole);
     CPPUNIT_TEST(a_target_that_drains_leaves);
     CPPUNIT_TEST(bytes_that_name_no_target_are_refused);
+    CPPUNIT_TEST(an_absurd_number_of_slots_is_refused);
     CPPUNIT_TEST(a_leave_tells_its_start_if_it_can);
     CPPUNIT_TEST_SUITE_END();
 
@@ -67,6 +68,23 @@
         }
     }
 
+    // Guards against an overflow: slots near 2^63 of two targets were added, at entries and at
+    // control.
+    void an_absurd_number_of_slots_is_refused()
+    {
+        for (auto const* const text :
+             {"9223372036854775807", "4611686018427387904", "1000001", "-1", "1.5", "1e300"})
+        {
+            failures failed;
+            auto const body = with("\"Capacity\":6", "\"Capacity\":" + std::string(text));
+            CPPUNIT_ASSERT_MESSAGE(text, !read_announcement("i", body, failed));
+            CPPUNIT_ASSERT_EQUAL(std::string("/Info/Capacity"), failed.front().place);
+        }
+        failures failed;
+        auto const most = with("\"Capacity\":6", "\"Capacity\":1000000");
+        CPPUNIT_ASSERT(read_announcement("i", most, failed)->what.capacity == slots(1'000'000));
+    }
+
     void a_leave_tells_its_start_if_it_can()
     {
         CPPUNIT_ASSERT(read_leave("i", R"({"born":12})").start == start_id(12));
--- a/tests/platform/codecs/operator_requests_test.cpp
+++ b/tests/platform/codecs/operator_requests_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(a_plan_is_told_byte_for_byte);
     CPPUNIT_TEST(an_order_at_a_follower_is_sent_to_the_leader);
     CPPUNIT_TEST(a_rollout_is_told_by_its_phase);
+    CPPUNIT_TEST(an_unreadable_announcement_is_told_with_its_target);
     CPPUNIT_TEST(a_look_up_without_entries_is_a_failure);
     CPPUNIT_TEST_SUITE_END();
 
@@ -87,6 +88,18 @@
                              std::string(boost::json::serialize(it.body)));
     }
 
+    // Guards against a refusal of which the log knows nothing.
+    void an_unreadable_announcement_is_told_with_its_target()
+    {
+        auto const it = asked<announcement_unreadable>(
+            "POST", "/api/instances/i-1/heartbeat",
+            R"({"Address":"10.128.0.9:8080","Info":{"Service":"a","Version":"v1","Zone":"z",)"
+            R"("Capacity":9223372036854775807},"Status":{"State":"ready","Sequence":4}})");
+        CPPUNIT_ASSERT(it.id == target_id("i-1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("/Info/Capacity"), it.failed.front().place);
+        CPPUNIT_ASSERT_EQUAL(400U, encoded(announcement_refused{it.failed}).status);
+    }
+
     void a_look_up_without_entries_is_a_failure()
     {
         CPPUNIT_ASSERT_EQUAL(503U, encoded(entries_told{}).status);
