--- a/tests/platform/codecs/plan_reader_test.cpp
+++ b/tests/platform/codecs/plan_reader_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(unknown_members_are_ignored);
     CPPUNIT_TEST(what_cannot_be_read_is_refused_with_its_place);
     CPPUNIT_TEST(contradictions_are_found);
+    CPPUNIT_TEST(absurd_weights_are_refused);
     CPPUNIT_TEST(a_base_that_is_no_number_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -108,6 +109,25 @@
         refused(boost::json::serialize(root));
     }
 
+    // Guards against an overflow: weights near 2^63 were added by the check of a plan and by each
+    // draw of a service.
+    void absurd_weights_are_refused()
+    {
+        for (auto const* const weight : {"9223372036854775807", "1000000001", "-1", "1.5", "1e300"})
+        {
+            auto const parts = R"([{"Service":"huvo11a","Weight":)" + std::string(weight) +
+                               R"(},{"Service":"wuno96b","Weight":9223372036854775807}])";
+            auto const body = changed("Routes", 1, "TrafficSplit", boost::json::parse(parts));
+            auto const it = read_plan(body, "r5");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(weight, std::size_t{2}, it.failed.size());
+            CPPUNIT_ASSERT_EQUAL(std::string("/Routes/1/TrafficSplit/0/Weight"),
+                                 it.failed.front().place);
+        }
+        auto const most = boost::json::parse(
+            R"([{"Service":"huvo11a","Weight":1000000000},{"Service":"wuno96b","Weight":1}])");
+        CPPUNIT_ASSERT(read_plan(changed("Routes", 1, "TrafficSplit", most), "r5").failed.empty());
+    }
+
     void a_base_that_is_no_number_is_refused()
     {
         CPPUNIT_ASSERT(!read_plan(sample, "").failed.empty());
