--- a/tests/platform/codecs/plan_reader_test.cpp
+++ b/tests/platform/codecs/plan_reader_test.cpp
@@ -1,5 +1,7 @@
 #include "platform/plan_reader.hpp"
 
+#include <mulberryrudder/core/token_bucket.hpp>
+
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -36,6 +38,7 @@
     CPPUNIT_TEST(what_cannot_be_read_is_refused_with_its_place);
     CPPUNIT_TEST(contradictions_are_found);
     CPPUNIT_TEST(absurd_weights_are_refused);
+    CPPUNIT_TEST(an_absurd_rate_counts_as_the_highest_one);
     CPPUNIT_TEST(a_base_that_is_no_number_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -128,6 +131,26 @@
         CPPUNIT_ASSERT(read_plan(changed("Routes", 1, "TrafficSplit", most), "r5").failed.empty());
     }
 
+    // Guards against an overflow: the tokens of a bucket that stood still for a while are the
+    // product of its rate and that time.
+    void an_absurd_rate_counts_as_the_highest_one()
+    {
+        for (double const rate : {1e6, 1e7, 1e9})
+        {
+            auto const it = read_plan(changed("Tenants", 0, "RatePerS", rate), "r5");
+            CPPUNIT_ASSERT(it.failed.empty());
+            auto const& customer = it.plan->customers.at(0);
+            token_bucket bucket(instant(seconds(1)));
+            bucket.reshape(instant(seconds(1)), customer.rate, customer.burst);
+            bucket.advance(instant(seconds(2000)));
+            CPPUNIT_ASSERT(bucket.tokens() == customer.burst);
+            CPPUNIT_ASSERT(customer.rate == millitokens_per_second(1'000'000'000));
+        }
+        auto const warm_up = read_plan(changed("Services", 0, "WarmupPerS", 1e9), "r5");
+        CPPUNIT_ASSERT(warm_up.plan->services.at(0).warm_up_rate ==
+                       millitokens_per_second(1'000'000'000));
+    }
+
     void a_base_that_is_no_number_is_refused()
     {
         CPPUNIT_ASSERT(!read_plan(sample, "").failed.empty());
