End a target's pause with the start that asked for it

What happened: a target that started again under its id got no requests until the end of the pause that the start before it had asked for, of which it knows nothing. Cause: pauses were kept by the target's id alone. Change: an attempt keeps the start of its target, and a pause holds for that start. Test: a_new_start_of_a_target_is_not_paused fails before. placement_tests pass.

--- a/include/mulberryrudder/entry/request.hpp
+++ b/include/mulberryrudder/entry/request.hpp
@@ -27,6 +27,7 @@
     endpoint where;
     version_id version;
     connections most_connections; ///< This instance's part of the target's connections.
+    start_id start{};             ///< Where targets tell their starts apart.
 };
 
 /// One sending of a request to a target.
--- a/plugins/entry/placement/placement_stage.cpp
+++ b/plugins/entry/placement/placement_stage.cpp
@@ -136,7 +136,8 @@
         req.chosen = chosen_target{.id = notice.id,
                                    .where = notice.where,
                                    .version = notice.version,
-                                   .most_connections = max_connections(req)};
+                                   .most_connections = max_connections(req),
+                                   .start = notice.start};
         return proceed{};
     }
 
@@ -158,7 +159,7 @@
         if (result.wishes.pause)
         {
             ctx.counters.add(pauses_counter);
-            pauses_.record(sent.target.id, *result.wishes.pause, ctx.now);
+            pauses_.record(sent.target.id, sent.target.start, *result.wishes.pause, ctx.now);
         }
         bool const was_available = !is_unavailable(sent.target.id, ctx.now);
         loads_.ended(sent.target.id, result, counts_for_health, capacity, sent.started, ctx.now);
@@ -295,7 +296,7 @@
                            .score = score_of(req, notice),
                            .rank = 0,
                            .busy = loads_.busy(id, ctx.now),
-                           .paused = pauses_.end_of(id, ctx.now) > ctx.now});
+                           .paused = pauses_.end_of(id, notice.start, ctx.now) > ctx.now});
         }
         remove_ejected(out, ctx.now);
         rank_within_regions(out);
@@ -447,7 +448,8 @@
         {
             auto first_end = never;
             for (auto const& it : found)
-                first_end = std::min(first_end, pauses_.end_of(it.listed->what.id, ctx.now));
+                first_end = std::min(
+                    first_end, pauses_.end_of(it.listed->what.id, it.listed->what.start, ctx.now));
             delay = std::max(delay, std::chrono::ceil<milliseconds>(first_end - ctx.now));
         }
         std::uniform_int_distribution<std::int64_t> spread(0, config_.retry_spread.count());
--- a/plugins/entry/placement/target_pauses.cpp
+++ b/plugins/entry/placement/target_pauses.cpp
@@ -5,21 +5,26 @@
 namespace mulberryrudder::entry
 {
 
-void target_pauses::record(target_id const& id, milliseconds pause, instant now)
+void target_pauses::record(target_id const& id, start_id start, milliseconds pause, instant now)
 {
-    auto& end = ends_[id];
-    end = std::max(end, now + std::min(pause, max_pause_));
+    auto const end = now + std::min(pause, max_pause_);
+    auto const [position, added] = pauses_.try_emplace(id, pause_state{.start = start, .end = end});
+    auto& known = position->second;
+    if (known.start == start)
+        known.end = std::max(known.end, end);
+    else if (known.start < start)
+        known = {.start = start, .end = end};
 }
 
-instant target_pauses::end_of(target_id const& id, instant now) const
+instant target_pauses::end_of(target_id const& id, start_id start, instant now) const
 {
-    auto const it = ends_.find(id);
-    return it == ends_.end() ? now : it->second;
+    auto const it = pauses_.find(id);
+    return it == pauses_.end() || it->second.start != start ? now : it->second.end;
 }
 
 void target_pauses::expire(instant now)
 {
-    std::erase_if(ends_, [now](auto const& it) { return it.second <= now; });
+    std::erase_if(pauses_, [now](auto const& it) { return it.second.end <= now; });
 }
 
 } // namespace mulberryrudder::entry
--- a/plugins/entry/placement/target_pauses.hpp
+++ b/plugins/entry/placement/target_pauses.hpp
@@ -22,19 +22,26 @@
     /// that asks for an excessive one is not lost.
     explicit target_pauses(milliseconds max_pause) : max_pause_(max_pause) {}
 
-    /// Records that a target asked at `now` to get no requests for the time `pause`. A pause never
-    /// ends earlier than one that was asked for before.
-    void record(target_id const& id, milliseconds pause, instant now);
+    /// Records that a start of a target asked at `now` to get no requests for the time `pause`. A
+    /// pause never ends earlier than one that the same start asked for before.
+    void record(target_id const& id, start_id start, milliseconds pause, instant now);
 
-    /// Returns when the target's pause ends; a time that is not after `now` if it has none.
-    instant end_of(target_id const& id, instant now) const;
+    /// Returns when the pause of a target's start ends; a time that is not after `now` if it has
+    /// none. A later start knows nothing of the pauses that earlier ones asked for.
+    instant end_of(target_id const& id, start_id start, instant now) const;
 
     /// Removes pauses that have ended.
     void expire(instant now);
 
 private:
+    struct pause_state
+    {
+        start_id start;
+        instant end;
+    };
+
     milliseconds max_pause_;
-    std::map<target_id, instant> ends_;
+    std::map<target_id, pause_state> pauses_;
 };
 
 } // namespace mulberryrudder::entry
--- a/tests/entry/plan_stages/placement_test.cpp
+++ b/tests/entry/plan_stages/placement_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(callers_return_spread_after_the_first_pause);
     CPPUNIT_TEST(requests_do_not_all_move_to_another_region_while_targets_are_paused);
     CPPUNIT_TEST(an_excessive_pause_is_limited);
+    CPPUNIT_TEST(a_new_start_of_a_target_is_not_paused);
     CPPUNIT_TEST(an_unsafe_request_that_may_have_run_is_not_retried);
     CPPUNIT_TEST(an_unsafe_request_that_was_shed_is_retried_on_another_target);
     CPPUNIT_TEST(a_safe_request_is_retried_up_to_the_target_limit_of_its_route);
@@ -468,6 +469,19 @@
                              bench_.target_of(bench_.send_request("/read/x", "17")));
     }
 
+    // Guards against the loss of a target: one that started again under its id knows nothing of
+    // the pause that the start before it asked for.
+    void a_new_start_of_a_target_is_not_paused()
+    {
+        auto& target = bench_.add_target("t1", "m-a");
+        bench_.turn_away(bench_.send_request("/read/x", "17"), seconds(50));
+        auto const paused = bench_.send_request("/read/x", "17");
+        CPPUNIT_ASSERT_EQUAL(std::string("no_room"), bench_.outcome_of(paused));
+        target.what.start = start_id(2);
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"),
+                             bench_.target_of(bench_.send_request("/read/x", "17")));
+    }
+
     void an_unsafe_request_that_may_have_run_is_not_retried()
     {
         add_three_targets();
