--- a/tests/platform/codecs/target_exchange_test.cpp
+++ b/tests/platform/codecs/target_exchange_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(another_target_at_the_address_does_not_speak_for_the_expected_one);
     CPPUNIT_TEST(a_target_that_turns_a_request_away_may_ask_for_a_pause);
     CPPUNIT_TEST(a_pause_that_cannot_be_read_is_none);
+    CPPUNIT_TEST(a_pause_out_of_bounds_is_named);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -171,7 +172,27 @@
         }
     }
 
+    // Guards against a pause that is dropped or shortened without a word.
+    void a_pause_out_of_bounds_is_named()
+    {
+        for (auto const* const text :
+             {"-1", "-0.5", "1000001", "1e12", "1e999", "nan", "inf", "-inf"})
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t{1}, failures_of_pause(text));
+        for (auto const* const text :
+             {"0", "0.5", "1000000", "Fri, 04 Dec 2026 10:00:00 GMT", "", "soon"})
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t{0}, failures_of_pause(text));
+    }
+
 private:
+    static std::size_t failures_of_pause(char const* text)
+    {
+        auto reply = answer(503);
+        reply.set(http::field::retry_after, text);
+        failures failed;
+        read_wishes(reply, failed);
+        return failed.size();
+    }
+
     entry::send_attempt sample() const
     {
         call const content{
