Begin the bucket of a small part with a part of a request

After a loss of all power a customer had 465 or 466 requests run in five seconds where 456 are tolerated (QUOTA).

Cause: an entry that starts gave each customer a bucket with at least one whole request, whatever its part of the rate. 182 entries that start at once held up to 182 requests, and admitted them by themselves while no leader answered, beside the rate that the leader admits afterwards. Each further start of an entry made another one. The list of pressed customers, which would have emptied the buckets, is unknown after a start.

Ruled out on the fleet model: the buckets that a new leader begins with.

Change: below two requests a second a fresh bucket holds a part of a request that is drawn at random, as it already did for a pressed customer. Its average, a half, is what a bucket in use holds, so starts add nothing on average. A larger part begins with one request instead of half a second's.

Not covered here: an entry that was not told yet how many entries there are takes the whole rate for its part.

--- a/plugins/entry/quota/quota_stage.cpp
+++ b/plugins/entry/quota/quota_stage.cpp
@@ -61,9 +61,10 @@
 constexpr std::int64_t kept_of_four = 2;
 /// Demand below is not reported.
 constexpr millitokens_per_second least_reported{500};
-/// A bucket starts with what its rate brings in this time, since no more is known to
-/// be unspent after a restart.
-constexpr std::int64_t first_fill_divisor = 2;
+/// A bucket of a lower rate starts with a part of a request that is drawn at random. Nothing is
+/// known to be unspent after a start, and whole requests of hundreds of entries that start at once
+/// would exceed the rate of most customers.
+constexpr millitokens_per_second least_rate_of_whole_fill{2000};
 /// Returns of refused callers are spread over this part of the time until a token.
 constexpr milliseconds return_spread{400};
 
@@ -172,6 +173,8 @@
                 draw_rest(found->second, with);
     }
 
+    /// Leaves a part of a request. Its average, a half, is what a bucket in use holds, so an entry
+    /// that starts admits as much on average as one that went on.
     static void draw_rest(account& it, context& with)
     {
         std::uniform_int_distribution<std::int64_t> rest(0, request_cost.count() - 1);
@@ -268,10 +271,9 @@
         it.bucket.reshape(with.now, rate, burst);
         if (!fresh)
             return;
-        if (pressed_.contains(whose.id))
+        if (rate < least_rate_of_whole_fill || pressed_.contains(whose.id))
             return draw_rest(it, with);
-        it.bucket.add(std::max(millitokens(rate.count() / first_fill_divisor), request_cost));
-        it.bucket.trim();
+        it.bucket.add(request_cost);
     }
 
     static milliseconds time_until_token(account const& it, context& with)
--- a/tests/quota_fleet/quota_fleet.hpp
+++ b/tests/quota_fleet/quota_fleet.hpp
@@ -48,6 +48,16 @@
     void partition(std::set<std::size_t> const& group) { partition_group_ = group; }
     /// Makes another control instance the leader.
     void change_leader(std::size_t control);
+    /// Leaves no control instance the leader.
+    void remove_leader();
+    /// Starts all control instances again, without any state of their earlier start and without a
+    /// leader.
+    void restart_controls();
+    /// Starts entries again, without any state of their earlier start. Control instances did not
+    /// tell them yet how many entries there are, so they take themselves for `told_entries`.
+    void restart_entries(std::set<std::size_t> const& entries, std::int64_t told_entries);
+    /// Tells all entries how many there are, and to each its even part of the rates.
+    void tell_entries();
     /// Suspends entries; their messages wait for them.
     void suspend(std::set<std::size_t> const& entries) { suspended_ = entries; }
 
@@ -75,7 +85,7 @@
     };
 
     std::unique_ptr<control::core> make_control(std::size_t n);
-    std::unique_ptr<entry::core> make_entry(std::size_t n);
+    std::unique_ptr<entry::core> make_entry(std::size_t n, std::int64_t told_entries);
     void send_requests(std::int64_t rate, std::string const& key);
     void send_request(std::string const& key);
     void deliver();
--- a/tests/quota_fleet/quota_fleet_test.cpp
+++ b/tests/quota_fleet/quota_fleet_test.cpp
@@ -14,6 +14,9 @@
 constexpr std::uint64_t seeds = 5;
 /// Rates of small, usual and large customers, in requests a second.
 constexpr std::int64_t rates[] = {3, 9, 30, 240};
+/// Beside these, one of which each entry's part is too large to ask the leader.
+constexpr std::int64_t rates_and_largest[] = {3, 9, 30, 66, 240, 1200};
+constexpr std::size_t entries = 182;
 /// What customers usually send, in thousandths of their rate.
 constexpr per_mille usual_load{630};
 /// 7.5 times as much.
@@ -24,6 +27,10 @@
 /// Time after which entries leave a control instance that does not answer.
 constexpr milliseconds silence_time{1300};
 
+/// Times without a leader after a start of all instances.
+constexpr milliseconds times_without_leader[] = {milliseconds(0), milliseconds(500),
+                                                 milliseconds(1000), milliseconds(2000)};
+
 int sum_of(std::vector<int> const& counts)
 {
     return std::accumulate(counts.begin(), counts.end(), 0);
@@ -39,6 +46,9 @@
     CPPUNIT_TEST(an_excess_while_a_control_instance_is_silent_stays_within_the_tolerated_rate);
     CPPUNIT_TEST(entries_decide_themselves_while_control_is_silent);
     CPPUNIT_TEST(an_answer_that_waited_for_a_suspended_entry_admits_nothing);
+    CPPUNIT_TEST(a_start_of_all_entries_at_once_stays_within_the_tolerated_rate);
+    CPPUNIT_TEST(a_repeated_start_of_half_of_the_entries_stays_within_the_tolerated_rate);
+    CPPUNIT_TEST(a_customer_below_its_rate_is_seldom_refused_around_a_start_of_all);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -151,7 +161,101 @@
         CPPUNIT_ASSERT_EQUAL(asked, fleet.counter("quota.unanswered"));
     }
 
+    // Guards against QUOTA: each entry began with a whole request of each customer, so that 182 of
+    // them admitted up to as many beside what the leader admitted once there was one.
+    void a_start_of_all_entries_at_once_stays_within_the_tolerated_rate()
+    {
+        for (auto const rate : rates_and_largest)
+            for (auto const without_leader : times_without_leader)
+                for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+                {
+                    quota_fleet fleet({.rate = rate, .seed = seed});
+                    fleet.run(seconds(10), usual_load);
+                    fleet.run(seconds(2), excessive_load);
+                    lose_power(fleet);
+                    fleet.run(without_leader, excessive_load);
+                    fleet.change_leader(2);
+                    fleet.run(seconds(5), excessive_load);
+                    check_window(fleet, rate, seed);
+                }
+    }
+
+    // Guards against QUOTA: each start of an entry allowed it another whole request, without a
+    // bound where entries start again and again while no leader answers.
+    void a_repeated_start_of_half_of_the_entries_stays_within_the_tolerated_rate()
+    {
+        auto const half = first_entries(entries / 2);
+        for (auto const rate : rates_and_largest)
+            for (bool const has_leader : {false, true})
+                for (auto const period : {milliseconds(300), milliseconds(1000)})
+                    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+                    {
+                        quota_fleet fleet({.rate = rate, .seed = seed});
+                        fleet.run(seconds(10), usual_load);
+                        fleet.run(seconds(2), excessive_load);
+                        if (!has_leader)
+                            fleet.remove_leader();
+                        for (milliseconds elapsed{0}; elapsed < seconds(6); elapsed += period)
+                        {
+                            fleet.restart_entries(half, entries);
+                            fleet.run(period, excessive_load);
+                        }
+                        check_window(fleet, rate, seed);
+                    }
+    }
+
+    // Guards against refusals below the rate: what keeps a start of all within the tolerated rate
+    // must not refuse more than a twentieth. A small customer sends too little in a minute for a
+    // count of its own.
+    void a_customer_below_its_rate_is_seldom_refused_around_a_start_of_all()
+    {
+        for (auto const rate : rates_and_largest)
+        {
+            int refused_of_rate = 0;
+            int all_of_rate = 0;
+            for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+            {
+                quota_fleet fleet({.rate = rate, .seed = seed});
+                fleet.run(seconds(10), usual_load);
+                lose_power(fleet);
+                fleet.run(seconds(1), usual_load);
+                fleet.change_leader(2);
+                fleet.run(seconds(49), usual_load);
+                auto const refused = sum_of(fleet.refused());
+                auto const all = refused + sum_of(fleet.admitted());
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(refused) + " of " + std::to_string(all) +
+                                           ", rate " + std::to_string(rate),
+                                       refused * 20 <= all || rate < 9);
+                refused_of_rate += refused;
+                all_of_rate += all;
+            }
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(refused_of_rate) + " of " +
+                                       std::to_string(all_of_rate) + ", rate " +
+                                       std::to_string(rate),
+                                   refused_of_rate * 20 <= all_of_rate);
+        }
+    }
+
 private:
+    static std::set<std::size_t> first_entries(std::size_t count)
+    {
+        std::set<std::size_t> out;
+        for (std::size_t n = 0; n != count; ++n)
+            out.insert(n);
+        return out;
+    }
+
+    /// All instances are without power for a second, and start at once without a leader.
+    static void lose_power(quota_fleet& fleet)
+    {
+        auto const all = first_entries(entries);
+        fleet.suspend(all);
+        fleet.run(seconds(1), per_mille(0));
+        fleet.restart_controls();
+        fleet.restart_entries(all, entries);
+        fleet.suspend({});
+    }
+
     static void check_window(quota_fleet const& fleet, std::int64_t rate, std::uint64_t seed)
     {
         auto const most = fleet.most_in_window();
