Tell an entry that not all entries have reported yet

After a loss of all power a customer had 465 or 466 requests run in five seconds where 456 are tolerated (QUOTA).

Cause: a control instance told the number of ready entries that it knew. After a start of all there were none, and each entry took itself for the only one: the whole of each rate was its part, too large to ask the leader. In the model of control and entries, 182 entries then took 182 times each rate, from their first callers on for 0.9 s and in part for 2.5 s.

Change: control says for 3 s after its start that its number is incomplete. An entry that knew the number keeps its figures; one that did not asks the leader, and without an answer admits a thousandth of the rate. Placement uses the incomplete figures as before. An older control instance says nothing, and its number counts as complete.

An entry that starts while older ones hold large parts of their own asks the leader beside them for up to 3 s, if control starts at the same time. This is not covered by a test.

--- a/include/mulberryrudder/entry/plan_view.hpp
+++ b/include/mulberryrudder/entry/plan_view.hpp
@@ -48,6 +48,10 @@
     virtual std::int64_t entries() const = 0;
     virtual std::int64_t entries_in_domain() const = 0;
 
+    /// Returns whether entries() and share_of() count all entries. Control instances that started
+    /// at the same time as this instance do not know all of them at first.
+    virtual bool knows_entries() const = 0;
+
     /// Returns this instance's part of a customer's rate.
     virtual per_mille share_of(customer_id const& customer) const = 0;
 
--- a/include/mulberryrudder/messages/roster.hpp
+++ b/include/mulberryrudder/messages/roster.hpp
@@ -118,6 +118,8 @@
     std::vector<instance_description> control;
     std::uint32_t entries_in_domain = 1; ///< Ready ones in the asker's failure domain.
     std::uint32_t entries = 1;           ///< Ready ones in the fleet.
+    /// The sender started a short time ago, so more entries may run than reported to it.
+    bool entries_incomplete = false;
     /// The asker's part of each customer's rate, where it is not an even one.
     std::map<customer_id, per_mille> shares;
     /// What all entries together are asked for by those customers.
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -85,6 +85,9 @@
 constexpr milliseconds leave_exchange_interval{40};
 /// A longer time between two inputs means that the process was not running.
 constexpr milliseconds max_input_gap{1000};
+/// Time after the start within which entries that run report that they are ready, directly or to
+/// another instance.
+constexpr seconds settling_time{3};
 kernel::counter_kind const announced_counter{"roster.announcements",
                                              "Announcements that targets sent to this instance."};
 kernel::counter_kind const stale_counter{
@@ -303,6 +306,7 @@
         // Drawn at random, since two starts within a second have the same identity::boot.
         boot_ = boot_id(std::uniform_int_distribution<std::uint64_t>(1)(ctx.random));
         last_input_ = ctx.now;
+        entries_known_at_ = ctx.now + settling_time;
         begin_synchronization(ctx.now);
         for (auto const& [id, peer] : ctx.self.contacts)
             add_control({.id = id, .region = {}, .domain = {}, .peer = peer, .caller = {}}, true,
@@ -724,6 +728,7 @@
         out.control = controls_.instances_since(ctx.now - control_retention);
         out.control.push_back(ctx.self.self);
         out.entries_in_domain = std::max(entries_.ready_count_in(domain), 1U);
+        out.entries_incomplete = ctx.now < entries_known_at_;
         out.entries = std::max(entries_.ready_count(), 1U);
         out.shares = entries_.shares_of(receiver);
         out.demand = entries_.demand();
@@ -766,6 +771,7 @@
     instant last_exchange_;
     instant member_list_due_;
     instant last_input_;
+    instant entries_known_at_; ///< Until then entries may run that did not report yet.
 };
 
 component_registrar<roster> const registrar{"roster", component_order::roster};
--- a/plugins/entry/quota/quota_stage.cpp
+++ b/plugins/entry/quota/quota_stage.cpp
@@ -54,6 +54,10 @@
                                .status = 429,
                                .meaning = "The customer asks for more than its rate allows."});
 
+/// Part of the rates of an instance that does not know how many others there are, as all instances
+/// that start at once. Fleets of up to this part's inverse keep the rates.
+constexpr per_mille share_in_unknown_fleet{1};
+
 /// Time over which demand is averaged: long enough for a few requests of a customer
 /// with a small rate, short against a change of where its callers are.
 constexpr milliseconds demand_window{1000};
@@ -250,7 +254,8 @@
     void reshape(account& it, plan_customer const& whose, context& with)
     {
         auto const& view = services_.require<plan_view>();
-        auto const share = view.share_of(whose.id).count();
+        auto const share =
+            (view.knows_entries() ? view.share_of(whose.id) : share_in_unknown_fleet).count();
         // Within its rate a customer is not held to each instance's part of it.
         bool const relaxed =
             !pressed_.contains(whose.id) && view.fleet_demand(whose.id).count() * 1000 <
@@ -263,7 +268,7 @@
         auto const pool = whose.burst.count() +
                           whose.rate.count() * config_.pooled_rate.count() / 1000 +
                           config_.pooled.count() * request_cost.count();
-        auto const evenly = whole_share.count() / view.entries();
+        auto const evenly = view.knows_entries() ? whole_share.count() / view.entries() : share;
         // A bucket below one request would never let one through.
         auto const burst =
             std::max(millitokens(pool * ((share + evenly) / 2) / 1000), request_cost);
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -177,6 +177,7 @@
     std::optional<instance_id> control() const override { return current_control_; }
     std::int64_t entries() const override { return entries_; }
     std::int64_t entries_in_domain() const override { return entries_in_domain_; }
+    bool knows_entries() const override { return knows_entries_; }
 
     per_mille share_of(customer_id const& customer) const override
     {
@@ -425,6 +426,9 @@
             return;
         fleet_due_ = ctx.now + fleet_interval;
         newest_answered_ = update.poll;
+        if (knows_entries_ && update.entries_incomplete)
+            return;
+        knows_entries_ = !update.entries_incomplete;
         entries_ = std::max<std::int64_t>(update.entries, 1);
         entries_in_domain_ = std::max<std::int64_t>(update.entries_in_domain, 1);
         shares_ = update.shares;
@@ -553,6 +557,7 @@
     std::optional<instant> accept_callers_at_;
     bool takes_difference_ = false; ///< The next report asks for a difference from it.
     instant fleet_due_;             ///< When a report asks for the figures of the fleet.
+    bool knows_entries_ = false;
     std::int64_t entries_ = 1;
     std::int64_t entries_in_domain_ = 1;
     std::map<customer_id, per_mille> shares_;
--- a/plugins/peer/codecs/roster_codec.cpp
+++ b/plugins/peer/codecs/roster_codec.cpp
@@ -307,6 +307,7 @@
     encode_list(from.control, to.initControl(size_of(from.control)));
     to.setEntriesInDomain(from.entries_in_domain);
     to.setEntries(from.entries);
+    to.setEntriesIncomplete(from.entries_incomplete);
     encode_numbers(from.shares, to.initShares(size_of(from.shares)));
     encode_numbers(from.demand, to.initDemand(size_of(from.demand)));
 }
@@ -327,6 +328,7 @@
                                 .control = {},
                                 .entries_in_domain = from.getEntriesInDomain(),
                                 .entries = from.getEntries(),
+                                .entries_incomplete = from.getEntriesIncomplete(),
                                 .shares = {},
                                 .demand = {}};
     if (from.getHasSteering())
--- a/schemas/steering.capnp
+++ b/schemas/steering.capnp
@@ -252,6 +252,7 @@
   hasFleet @16 :Bool = true;
   hasDifference @17 :Bool;
   difference @18 :StateDifference;
+  entriesIncomplete @19 :Bool;
 }
 
 struct Probe {
--- a/tests/control/steering/steering_codec_test.cpp
+++ b/tests/control/steering/steering_codec_test.cpp
@@ -102,6 +102,7 @@
     CPPUNIT_TEST(an_exchange_round_trips);
     CPPUNIT_TEST(an_update_for_an_entry_omits_the_source_of_the_plan);
     CPPUNIT_TEST(a_difference_for_an_entry_round_trips);
+    CPPUNIT_TEST(an_update_tells_that_its_number_of_entries_is_incomplete);
     CPPUNIT_TEST(an_update_without_the_fleet_omits_its_figures);
     CPPUNIT_TEST(a_change_of_one_route_is_sent_without_the_rest_of_the_plan);
     CPPUNIT_TEST(a_probe_and_its_reply_round_trip);
@@ -200,6 +201,13 @@
         CPPUNIT_ASSERT(decoded.difference == original.difference);
     }
 
+    void an_update_tells_that_its_number_of_entries_is_incomplete()
+    {
+        CPPUNIT_ASSERT(
+            round_trip(messages::roster_update{.entries_incomplete = true}).entries_incomplete);
+        CPPUNIT_ASSERT(!round_trip(messages::roster_update{}).entries_incomplete);
+    }
+
     void an_update_without_the_fleet_omits_its_figures()
     {
         messages::roster_update const original{.has_fleet = false,
--- a/tests/entry/plan_stages/plan_bench.hpp
+++ b/tests/entry/plan_stages/plan_bench.hpp
@@ -28,6 +28,7 @@
     std::optional<instance_id> control() const override { return current_control; }
     std::int64_t entries() const override { return entry_count; }
     std::int64_t entries_in_domain() const override { return domain_entry_count; }
+    bool knows_entries() const override { return entries_known; }
     per_mille share_of(customer_id const&) const override { return share; }
     millitokens_per_second fleet_demand(customer_id const&) const override { return demand; }
 
@@ -35,6 +36,7 @@
     bool is_outdated = false;
     std::map<target_id, listed_target> target_list;
     std::optional<instance_id> current_control;
+    bool entries_known = true;
     std::int64_t entry_count = 1;
     std::int64_t domain_entry_count = 1;
     per_mille share = whole_share;
--- a/tests/quota_fleet/quota_fleet.cpp
+++ b/tests/quota_fleet/quota_fleet.cpp
@@ -87,7 +87,7 @@
     for (std::size_t n = 0; n != config.controls; ++n)
         controls_.push_back(make_control(n));
     for (std::size_t n = 0; n != config.entries; ++n)
-        entries_.push_back(make_entry(n, static_cast<std::int64_t>(config_.entries)));
+        entries_.push_back(make_entry(n));
     change_leader(0);
 }
 
@@ -106,7 +106,7 @@
     return out;
 }
 
-std::unique_ptr<entry::core> quota_fleet::make_entry(std::size_t n, std::int64_t told_entries)
+std::unique_ptr<entry::core> quota_fleet::make_entry(std::size_t n)
 {
     entry::identity self;
     self.self.id = entry_id(n);
@@ -119,8 +119,8 @@
     auto& plan = *out->services().find<entry::testing::fake_plan>();
     plan.current = steering_;
     plan.current_control = control_id(n % config_.controls);
-    plan.entry_count = told_entries;
-    plan.share = per_mille(whole_share.count() / told_entries);
+    plan.entry_count = static_cast<std::int64_t>(config_.entries);
+    plan.share = per_mille(whole_share.count() / plan.entry_count);
     return out;
 }
 
@@ -130,19 +130,31 @@
         controls_.at(n) = make_control(n);
 }
 
-void quota_fleet::restart_entries(std::set<std::size_t> const& entries, std::int64_t told_entries)
+void quota_fleet::restart_entries(std::set<std::size_t> const& entries)
 {
     for (auto const n : entries)
-        entries_.at(n) = make_entry(n, told_entries);
+        entries_.at(n) = make_entry(n);
     std::erase_if(transfers_, [&](transfer const& it)
                   { return is_entry(it.message.to) && entries.contains(index_of(it.message.to)); });
 }
 
+void quota_fleet::forget_entries()
+{
+    for (auto const& it : entries_)
+    {
+        auto& plan = *it->services().find<entry::testing::fake_plan>();
+        plan.entries_known = false;
+        plan.entry_count = 1;
+        plan.share = whole_share;
+    }
+}
+
 void quota_fleet::tell_entries()
 {
     for (auto const& it : entries_)
     {
         auto& plan = *it->services().find<entry::testing::fake_plan>();
+        plan.entries_known = true;
         plan.entry_count = static_cast<std::int64_t>(config_.entries);
         plan.share = per_mille(whole_share.count() / plan.entry_count);
     }
--- a/tests/quota_fleet/quota_fleet.hpp
+++ b/tests/quota_fleet/quota_fleet.hpp
@@ -53,9 +53,10 @@
     /// Starts all control instances again, without any state of their earlier start and without a
     /// leader.
     void restart_controls();
-    /// Starts entries again, without any state of their earlier start. Control instances did not
-    /// tell them yet how many entries there are, so they take themselves for `told_entries`.
-    void restart_entries(std::set<std::size_t> const& entries, std::int64_t told_entries);
+    /// Starts entries again, without any state of their earlier start.
+    void restart_entries(std::set<std::size_t> const& entries);
+    /// Leaves all entries without the number of entries, as before control told them.
+    void forget_entries();
     /// Tells all entries how many there are, and to each its even part of the rates.
     void tell_entries();
     /// Suspends entries; their messages wait for them.
@@ -85,7 +86,7 @@
     };
 
     std::unique_ptr<control::core> make_control(std::size_t n);
-    std::unique_ptr<entry::core> make_entry(std::size_t n, std::int64_t told_entries);
+    std::unique_ptr<entry::core> make_entry(std::size_t n);
     void send_requests(std::int64_t rate, std::string const& key);
     void send_request(std::string const& key);
     void deliver();
--- a/tests/quota_fleet/quota_fleet_test.cpp
+++ b/tests/quota_fleet/quota_fleet_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(entries_decide_themselves_while_control_is_silent);
     CPPUNIT_TEST(an_answer_that_waited_for_a_suspended_entry_admits_nothing);
     CPPUNIT_TEST(a_start_of_all_entries_at_once_stays_within_the_tolerated_rate);
+    CPPUNIT_TEST(entries_that_do_not_know_each_other_stay_within_the_tolerated_rate);
     CPPUNIT_TEST(a_repeated_start_of_half_of_the_entries_stays_within_the_tolerated_rate);
     CPPUNIT_TEST(a_customer_below_its_rate_is_seldom_refused_around_a_start_of_all);
     CPPUNIT_TEST_SUITE_END();
@@ -180,6 +181,28 @@
                 }
     }
 
+    // Guards against QUOTA: before control tells entries how many there are, each took the whole of
+    // each rate for its part.
+    void entries_that_do_not_know_each_other_stay_within_the_tolerated_rate()
+    {
+        for (auto const rate : rates_and_largest)
+            for (auto const without_leader : times_without_leader)
+                for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+                {
+                    quota_fleet fleet({.rate = rate, .seed = seed});
+                    fleet.run(seconds(10), usual_load);
+                    fleet.run(seconds(2), excessive_load);
+                    lose_power(fleet);
+                    fleet.forget_entries();
+                    fleet.run(without_leader, excessive_load);
+                    fleet.change_leader(2);
+                    fleet.run(seconds(3), excessive_load);
+                    fleet.tell_entries();
+                    fleet.run(seconds(5), excessive_load);
+                    check_window(fleet, rate, seed);
+                }
+    }
+
     // Guards against QUOTA: each start of an entry allowed it another whole request, without a
     // bound where entries start again and again while no leader answers.
     void a_repeated_start_of_half_of_the_entries_stays_within_the_tolerated_rate()
@@ -197,7 +220,7 @@
                             fleet.remove_leader();
                         for (milliseconds elapsed{0}; elapsed < seconds(6); elapsed += period)
                         {
-                            fleet.restart_entries(half, entries);
+                            fleet.restart_entries(half);
                             fleet.run(period, excessive_load);
                         }
                         check_window(fleet, rate, seed);
@@ -218,9 +241,12 @@
                 quota_fleet fleet({.rate = rate, .seed = seed});
                 fleet.run(seconds(10), usual_load);
                 lose_power(fleet);
+                fleet.forget_entries();
                 fleet.run(seconds(1), usual_load);
                 fleet.change_leader(2);
-                fleet.run(seconds(49), usual_load);
+                fleet.run(seconds(2), usual_load);
+                fleet.tell_entries();
+                fleet.run(seconds(47), usual_load);
                 auto const refused = sum_of(fleet.refused());
                 auto const all = refused + sum_of(fleet.admitted());
                 CPPUNIT_ASSERT_MESSAGE(std::to_string(refused) + " of " + std::to_string(all) +
@@ -252,7 +278,7 @@
         fleet.suspend(all);
         fleet.run(seconds(1), per_mille(0));
         fleet.restart_controls();
-        fleet.restart_entries(all, entries);
+        fleet.restart_entries(all);
         fleet.suspend({});
     }
 
--- a/tests/roster_fleet/roster_fleet.cpp
+++ b/tests/roster_fleet/roster_fleet.cpp
@@ -437,6 +437,13 @@
     return it != all.end() && it->second.what.standing == target_standing::serving;
 }
 
+std::optional<per_mille> roster_fleet::share_of(std::size_t entry, customer_id const& customer)
+{
+    if (!view(entry).knows_entries())
+        return std::nullopt;
+    return view(entry).share_of(customer);
+}
+
 bool roster_fleet::is_refusing(std::size_t entry)
 {
     return view(entry).is_plan_outdated(now_);
--- a/tests/roster_fleet/roster_fleet.hpp
+++ b/tests/roster_fleet/roster_fleet.hpp
@@ -110,6 +110,9 @@
     std::size_t serving_count(std::size_t entry);
     bool is_serving(std::size_t entry, int target);
     generation_id generation(std::size_t entry);
+    /// Returns the part of a customer's rate that an entry takes for its own, or nothing before it
+    /// knows how many entries there are.
+    std::optional<per_mille> share_of(std::size_t entry, customer_id const& customer);
     /// Returns whether an entry refuses requests because its plan is outdated.
     bool is_refusing(std::size_t entry);
 
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -68,9 +68,35 @@
     CPPUNIT_TEST(control_instances_of_a_large_fleet_send_each_other_little);
     CPPUNIT_TEST(a_look_up_names_a_limited_number_of_entries);
     CPPUNIT_TEST(entries_learn_of_a_departure_that_one_of_them_reports);
+    CPPUNIT_TEST(entries_that_start_at_once_do_not_each_take_the_whole_rate);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against QUOTA: entries that start at once were told that they are the only one, since
+    // no other one was ready yet, and each admitted the whole rate of every customer.
+    void entries_that_start_at_once_do_not_each_take_the_whole_rate()
+    {
+        constexpr std::size_t entries = 182;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+        {
+            roster_fleet fleet({.controls = 9, .entries = entries, .seed = seed});
+            fleet.apply_first_plan();
+            fleet.run(seconds(5));
+            for (std::size_t n = 0; n != 9; ++n)
+                fleet.restart_control(n);
+            for (std::size_t n = 0; n != entries; ++n)
+                fleet.restart_entry(n);
+            fleet.apply_first_plan();
+            for (int n = 0; n != 500; ++n)
+            {
+                fleet.run(milliseconds(10));
+                auto const total = known_shares(fleet).count();
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(total), total <= whole_share.count());
+            }
+            CPPUNIT_ASSERT(known_shares(fleet).count() * 10 >= whole_share.count() * 9);
+        }
+    }
+
     // Guards against traffic between regions that grows faster than the fleet: what control
     // instances send each other was most of it at 182 entries and 540 targets.
     void control_instances_of_a_large_fleet_send_each_other_little()
@@ -488,6 +514,16 @@
     }
 
 private:
+    /// Returns the sum of the parts of a customer's rate of all entries that know theirs.
+    static per_mille known_shares(roster_fleet& fleet)
+    {
+        per_mille out;
+        for (std::size_t n = 0; n != fleet.entries(); ++n)
+            if (auto const share = fleet.share_of(n, customer_id("x")))
+                out += *share;
+        return out;
+    }
+
     static std::int64_t bytes_of(roster_fleet const& fleet)
     {
         std::int64_t out = 0;
