Take control for restarted only while it is not confirmed

Answers that are current without the age of a confirmation occur in tests only; leaving_targets_tests uses them, and its first case failed since an unconfirmed plan counts as outdated. A state that is current is confirmed.

--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -283,8 +283,8 @@
         plan_currency::answer answer{.sent = pending->second.sent,
                                      .held = update.held_for,
                                      .confirmed_age = update.confirmed_age,
-                                     .control_restarted =
-                                         update.connected && !update.confirmed_age};
+                                     .control_restarted = update.connected && !update.current &&
+                                                          !update.confirmed_age};
         pending_reports_.erase(pending);
         std::erase_if(departures_, [&](departure const& it)
                       { return it.first_report && *it.first_report <= update.poll; });
