Judge a voter by when its replies arrive

What callers would see: healthy voters that are replaced one after the other, and a lost one that cannot be, while all disks are slow and orders go on. Cause: a reply tells of a round as old as the sync that it waited for. A voter counted as answering only if this round was one of the last three, 0.6 s: with syncs of 900 ms it never was, and counts as silent after voters/replace_after. An instance that joins counts as caught up only within ten rounds, 2 s: with syncs of 2.5 s it never did. Change: the rounds are counted from the arrival of a newer reply. A replica that replies no more is found out as fast as before. Tests: a_voter_whose_disk_is_slow_answers_while_orders_go_on and a_voter_is_replaced_while_syncs_take_seconds_and_orders_go_on failed before; a_voter_whose_disk_hangs_does_not_answer holds before and after.

--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -13,9 +13,6 @@
 
 /// Rounds within which a replica must have been heard to count as reachable.
 constexpr std::uint64_t recent_rounds = 3;
-/// Rounds within which it must have replied to, which waits for its disk. A disk that takes longer
-/// counts as hanging.
-constexpr std::uint64_t max_syncing_rounds = 10;
 
 } // namespace
 
@@ -26,15 +23,13 @@
 
 bool replica::is_reachable(progress const& peer) const
 {
-    return is_within(peer.heard_round, recent_rounds) &&
-           is_within(peer.matched_round, max_syncing_rounds);
+    return is_within(peer.heard_round, recent_rounds) && now() < peer.syncs_until;
 }
 
 bool replica::answers(instance_id id) const
 {
     auto const peer = peers_.find(id);
-    return id == self_.self.id ||
-           (peer != peers_.end() && is_within(peer->second.replied_round, recent_rounds));
+    return id == self_.self.id || (peer != peers_.end() && now() < peer->second.answers_until);
 }
 
 bool replica::is_caught_up(progress const& peer) const
--- a/plugins/control/replica/leading.cpp
+++ b/plugins/control/replica/leading.cpp
@@ -15,6 +15,11 @@
 /// Election timeouts without a commit after which a leader lets another one try: more than several
 /// syncs of a slow disk take.
 constexpr int give_way_timeouts = 30;
+/// Rounds after a reply within which the next one is due.
+constexpr int max_silent_rounds = 3;
+/// Rounds after a reply within which the next one that confirms the log is due. A disk that takes
+/// longer counts as hanging.
+constexpr int max_syncing_rounds = 10;
 
 } // namespace
 
@@ -158,6 +163,8 @@
     }
     if (term < state_.term)
         return false;
+    if (round > peer->replied_round)
+        peer->answers_until = after_rounds(max_silent_rounds);
     peer->replied_round = std::max(peer->replied_round, round);
     peer->heard_round = std::max(peer->heard_round, round);
     lease_.record_reply({.id = sender, .disk = disk}, round);
@@ -194,6 +201,8 @@
 {
     check_invariant(match_index <= log_.last().index, "match index within the leader's log");
     peer.in_flight = false;
+    if (round > peer.matched_round)
+        peer.syncs_until = after_rounds(max_syncing_rounds);
     peer.matched_round = std::max(peer.matched_round, round);
     peer.match_index = std::max(peer.match_index, match_index);
     peer.next_index = std::max(peer.next_index, index_after(peer.match_index));
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -30,6 +30,8 @@
     messages::round_id matched_round; ///< Newest round whose reply confirmed `match_index`.
     messages::round_id replied_round; ///< Newest round that the replica replied to.
     messages::round_id heard_round;   ///< Newest round that it received, synced or not.
+    instant answers_until;            ///< Counts as answering until then, without a newer reply.
+    instant syncs_until;              ///< Its disk counts as hanging then, without a newer match.
     std::uint32_t next_piece = 0;     ///< Position of the next snapshot piece to send.
     bool in_flight = false;           ///< Entries or a piece were sent and not yet answered.
 };
@@ -187,6 +189,8 @@
     void track_joining_peers();
     /// Returns whether a round of this term is one of the newest `count`, or just before them.
     bool is_within(messages::round_id round, std::uint64_t count) const;
+    /// Returns when a number of rounds from now will have been sent.
+    instant after_rounds(int count) const { return now() + config_.heartbeat_interval * count; }
     /// Returns whether a replica was heard recently, and in this term, and its disk does not hang.
     bool is_reachable(progress const& peer) const;
     /// Returns whether a replica holds all committed entries and replied recently.
--- a/tests/control/replica/replica_test.cpp
+++ b/tests/control/replica/replica_test.cpp
@@ -132,6 +132,8 @@
     CPPUNIT_TEST(a_pre_vote_is_answered_without_waiting_for_the_disk);
     CPPUNIT_TEST(a_leader_is_kept_while_the_others_wait_for_their_disks);
     CPPUNIT_TEST(a_voter_is_replaced_while_disks_are_slow_and_orders_go_on);
+    CPPUNIT_TEST(a_voter_whose_disk_is_slow_answers_while_orders_go_on);
+    CPPUNIT_TEST(a_voter_is_replaced_while_syncs_take_seconds_and_orders_go_on);
     CPPUNIT_TEST(a_voter_whose_disk_hangs_does_not_answer);
     CPPUNIT_TEST(a_leader_that_cannot_commit_gives_way_to_one_that_can);
     CPPUNIT_TEST(a_leader_of_voters_whose_disks_hang_gives_way);
@@ -344,6 +346,51 @@
         CPPUNIT_ASSERT(group.votes(joining));
     }
 
+    // Guards against voters that are replaced one after the other while all disks are equally slow:
+    // one that answers for no moment within voters/replace_after counts as silent.
+    void a_voter_whose_disk_is_slow_answers_while_orders_go_on()
+    {
+        running_group group(3);
+        auto const leader = group.acting_leader();
+        auto const id = group.follower();
+        group.sync_delay = milliseconds(900);
+        constexpr seconds replace_after{2};
+        auto answered_at = group.now();
+        span longest{0};
+        for (int n = 0; n != 200; ++n)
+        {
+            group.propose(++group.proposed);
+            group.run_for(milliseconds(100));
+            if (group.voters_of(leader).answers(instance_id(id)))
+                answered_at = group.now();
+            longest = std::max(longest, group.now() - answered_at);
+        }
+        CPPUNIT_ASSERT_EQUAL(leader, group.acting_leader());
+        CPPUNIT_ASSERT(longest < span(replace_after));
+    }
+
+    // Guards against a group that stays one loss away from the end of its work: a joining instance
+    // counts as caught up only if its disk synced within ten rounds.
+    void a_voter_is_replaced_while_syncs_take_seconds_and_orders_go_on()
+    {
+        running_group group(3);
+        auto const leaving = group.follower();
+        auto const joining = group.add_instance();
+        group.start(joining);
+        group.run_for(seconds(1));
+        group.kill(leaving);
+        group.sync_delay = milliseconds(2500);
+        CPPUNIT_ASSERT(group.begin_replacement(
+            {.leaving = instance_id(leaving), .joining = instance_id(joining)}, {}));
+        auto const end = group.now() + seconds(120);
+        while (group.now() < end && !group.votes(joining))
+        {
+            group.propose(++group.proposed);
+            group.run_for(milliseconds(500));
+        }
+        CPPUNIT_ASSERT(group.votes(joining));
+    }
+
     void a_voter_whose_disk_hangs_does_not_answer()
     {
         running_group group(3);
