Tell a slow disk of a voter from a lost voter

Cause: a voter whose process was heard, and whose disk took 2.7 s for a sync, counted as silent after 2 s. All disks were slow then, it did not count as working, and so left the group before its successor had joined. Of the two voters that were left the leader was lost for good. Change: a voter counts as answering, and as working, as long as it is heard and its disk answers within 50 rounds, 10 s. One that is not heard is replaced as fast as before.

--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -29,7 +29,9 @@
 bool replica::answers(instance_id id) const
 {
     auto const peer = peers_.find(id);
-    return id == self_.self.id || (peer != peers_.end() && now() < peer->second.answers_until);
+    return id == self_.self.id ||
+           (peer != peers_.end() && is_within(peer->second.heard_round, recent_rounds) &&
+            now() < peer->second.answers_until);
 }
 
 bool replica::is_caught_up(progress const& peer) const
--- a/plugins/control/replica/leading.cpp
+++ b/plugins/control/replica/leading.cpp
@@ -15,11 +15,10 @@
 /// Election timeouts without a commit after which a leader lets another one try: more than several
 /// syncs of a slow disk take.
 constexpr int give_way_timeouts = 30;
-/// Rounds after a reply within which the next one is due.
-constexpr int max_silent_rounds = 3;
-/// Rounds after a reply within which the next one that confirms the log is due. A disk that takes
-/// longer counts as hanging.
-constexpr int max_syncing_rounds = 10;
+/// Rounds after a reply within which the next one is due from a replica that is heard. A disk that
+/// takes longer counts as hanging. A slow one costs the group nothing, but to replace its voter
+/// does: a change of voters takes several syncs.
+constexpr int max_syncing_rounds = 50;
 
 } // namespace
 
@@ -164,7 +163,7 @@
     if (term < state_.term)
         return false;
     if (round > peer->replied_round)
-        peer->answers_until = after_rounds(max_silent_rounds);
+        peer->answers_until = after_rounds(max_syncing_rounds);
     peer->replied_round = std::max(peer->replied_round, round);
     peer->heard_round = std::max(peer->heard_round, round);
     lease_.record_reply({.id = sender, .disk = disk}, round);
--- a/tests/control/replica/replica_test.cpp
+++ b/tests/control/replica/replica_test.cpp
@@ -134,6 +134,7 @@
     CPPUNIT_TEST(a_voter_is_replaced_while_disks_are_slow_and_orders_go_on);
     CPPUNIT_TEST(a_voter_whose_disk_is_slow_answers_while_orders_go_on);
     CPPUNIT_TEST(a_voter_is_replaced_while_syncs_take_seconds_and_orders_go_on);
+    CPPUNIT_TEST(a_voter_whose_disk_is_slow_neither_counts_as_silent_nor_leaves_first);
     CPPUNIT_TEST(a_voter_whose_disk_hangs_does_not_answer);
     CPPUNIT_TEST(a_leader_that_cannot_commit_gives_way_to_one_that_can);
     CPPUNIT_TEST(a_leader_of_voters_whose_disks_hang_gives_way);
@@ -391,13 +392,38 @@
         CPPUNIT_ASSERT(group.votes(joining));
     }
 
+    // Guards against a group that has no leader for good: a voter whose disk was slow counted as
+    // silent and left before its successor had joined, and the leader was lost then.
+    void a_voter_whose_disk_is_slow_neither_counts_as_silent_nor_leaves_first()
+    {
+        running_group group(3);
+        auto const leader = group.acting_leader();
+        auto const slow = group.follower();
+        auto const joining = group.add_instance();
+        group.start(joining);
+        group.run_for(seconds(1));
+        for (auto const id : {slow, joining})
+            group.at(id).sync_delay = seconds(5);
+        CPPUNIT_ASSERT(group.propose(++group.proposed));
+        group.run_for(seconds(4));
+        CPPUNIT_ASSERT(group.voters_of(leader).answers(instance_id(slow)));
+        CPPUNIT_ASSERT(group.begin_replacement(
+            {.leaving = instance_id(slow), .joining = instance_id(joining)}, {}));
+        for (int n = 0; n != 300 && !group.votes(joining); ++n)
+        {
+            CPPUNIT_ASSERT(group.voters_of(leader).membership().voters.size() >= 3);
+            group.run_for(milliseconds(100));
+        }
+        CPPUNIT_ASSERT(group.votes(joining));
+    }
+
     void a_voter_whose_disk_hangs_does_not_answer()
     {
         running_group group(3);
         auto const hanging = group.follower();
         group.at(hanging).sync_delay = seconds(3600);
         CPPUNIT_ASSERT(group.propose(++group.proposed));
-        group.run_for(seconds(1));
+        group.run_for(seconds(11));
         CPPUNIT_ASSERT(!group.voters_of(group.acting_leader()).answers(instance_id(hanging)));
     }
 
