Record the time between a request's first byte and its first decision

Cause: callers and entries disagree about look-ups by 0.7 s, and no figure covers the time before a request is parsed.

Change: the session remembers when bytes were read, and a request is dated by its first byte. `waited_ms` in request.ended and the histogram requests.decision_delay tell the time up to the first decision. Deadlines and limits count as before.

--- a/entry/core.cpp
+++ b/entry/core.cpp
@@ -32,6 +32,9 @@
                .meaning = "No usable target of the route was found for the request."});
 
 kernel::counter_kind const requests_arrived("requests.arrived", "Requests taken from callers.");
+kernel::histogram_kind const
+    decision_delays("requests.decision_delay",
+                    "Time from reading a request's first byte to the first decision about it.");
 kernel::counter_kind const requests_forwarded_in("requests.forwarded_in",
                                                  "Requests taken from other entry instances.");
 kernel::counter_kind const requests_answered("requests.answered",
@@ -127,6 +130,8 @@
 void core::take(request_arrived const& it)
 {
     context_.counters.add(requests_arrived);
+    auto const first_byte = std::min(it.first_byte.value_or(context_.now), context_.now);
+    context_.counters.observe(decision_delays, context_.now - first_byte);
     admit({.id = it.id,
            .key = it.key,
            .route = it.route,
@@ -134,6 +139,7 @@
            .idempotency_key = it.idempotency_key,
            .client = it.client,
            .arrived = context_.now,
+           .first_byte = first_byte,
            .deadline = it.deadline,
            .origin = std::nullopt,
            .host = it.host,
--- a/include/mulberryrudder/entry/inputs.hpp
+++ b/include/mulberryrudder/entry/inputs.hpp
@@ -25,6 +25,8 @@
     std::string host;             ///< That it was sent to, where front ends tell hosts apart.
     object_id object;             ///< What it is about; empty if its caller does not say.
     std::string caller_reference; ///< The caller's own id of the request, for the log.
+    /// When its first byte was read; nothing if that is when the decisions take it.
+    std::optional<instant> first_byte;
 };
 
 /// The caller closed its connection before it was answered.
--- a/include/mulberryrudder/entry/request.hpp
+++ b/include/mulberryrudder/entry/request.hpp
@@ -58,6 +58,7 @@
     std::optional<std::string> idempotency_key;
     client_address client;
     instant arrived;
+    instant first_byte; ///< When its first byte was read; not after `arrived`.
     instant deadline;
     std::optional<forwarded_from> origin;
     std::string host;
--- a/plugins/entry/regions/regions_stage.cpp
+++ b/plugins/entry/regions/regions_stage.cpp
@@ -258,6 +258,7 @@
                       .idempotency_key = it.idempotency_key,
                       .client = it.client,
                       .arrived = with.now,
+                      .first_byte = with.now,
                       .deadline = with.now + it.remaining,
                       .origin = forwarded_from{.instance = from, .id = it.id},
                       .customer = it.customer,
--- a/plugins/entry/request_log/request_log_stage.cpp
+++ b/plugins/entry/request_log/request_log_stage.cpp
@@ -25,9 +25,11 @@
     {.number = 310,
      .name = "request.ended",
      .level = kernel::severity::info,
-     .meaning = "A request got its final answer; the fields contain the reasons for it. "
-                "`plan_age_ms` is the time for which the plan of `generation` had not been "
-                "confirmed when the request arrived, -1 if it never was.",
+     .meaning =
+         "A request got its final answer; the fields contain the reasons for it. "
+         "`plan_age_ms` is the time for which the plan of `generation` had not been "
+         "confirmed when the request arrived, -1 if it never was. `waited_ms` is the time from "
+         "its first byte to the first decision, which is not part of `took_ms`.",
      .action = "Interpret `reason`, `why` and `attempts` as docs/OPERATIONS.md describes."}};
 kernel::event_kind const attempt_event{
     {.number = 311,
@@ -107,6 +109,7 @@
              {"run", std::string(to_string(refusal != nullptr ? refusal->run : verdict::ran))},
              {"why", req.why},
              {"attempts", std::move(attempts)},
+             {"waited_ms", milliseconds_text(req.arrived - req.first_byte)},
              {"took_ms", milliseconds_text(ctx.now - req.arrived)}});
     }
 
--- a/plugins/entry_io/caller_http/caller_duty.cpp
+++ b/plugins/entry_io/caller_http/caller_duty.cpp
@@ -182,13 +182,15 @@
         it->start();
     }
 
-    void arrived(std::shared_ptr<session> const& from, http_request&& what) override
+    void arrived(std::shared_ptr<session> const& from, http_request&& what,
+                 instant first_byte) override
     {
         request_id const id(numbers_.next());
         decoding const with{.config = config_,
                             .id = id,
                             .client = from->client(),
                             .now = monotonic_now(),
+                            .first_byte = first_byte,
                             .for_operators = from->for_operators()};
         auto read = decode(std::move(what), with);
         std::visit([&](auto& it) { take(from, id, it); }, read);
--- a/plugins/entry_io/caller_http/request_codec.hpp
+++ b/plugins/entry_io/caller_http/request_codec.hpp
@@ -51,6 +51,7 @@
     request_id id;
     client_address client;
     instant now;
+    instant first_byte;         ///< When the request's first byte was read.
     bool for_operators = false; ///< It came to an address that is not for callers.
 };
 
--- a/plugins/entry_io/caller_http/session.cpp
+++ b/plugins/entry_io/caller_http/session.cpp
@@ -67,6 +67,8 @@
 {
     idle_ = true;
     parser_.emplace();
+    request_begin_ = parsed_;
+    arrivals_.forget_before(request_begin_);
     parser_->header_limit(static_cast<std::uint32_t>(owner_.limits().most_header.count()));
     parser_->body_limit(static_cast<std::uint64_t>(owner_.limits().most_body.count()));
     if (buf_.size() != 0)
@@ -78,6 +80,7 @@
                             [self = shared_from_this()](auto ec, std::size_t n)
                             {
                                 self->buf_.commit(n);
+                                self->note_arrival(0);
                                 if (ec)
                                     return self->end();
                                 self->read_header();
@@ -90,8 +93,9 @@
     read_until_ = monotonic_now() + owner_.config().read_limit;
     stream_.expires_after(owner_.limits().header_limit);
     http::async_read_header(stream_, buf_, *parser_,
-                            [self = shared_from_this()](auto ec, std::size_t)
+                            [self = shared_from_this()](auto ec, std::size_t n)
                             {
+                                self->note_arrival(n);
                                 if (ec || self->parser_->is_done())
                                     return self->request_read(ec);
                                 self->read_body();
@@ -102,8 +106,9 @@
 {
     stream_.expires_after(read_until_ - monotonic_now());
     http::async_read_some(stream_, buf_, *parser_,
-                          [self = shared_from_this()](auto ec, std::size_t)
+                          [self = shared_from_this()](auto ec, std::size_t n)
                           {
+                              self->note_arrival(n);
                               if (ec || self->parser_->is_done())
                                   return self->request_read(ec);
                               auto const held = self->parser_->get().body().size();
@@ -113,6 +118,12 @@
                           });
 }
 
+void session::note_arrival(std::size_t parsed)
+{
+    parsed_ += byte_count(static_cast<std::int64_t>(parsed));
+    arrivals_.note(parsed_ + byte_count(static_cast<std::int64_t>(buf_.size())), monotonic_now());
+}
+
 void session::refuse_overloaded()
 {
     keep_alive_ = false;
@@ -126,7 +137,7 @@
     keep_alive_ = parser_->keep_alive();
     head_only_ = parser_->get().method() == http::verb::head;
     stream_.expires_never();
-    owner_.arrived(shared_from_this(), parser_->release());
+    owner_.arrived(shared_from_this(), parser_->release(), arrivals_.of(request_begin_));
 }
 
 void session::refuse_unreadable(boost::system::error_code ec)
@@ -150,6 +161,7 @@
     boost::system::error_code ec;
     while (!ec && buf_.size() < most_read_ahead)
         buf_.commit(stream_.socket().read_some(buf_.prepare(read_size), ec));
+    note_arrival(0);
     return !ec || ec == boost::asio::error::would_block;
 }
 
--- a/plugins/entry_io/caller_http/session.hpp
+++ b/plugins/entry_io/caller_http/session.hpp
@@ -2,6 +2,7 @@
 #define MULBERRYRUDDER_PLUGINS_ENTRY_IO_CALLER_HTTP_SESSION_HPP
 
 #include "answer_codec.hpp"
+#include "arrival_times.hpp"
 #include "caller_settings.hpp"
 
 #include <mulberryrudder/core/client_address.hpp>
@@ -28,8 +29,10 @@
 public:
     virtual ~session_owner() = default;
 
-    /// Takes a request in; the owner answers through session::answer, at once or later.
-    virtual void arrived(std::shared_ptr<session> const& from, http_request&& what) = 0;
+    /// Takes a request in, whose first byte was read at `first_byte`; the owner answers through
+    /// session::answer, at once or later.
+    virtual void arrived(std::shared_ptr<session> const& from, http_request&& what,
+                         instant first_byte) = 0;
     /// The caller closed its connection while request `id` was unanswered.
     virtual void caller_gone(request_id id) = 0;
     /// The caller sent more ahead than is read: the end of its connection will not be seen
@@ -100,6 +103,8 @@
     void close_behind_answer();
     void watch_for_close();
     void watched(request_id id);
+    /// Takes note of the bytes that were read, of which the parser took `parsed`.
+    void note_arrival(std::size_t parsed);
 
     boost::beast::tcp_stream stream_;
     session_owner& owner_;
@@ -110,6 +115,9 @@
     instant close_after_;          ///< When the connection has lived long enough.
     instant read_until_;           ///< When the current request must have come whole.
     boost::beast::flat_buffer buf_;
+    byte_count parsed_{0};        ///< Bytes of the connection that are not in the buffer any more.
+    byte_count request_begin_{0}; ///< The position of the current request's first byte.
+    arrival_times arrivals_;
     kernel::byte_charge held_;
     std::optional<parser> parser_;
     std::optional<http_response> response_;
--- a/tests/entry_io/caller_http/request_codec_test.cpp
+++ b/tests/entry_io/caller_http/request_codec_test.cpp
@@ -133,7 +133,10 @@
     }
 
     caller_settings config_;
-    decoding with_{.config = config_, .id = request_id(1), .now = instant(seconds(5))};
+    decoding with_{.config = config_,
+                   .id = request_id(1),
+                   .now = instant(seconds(5)),
+                   .first_byte = instant(seconds(4))};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(request_codec_test);
--- a/tests/entry_io/caller_http/session_test.cpp
+++ b/tests/entry_io/caller_http/session_test.cpp
@@ -19,7 +19,7 @@
 class fake_owner final : public session_owner
 {
 public:
-    void arrived(std::shared_ptr<session> const& from, http_request&&) override
+    void arrived(std::shared_ptr<session> const& from, http_request&&, instant) override
     {
         if (!from->read_ahead())
             return from->end();
