--- a/tests/entry_io/caller_http/caller_duty_test.cpp
+++ b/tests/entry_io/caller_http/caller_duty_test.cpp
@@ -226,6 +226,7 @@
     CPPUNIT_TEST(a_caller_that_sends_more_while_it_waits_and_leaves_is_told);
     CPPUNIT_TEST(a_departure_waits_for_room_in_the_ring);
     CPPUNIT_TEST(requests_sent_ahead_are_answered_in_order);
+    CPPUNIT_TEST(safe_requests_sent_ahead_run_side_by_side);
     CPPUNIT_TEST(a_planned_stop_waits_for_callers_that_take_their_answers);
     CPPUNIT_TEST(a_planned_stop_without_callers_ends_at_once);
     CPPUNIT_TEST(descriptors_are_left_for_other_connections);
@@ -371,6 +372,29 @@
         CPPUNIT_ASSERT(replies.find("200 OK", second) != std::string::npos);
     }
 
+    // Guards against SHORT: a request that was sent ahead was taken only after the answers to all
+    // requests before it on its connection, and came late to targets that were free.
+    void safe_requests_sent_ahead_run_side_by_side()
+    {
+        restart({}, decisions::none);
+        boost::asio::io_context loop;
+        tcp::socket caller(loop);
+        duty_->send(caller, request + request + request);
+        auto const first = expect_request();
+        auto const second = expect_request();
+        auto const third = expect_request();
+        answer(third, "third");
+        answer(second, "second");
+        std::this_thread::sleep_for(milliseconds(50));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("answers wait for their turn", std::size_t{0},
+                                     caller.available());
+        answer(first, "first");
+        boost::beast::flat_buffer buf;
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), next_body(caller, buf));
+        CPPUNIT_ASSERT_EQUAL(std::string("second"), next_body(caller, buf));
+        CPPUNIT_ASSERT_EQUAL(std::string("third"), next_body(caller, buf));
+    }
+
     // Guards against LOST: a planned stop ended the process once all requests were decided, while
     // their answers were still being written to callers that read slowly.
     void a_planned_stop_waits_for_callers_that_take_their_answers()
@@ -453,6 +477,21 @@
         return "HTTP/1.1 " + std::to_string(it.result_int()) + " " + std::string(it.reason());
     }
 
+    /// Reads a whole answer, of which `buf` may hold the begin, and returns its body.
+    static std::string next_body(tcp::socket& from, boost::beast::flat_buffer& buf)
+    {
+        boost::beast::http::response<boost::beast::http::string_body> it;
+        boost::beast::http::read(from, buf, it);
+        return it.body();
+    }
+
+    void answer(request_id id, std::string body)
+    {
+        reply const content{.status = 200, .fields = {}, .body = std::move(body)};
+        duty_->carry_out(entry::answer_caller{
+            .id = id, .what = entry::answered{.content = std::make_shared<reply const>(content)}});
+    }
+
     void restart(caller_limits const& stated, decisions with = decisions::refuse)
     {
         duty_.reset();
