--- a/entry/core.cpp
+++ b/entry/core.cpp
@@ -144,7 +144,8 @@
            .origin = std::nullopt,
            .host = it.host,
            .object = it.object,
-           .caller_reference = it.caller_reference},
+           .caller_reference = it.caller_reference,
+           .connection = it.connection},
           0);
 }
 
@@ -232,6 +233,8 @@
         if (found == live_.end())
             return;
         auto& it = found->second;
+        if (it.what.deadline <= context_.now)
+            return finish(id, refused{.why = &deadline_exceeded});
         if (it.at == stages_.size())
             return send_chosen(it);
         // Set before the call: the stage may resume the request from inside it.
--- a/include/mulberryrudder/core/ids.hpp
+++ b/include/mulberryrudder/core/ids.hpp
@@ -36,6 +36,8 @@
 using note_number = strong_id<struct note_number_tag, std::uint64_t>;
 /// Numbers a caller's request; unique in the fleet while the instance runs.
 using request_id = strong_id<struct request_tag, std::uint64_t>;
+/// Numbers a caller's connection; unique in its instance.
+using connection_id = strong_id<struct connection_tag, std::uint64_t>;
 /// Numbers one sending of a request to a target by one entry instance.
 using attempt_id = strong_id<struct attempt_tag, std::uint64_t>;
 /// Names a service: targets of one kind, of which any can take its requests.
--- a/include/mulberryrudder/entry/inputs.hpp
+++ b/include/mulberryrudder/entry/inputs.hpp
@@ -27,6 +27,8 @@
     std::string caller_reference; ///< The caller's own id of the request, for the log.
     /// When its first byte was read; nothing if that is when the decisions take it.
     std::optional<instant> first_byte;
+    /// The connection it came on, where others of that connection may be unanswered.
+    std::optional<connection_id> connection;
 };
 
 /// The caller closed its connection before it was answered.
--- a/include/mulberryrudder/entry/request.hpp
+++ b/include/mulberryrudder/entry/request.hpp
@@ -64,6 +64,7 @@
     std::string host;
     object_id object;
     std::string caller_reference;
+    std::optional<connection_id> connection; ///< Nothing if it came from another instance.
 
     customer_id customer;    ///< Set by the key stage; empty on open routes without a key.
     bool repeatable = false; ///< Idempotent by method or route; set by the key stage.
--- a/include/mulberryrudder/entry/stage.hpp
+++ b/include/mulberryrudder/entry/stage.hpp
@@ -129,6 +129,7 @@
 inline constexpr int lease = 100;
 inline constexpr int drain = 150;
 inline constexpr int keys = 200;
+inline constexpr int connection_order = 250; ///< Knows whether a request may run twice.
 inline constexpr int quarantine = 300;
 inline constexpr int claims = 400;
 inline constexpr int rate = 500;
--- a/tests/entry/plan_stages/plan_bench.hpp
+++ b/tests/entry/plan_stages/plan_bench.hpp
@@ -64,7 +64,8 @@
 
     /// Sends a request; returns its id.
     request_id send_request(std::string const& path, std::string const& object = {},
-                            std::string const& key = {});
+                            std::string const& key = {},
+                            std::optional<connection_id> connection = {});
     /// Ends the newest attempt of a request with a reply.
     void reply(request_id id, std::uint16_t status = 200);
     /// Ends the newest attempt of a request with a failure.
