Count a request's time from its first byte

Callers count their deadline from sending. The front end counted it, and the route's timeout, from when a request was parsed, which an unsafe request before it on its connection, or a full queue, can hold up: such requests were sent to targets with more time than their callers had left.

Change: the deadline and the route's timeout count from the read that brought the first byte.

--- a/plugins/entry/plan_routes/plan_routes_stage.cpp
+++ b/plugins/entry/plan_routes/plan_routes_stage.cpp
@@ -84,7 +84,7 @@
                 return refuse(unknown_key);
             what.customer = what.payer->id;
         }
-        with.flow.limit_deadline(what.id, what.arrived + route->timeout);
+        with.flow.limit_deadline(what.id, what.first_byte + route->timeout);
         return proceed{};
     }
 
--- a/plugins/entry_io/caller_http/caller_duty.cpp
+++ b/plugins/entry_io/caller_http/caller_duty.cpp
@@ -192,7 +192,6 @@
         decoding const with{.config = config_,
                             .id = id,
                             .client = from->client(),
-                            .now = monotonic_now(),
                             .first_byte = first_byte,
                             .connection = from->id(),
                             .for_operators = from->for_operators()};
--- a/plugins/entry_io/caller_http/request_codec.cpp
+++ b/plugins/entry_io/caller_http/request_codec.cpp
@@ -64,7 +64,7 @@
             return false;
         limit = std::min(milliseconds(n), with.config.most_deadline);
     }
-    out = with.now + limit;
+    out = with.first_byte + limit;
     return true;
 }
 
--- a/plugins/entry_io/caller_http/request_codec.hpp
+++ b/plugins/entry_io/caller_http/request_codec.hpp
@@ -50,8 +50,7 @@
     caller_settings const& config;
     request_id id;
     client_address client;
-    instant now;
-    instant first_byte; ///< When the request's first byte was read.
+    instant first_byte; ///< When the request's first byte was read; its deadline counts from here.
     connection_id connection;
     bool for_operators = false; ///< It came to an address that is not for callers.
 };
--- a/tests/entry/plan_stages/connection_order_test.cpp
+++ b/tests/entry/plan_stages/connection_order_test.cpp
@@ -83,15 +83,16 @@
     void requests_of_other_connections_do_not_wait()
     {
         send("/write/1");
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench_.attempts_of(bench_.send_request(
-                                                 "/write/2", {}, {}, connection_id(8))));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             bench_.attempts_of(bench_.send_request(
+                                 "/write/2", {}, {}, {.connection = connection_id(8)})));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench_.attempts_of(bench_.send_request("/write/3")));
     }
 
 private:
     request_id send(std::string const& path)
     {
-        return bench_.send_request(path, {}, {}, connection_id(7));
+        return bench_.send_request(path, {}, {}, {.connection = connection_id(7)});
     }
 
     plan_bench bench_;
--- a/tests/entry/plan_stages/plan_bench.cpp
+++ b/tests/entry/plan_stages/plan_bench.cpp
@@ -66,7 +66,7 @@
 }
 
 request_id plan_bench::send_request(std::string const& path, std::string const& object,
-                                    std::string const& key, std::optional<connection_id> connection)
+                                    std::string const& key, origin const& from)
 {
     request_id const id(++last_id_);
     call const content{.method = call_method::get, .path = path, .fields = {}, .body = {}};
@@ -80,7 +80,8 @@
                             .host = "host.example:80",
                             .object = object_id(object),
                             .caller_reference = {}};
-    arrived.connection = connection;
+    arrived.connection = from.connection;
+    arrived.first_byte = from.first_byte;
     if (!key.empty())
         arrived.key = sha256(key);
     core_.handle(now, arrived, effects_);
--- a/tests/entry/plan_stages/plan_bench.hpp
+++ b/tests/entry/plan_stages/plan_bench.hpp
@@ -43,6 +43,13 @@
     millitokens_per_second demand;
 };
 
+/// What the front end tells of a request beside its content.
+struct origin
+{
+    std::optional<connection_id> connection = std::nullopt;
+    std::optional<instant> first_byte = std::nullopt;
+};
+
 /// Test fixture: one decision core with a fake plan and a simulated clock.
 class plan_bench
 {
@@ -64,8 +71,7 @@
 
     /// Sends a request; returns its id.
     request_id send_request(std::string const& path, std::string const& object = {},
-                            std::string const& key = {},
-                            std::optional<connection_id> connection = {});
+                            std::string const& key = {}, origin const& from = {});
     /// Ends the newest attempt of a request with a reply.
     void reply(request_id id, std::uint16_t status = 200);
     /// Ends the newest attempt of a request with a failure.
--- a/tests/entry_io/caller_http/request_codec_test.cpp
+++ b/tests/entry_io/caller_http/request_codec_test.cpp
@@ -70,7 +70,7 @@
     {
         auto asked = request(http::verb::get, "/timing/");
         asked.set(header_names::deadline, "999999999");
-        auto const expected = with_.now + config_.most_deadline;
+        auto const expected = with_.first_byte + config_.most_deadline;
         CPPUNIT_ASSERT(expected == forwarded(std::move(asked)).deadline);
     }
 
@@ -135,8 +135,7 @@
     caller_settings config_;
     decoding with_{.config = config_,
                    .id = request_id(1),
-                   .now = instant(seconds(5)),
-                   .first_byte = instant(seconds(4)),
+                   .first_byte = instant(seconds(5)),
                    .connection = connection_id(1)};
 };
 
--- a/tests/platform/codecs/caller_codec_test.cpp
+++ b/tests/platform/codecs/caller_codec_test.cpp
@@ -144,7 +144,7 @@
         return decode(std::move(asked), {.config = config_,
                                          .id = request_id(1),
                                          .client = {},
-                                         .now = now_,
+                                         .first_byte = now_,
                                          .for_operators = for_operators});
     }
 
