Take no answer without a valid status from a target

Change: a status outside of 200 to 599 makes a reply malformed, which ends in 502 or another attempt; interim replies are skipped, up to a bound.

--- a/plugins/entry_io/target_http/connection.cpp
+++ b/plugins/entry_io/target_http/connection.cpp
@@ -19,6 +19,22 @@
 /// yet, such as a line without an end, is bounded by this and the header's limit.
 constexpr std::size_t read_size = 65'536;
 
+/// Interim replies that a target may send before its answer.
+constexpr int max_interim_replies = 16;
+
+/// Returns whether a status announces that the answer follows (RFC 9110, section 15.2). 101 would
+/// change the protocol, which is never asked for.
+bool is_interim(unsigned status)
+{
+    return status >= 100 && status < 200 && status != 101;
+}
+
+/// Returns whether a status is one of an answer.
+bool is_final(unsigned status)
+{
+    return status >= 200 && status < 600;
+}
+
 entry::attempt_failure cause_of(boost::system::error_code ec, bool open)
 {
     if (ec == boost::beast::error::timeout)
@@ -85,6 +101,12 @@
 }
 
 void connection::read()
+{
+    interim_replies_ = 0;
+    read_reply();
+}
+
+void connection::read_reply()
 {
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(config_.most_header.count()));
@@ -113,6 +135,11 @@
 {
     if (ec || cancelled_)
         return fail(ec, verdict::may_have_run);
+    auto const status = parser_->get().result_int();
+    if (is_interim(status) && ++interim_replies_ <= max_interim_replies)
+        return read_reply();
+    if (!is_final(status))
+        return fail(http::make_error_code(http::error::bad_status), verdict::may_have_run);
     // Bytes behind the reply belong to nothing that was asked, and a reply that
     // ends with the connection cannot be told from one that was cut, unless the
     // targets are known to reset connections that they cut.
--- a/plugins/entry_io/target_http/connection.hpp
+++ b/plugins/entry_io/target_http/connection.hpp
@@ -61,6 +61,7 @@
     void connected(boost::system::error_code ec);
     void write();
     void read();
+    void read_reply();
     void read_more();
     void reply_read(boost::system::error_code ec);
     void fail(boost::system::error_code ec, verdict run);
@@ -78,6 +79,7 @@
     bool open_ = false;
     bool reusable_ = false;
     bool cancelled_ = false;
+    int interim_replies_ = 0;      ///< Before the answer to the current request.
     std::uint64_t idle_epoch_ = 0; ///< Numbers idle times, so that an old watch is told apart.
 };
 
--- a/tests/entry_io/target_http/connection_test.cpp
+++ b/tests/entry_io/target_http/connection_test.cpp
@@ -28,6 +28,9 @@
     CPPUNIT_TEST(a_cancellation_while_the_reply_is_awaited_closes_the_connection);
     CPPUNIT_TEST(a_cancellation_behind_the_request_closes_the_connection);
     CPPUNIT_TEST(a_cancellation_while_connecting_sends_nothing);
+    CPPUNIT_TEST(a_reply_without_a_valid_status_is_malformed);
+    CPPUNIT_TEST(interim_replies_are_not_taken_for_the_answer);
+    CPPUNIT_TEST(interim_replies_without_end_are_given_up);
     CPPUNIT_TEST(a_head_without_end_is_given_up);
     CPPUNIT_TEST(a_line_without_end_in_a_body_is_given_up);
     CPPUNIT_TEST(a_body_without_end_is_given_up_at_its_limit);
@@ -78,6 +81,47 @@
         CPPUNIT_ASSERT(std::get<exchange_failed>(*ended_).run == verdict::not_run);
     }
 
+    // Guards against MIXED: an answer with the status 000 was passed on to the caller.
+    void a_reply_without_a_valid_status_is_malformed()
+    {
+        for (auto const* const status : {"000", "001", "099", "101", "600", "999"})
+        {
+            setUp();
+            ask();
+            serve("HTTP/1.1 " + std::string(status) + " Trouble\r\n" + ok_body);
+            CPPUNIT_ASSERT_MESSAGE(status, ended_.has_value());
+            auto const* const how = std::get_if<exchange_failed>(&*ended_);
+            CPPUNIT_ASSERT_MESSAGE(status, how != nullptr);
+            CPPUNIT_ASSERT_MESSAGE(status, how->cause == entry::attempt_failure::malformed);
+            CPPUNIT_ASSERT_MESSAGE(status, how->run == verdict::may_have_run);
+            CPPUNIT_ASSERT_MESSAGE(status, !way_->reusable());
+        }
+    }
+
+    // Guards against MIXED: an interim reply (RFC 9110, section 15.2) was passed on as the answer.
+    void interim_replies_are_not_taken_for_the_answer()
+    {
+        ask();
+        serve("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n");
+        CPPUNIT_ASSERT(!ended_.has_value());
+        boost::asio::write(*target_, boost::asio::buffer("HTTP/1.1 200 OK\r\n" + ok_body));
+        turn();
+        CPPUNIT_ASSERT_EQUAL(200U, std::get<http_reply>(ended_.value()).result_int());
+        CPPUNIT_ASSERT(way_->reusable());
+    }
+
+    void interim_replies_without_end_are_given_up()
+    {
+        ask();
+        std::string many;
+        for (int n = 0; n != 1000; ++n)
+            many += "HTTP/1.1 100 Continue\r\n\r\n";
+        serve(many);
+        CPPUNIT_ASSERT(ended_.has_value());
+        CPPUNIT_ASSERT(std::get<exchange_failed>(*ended_).cause ==
+                       entry::attempt_failure::malformed);
+    }
+
     /// Pattern: a target in trouble sends bytes that are no answer, until it is closed.
     void a_head_without_end_is_given_up()
     {
@@ -146,6 +190,7 @@
 
 private:
     static constexpr byte_count most_unread{8'388'608};
+    static inline std::string const ok_body = "Content-Length: 2\r\n\r\nok";
 
     /// Sends what the socket takes of a text and of bytes behind it.
     static std::size_t send_some(tcp::socket& to, std::string const& text)
@@ -214,12 +259,11 @@
     }
 
     /// Answers the request that came.
-    void serve()
+    void serve(std::string const& reply = "HTTP/1.1 200 OK\r\n" + ok_body)
     {
         std::string asked;
         boost::asio::read_until(*target_, boost::asio::dynamic_buffer(asked), "\r\n\r\n");
-        boost::asio::write(*target_, boost::asio::buffer(std::string(
-                                         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")));
+        boost::asio::write(*target_, boost::asio::buffer(reply));
         turn();
     }
 
