--- a/tests/peer/link_duty_test.cpp
+++ b/tests/peer/link_duty_test.cpp
@@ -1,3 +1,5 @@
+#include "tests/support/own_address.hpp"
+
 #include <mulberryrudder/fleet/instance_settings.hpp>
 #include <mulberryrudder/kernel/duty.hpp>
 #include <mulberryrudder/peer/orders.hpp>
@@ -52,7 +54,7 @@
     running_link()
     {
         config_.set(fleet::instance_section,
-                    {.id = instance_id(1), .peer = {"127.0.0.1", test_port}});
+                    {.id = instance_id(1), .peer = {testing::own_loopback_address(), test_port}});
         for (auto const& it : kernel::duty_registry::instance().entries())
             if (it.name == "peer_link")
                 duty_ = it.make(parts_);
@@ -132,7 +134,8 @@
     /// The duty listens a moment after its thread has started.
     static void connect(tcp::socket& socket)
     {
-        tcp::endpoint const where(boost::asio::ip::make_address("127.0.0.1"), test_port);
+        tcp::endpoint const where(boost::asio::ip::make_address(testing::own_loopback_address()),
+                                  test_port);
         boost::system::error_code ec;
         wait_until(
             [&]
--- a/tests/peer/outgoing_test.cpp
+++ b/tests/peer/outgoing_test.cpp
@@ -1,5 +1,6 @@
 #include "plugins/peer/link/mailbox.hpp"
 #include "plugins/peer/link/outgoing.hpp"
+#include "tests/support/own_address.hpp"
 
 #include <mulberryrudder/messages/roster.hpp>
 
@@ -278,8 +279,8 @@
     /// Time within which a majority of the control instances must hold a leave.
     static constexpr milliseconds leave_limit{900};
 
-    endpoint const at_{"127.0.0.1", 27397};
-    endpoint const behind_{"127.0.0.1", 27398};
+    endpoint const at_{testing::own_loopback_address(), 27397};
+    endpoint const behind_{testing::own_loopback_address(), 27398};
     kernel::counter_set counters_;
     std::vector<std::uint64_t> taken_;
     std::unique_ptr<kj::AsyncIoContext> io_;
