Charge a request with its header and what the decisions hold of it

Cause: only bodies were charged to callers/most_unanswered. With up to 16 requests of a connection at the decisions, headers alone may take 16 times as much as before, unbounded over all connections.

Change: a request is charged with its bytes on the connection and 2 KiB; once the budget is spent, no further request is taken behind an unanswered one.

Result: exchange_queue_test and session_test state the charge exactly.

--- a/plugins/entry_io/caller_http/exchange_queue.cpp
+++ b/plugins/entry_io/caller_http/exchange_queue.cpp
@@ -26,7 +26,7 @@
 
 void exchange_queue::add(read_request const& what)
 {
-    exchanges_.emplace_back(what, budget_).held.replace(what.body);
+    exchanges_.emplace_back(what, budget_).held.replace(what.size + request_overhead);
 }
 
 void exchange_queue::expect(request_id id)
--- a/plugins/entry_io/caller_http/exchange_queue.hpp
+++ b/plugins/entry_io/caller_http/exchange_queue.hpp
@@ -21,11 +21,14 @@
     byte_count most_waiting_answers; ///< Bytes of answers that wait for an earlier one.
 };
 
+/// What the decisions hold of a request, beside its bytes.
+inline constexpr byte_count request_overhead{2048};
+
 /// A request that was read.
 struct read_request
 {
     request_id id;
-    byte_count body{0};
+    byte_count size{0};     ///< Of its header and body.
     bool is_safe = false;   ///< By its method: it may run beside other safe ones.
     bool head_only = false; ///< Its answer has no body.
 };
@@ -37,7 +40,7 @@
 class exchange_queue
 {
 public:
-    /// Bodies and waiting answers are charged to `held`.
+    /// Requests and waiting answers are charged to `held`.
     /// Precondition: the budget outlives the queue.
     exchange_queue(exchange_limits limits, kernel::byte_budget& held)
         : limits_(limits), budget_(held)
@@ -86,7 +89,7 @@
         }
 
         read_request request;
-        kernel::byte_charge held; ///< Its body, then its answer while that waits for its turn.
+        kernel::byte_charge held; ///< For itself, then for its answer while that waits.
         std::optional<http_response> answer;
         bool is_expected = false;
     };
--- a/plugins/entry_io/caller_http/session.cpp
+++ b/plugins/entry_io/caller_http/session.cpp
@@ -173,7 +173,7 @@
     parser_.reset();
     body_.reset();
     exchanges_.add({.id = id,
-                    .body = byte_count(static_cast<std::int64_t>(what.body().size())),
+                    .size = parsed_ - request_begin_,
                     .is_safe = is_safe(what.method()),
                     .head_only = what.method() == http::verb::head});
     owner_.arrived(shared_from_this(), id, std::move(what), first_byte);
--- a/tests/entry_io/caller_http/exchange_queue_test.cpp
+++ b/tests/entry_io/caller_http/exchange_queue_test.cpp
@@ -77,8 +77,8 @@
 
     void an_answer_that_is_written_is_not_charged()
     {
-        queue_.add({.id = request_id(1), .body = byte_count(70), .is_safe = true});
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{70}, budget_.used().count());
+        queue_.add({.id = request_id(1), .size = byte_count(70), .is_safe = true});
+        CPPUNIT_ASSERT(byte_count(70) + request_overhead == budget_.used());
         queue_.answer(request_id(1), answer_of(30));
         CPPUNIT_ASSERT_EQUAL(std::int64_t{30}, budget_.used().count());
         queue_.next(true);
@@ -102,7 +102,7 @@
         add(1);
         queue_.answer(request_id(9), answer_of(10));
         CPPUNIT_ASSERT(!queue_.is_next_ready());
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, budget_.used().count());
+        CPPUNIT_ASSERT(request_overhead == budget_.used());
     }
 
     /// Pattern: requests, answers in any order and departures are mixed.
@@ -111,7 +111,7 @@
         CPPUNIT_ASSERT(rc::check(
             [](std::vector<std::uint8_t> const& steps)
             {
-                kernel::byte_budget budget(byte_count(1000));
+                kernel::byte_budget budget(byte_count(10'000));
                 {
                     exchange_queue queue(limits, budget);
                     std::uint64_t last = 0;
@@ -148,7 +148,7 @@
         queue_.expect(request_id(id));
     }
 
-    kernel::byte_budget budget_{byte_count(1000)};
+    kernel::byte_budget budget_{byte_count(10'000)};
     exchange_queue queue_{limits, budget_};
 };
 
--- a/tests/entry_io/caller_http/session_test.cpp
+++ b/tests/entry_io/caller_http/session_test.cpp
@@ -206,13 +206,15 @@
         send(request);
         turn();
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, owner_.asked.size());
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{100'000}, owner_.bytes.used().count());
+        auto const one_request =
+            byte_count(static_cast<std::int64_t>(request.size())) + request_overhead;
+        CPPUNIT_ASSERT(byte_count(100'000) + one_request == owner_.bytes.used());
         answer(0, "first");
         CPPUNIT_ASSERT_EQUAL(std::string("first"), next_answer().body());
         CPPUNIT_ASSERT_EQUAL(std::size_t{100'000}, next_answer().body().size());
         turn();
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, owner_.asked.size());
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, owner_.bytes.used().count());
+        CPPUNIT_ASSERT(one_request == owner_.bytes.used());
     }
 
     void answers_of_all_connections_that_wait_stop_the_reading()
