--- a/tests/entry_io/caller_http/pipelining_soak_test.cpp
+++ b/tests/entry_io/caller_http/pipelining_soak_test.cpp
@@ -54,7 +54,8 @@
 class soak_caller
 {
 public:
-    soak_caller(boost::asio::io_context& loop, running_duty& duty, std::string name, dice& random)
+    soak_caller(boost::asio::io_context& loop, running_duty& duty, std::string const& name,
+                dice& random)
         : socket_(loop), random_(random)
     {
         std::string bytes;
