Reset the connection of a cancelled attempt

Guards against GONE: cancel() closed the connection in the ordinary way, so the kernel went on to deliver what it held of the request. Where the link or the target was slow to take it, the request arrived after its caller had left, or after its deadline.

Found by the trace of GONE. a_cancelled_request_does_not_arrive_later failed before: the target read the whole request and the end of the connection.

--- a/plugins/entry_io/target_http/connection.cpp
+++ b/plugins/entry_io/target_http/connection.cpp
@@ -156,6 +156,9 @@
 void connection::cancel()
 {
     cancelled_ = true;
+    // Resets the connection: what the kernel still holds of the request is not to arrive later.
+    boost::system::error_code ec;
+    stream_.socket().set_option(boost::asio::socket_base::linger(true, 0), ec);
     // Unlike cancel(), this also ends an operation that is between two steps.
     stream_.close();
 }
--- a/tests/entry_io/target_http/connection_test.cpp
+++ b/tests/entry_io/target_http/connection_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -28,6 +29,7 @@
     CPPUNIT_TEST(a_cancellation_while_the_reply_is_awaited_closes_the_connection);
     CPPUNIT_TEST(a_cancellation_behind_the_request_closes_the_connection);
     CPPUNIT_TEST(a_cancellation_while_connecting_sends_nothing);
+    CPPUNIT_TEST(a_cancelled_request_does_not_arrive_later);
     CPPUNIT_TEST(a_reply_without_a_valid_status_is_malformed);
     CPPUNIT_TEST(interim_replies_are_not_taken_for_the_answer);
     CPPUNIT_TEST(interim_replies_without_end_are_given_up);
@@ -81,6 +83,30 @@
         CPPUNIT_ASSERT(std::get<exchange_failed>(*ended_).run == verdict::not_run);
     }
 
+    // Guards against GONE: what the kernel held of a cancelled request was delivered after the
+    // close, once the link to the target or the target itself took it.
+    void a_cancelled_request_does_not_arrive_later()
+    {
+        constexpr std::size_t size = 1'000'000;
+        acceptor_->set_option(boost::asio::socket_base::receive_buffer_size(4096));
+        http_request what(boost::beast::http::verb::post, "/r/", 11);
+        what.body() = std::string(size, 'x');
+        what.prepare_payload();
+        way_->exchange(std::move(what), monotonic_now() + seconds(30),
+                       [this](exchange_end how) { ended_ = std::move(how); });
+        target_.emplace(acceptor_->accept());
+        turn();
+        way_->cancel();
+        expect_cancelled();
+        std::string got;
+        boost::system::error_code ec;
+        boost::asio::read(*target_, boost::asio::dynamic_buffer(got), ec);
+        CPPUNIT_ASSERT_EQUAL(
+            boost::system::error_code(boost::asio::error::connection_reset).message(),
+            ec.message());
+        CPPUNIT_ASSERT_LESS(size, got.size());
+    }
+
     // Guards against MIXED: an answer with the status 000 was passed on to the caller.
     void a_reply_without_a_valid_status_is_malformed()
     {
