--- a/plugins/entry/roster/plan_currency.cpp
+++ b/plugins/entry/roster/plan_currency.cpp
@@ -29,10 +29,14 @@
 
 void plan_currency::record(answer const& arrived, instant now)
 {
-    bool const is_slow = arrived.round_trip(now) > limits_.max_round_trip;
-    slow_until_ = is_slow ? now + max_silence : now;
+    auto const confirmed_at = arrived.confirmed_at();
+    if (arrived.round_trip(now) > limits_.max_round_trip)
+        slow_until_ = now + max_silence;
+    // A prompt answer ends the doubt only if it says what the plan is now.
+    else if (confirmed_at && *confirmed_at + limits_.max_age >= now)
+        slow_until_ = now;
     record_restart(arrived.control_restarted, now);
-    if (auto const confirmed_at = arrived.confirmed_at())
+    if (confirmed_at)
         confirmed_at_ = std::max(confirmed_at_.value_or(*confirmed_at), *confirmed_at);
 }
 
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(a_plan_accepted_while_cut_off_is_outdated_once_restarted_control_is_heard);
     CPPUNIT_TEST(a_plan_is_not_outdated_while_a_control_instance_did_not_restart);
     CPPUNIT_TEST(a_plan_is_outdated_after_a_pause_until_control_answers);
+    CPPUNIT_TEST(an_unconfirmed_answer_after_a_pause_leaves_the_plan_outdated);
     CPPUNIT_TEST(reports_are_answered_at_once_while_control_is_slow);
     CPPUNIT_TEST(the_time_for_which_control_held_a_report_is_not_part_of_the_plans_age);
     CPPUNIT_TEST(a_difference_is_applied_to_the_state_that_is_held);
@@ -520,6 +521,21 @@
         CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
     }
 
+    // Guards against HOME: after a pause, a prompt answer of an instance that was not confirmed
+    // itself passed for a confirmation of the plan.
+    void an_unconfirmed_answer_after_a_pause_leaves_the_plan_outdated()
+    {
+        receive_confirmed_plan();
+        tick();
+        tick(seconds(4));
+        CPPUNIT_ASSERT(view().is_plan_outdated(now_));
+        answer({.boot = boot_id(9), .current = false, .confirmed_age = milliseconds(5000)});
+        CPPUNIT_ASSERT(view().is_plan_outdated(now_));
+        tick();
+        answer({.boot = boot_id(9), .confirmed_age = milliseconds(100)});
+        CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
+    }
+
     // Guards against needless refusals: control holds a report for longer than an answer takes on
     // a full link, and the plan counts as older by that time.
     void reports_are_answered_at_once_while_control_is_slow()
