Wait for the confirmation of the last answer where its caller sends on

Now nothing more is read, and the connection is closed once the answer is confirmed, at the latest at the deadline.

--- a/kernel/graceful_close.cpp
+++ b/kernel/graceful_close.cpp
@@ -1,6 +1,7 @@
 #include <mulberryrudder/kernel/graceful_close.hpp>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <array>
@@ -15,13 +16,17 @@
 namespace
 {
 
+/// How often a connection whose peer sends on is checked for the peer's confirmation.
+constexpr milliseconds confirmation_check_interval{20};
+
 /// Reads one connection to its end.
 class discarding_reader : public std::enable_shared_from_this<discarding_reader>
 {
 public:
     discarding_reader(std::shared_ptr<boost::beast::tcp_stream> stream, close_limits limits,
                       std::function<void()> closed)
-        : stream_(std::move(stream)), limits_(limits), closed_(std::move(closed))
+        : stream_(std::move(stream)), limits_(limits), closed_(std::move(closed)),
+          confirmation_check_(stream_->get_executor())
     {
     }
 
@@ -47,8 +52,27 @@
     {
         discarded_ += n;
         auto const most = static_cast<std::size_t>(limits_.most_discarded.count());
-        if (!ec && discarded_ < most && monotonic_now() < limits_.deadline)
+        if (ec || monotonic_now() >= limits_.deadline)
+            return close();
+        if (discarded_ < most)
             return read();
+        await_confirmation();
+    }
+
+    /// Leaves the peer's further bytes unread, and closes once it has confirmed what was written:
+    /// the reset would drop the rest.
+    void await_confirmation()
+    {
+        if (unconfirmed_bytes(stream_->socket()) == byte_count(0) ||
+            monotonic_now() >= limits_.deadline)
+            return close();
+        confirmation_check_.expires_after(confirmation_check_interval);
+        confirmation_check_.async_wait([self = shared_from_this()](boost::system::error_code)
+                                       { self->await_confirmation(); });
+    }
+
+    void close()
+    {
         stream_->close();
         closed_();
     }
@@ -56,6 +80,7 @@
     std::shared_ptr<boost::beast::tcp_stream> stream_;
     close_limits limits_;
     std::function<void()> closed_;
+    boost::asio::steady_timer confirmation_check_;
     std::array<char, 4096> buf_{};
     std::size_t discarded_ = 0;
 };
