Bound what a connection whose caller sends ahead can hold or start

- The departures from a connection were told oldest first.
The first one let a request run that waited behind it, although its caller had left.
They are told newest first.
- Answers that wait for others were charged to the budget for requests, so that large ones refused other callers' bodies.
- The body of a request that must wait for its turn was read beyond the bound, without its time limit.
It is left in the socket.
- A request behind a body that came in many pieces was dated too late.
- The check for a silent caller, due at the moment in which its answer was written, could end the connection during the next one (by reading; no test).

--- a/plugins/entry_io/caller_http/caller_duty.cpp
+++ b/plugins/entry_io/caller_http/caller_duty.cpp
@@ -300,6 +300,7 @@
         return encode_refusal(overloaded);
     }
     kernel::byte_budget& unanswered_bytes() override { return unanswered_bytes_; }
+    kernel::byte_budget& waiting_bytes() override { return waiting_bytes_; }
     caller_settings const& config() const override { return config_; }
     caller_limits const& limits() const override { return limits_; }
     bool closing() const override { return closing_ || stopping_; }
@@ -316,6 +317,7 @@
     tcp::acceptor acceptor_;
     std::list<tcp::acceptor> operator_acceptors_; ///< Handlers refer to them.
     kernel::byte_budget unanswered_bytes_{config_.most_unanswered};
+    kernel::byte_budget waiting_bytes_{config_.most_unanswered};
     std::uint64_t connections_ = 0; ///< The number of the newest connection.
     std::set<std::shared_ptr<session>> sessions_;
     std::unordered_map<request_id, std::shared_ptr<session>> unanswered_;
--- a/plugins/entry_io/caller_http/caller_settings.cpp
+++ b/plugins/entry_io/caller_http/caller_settings.cpp
@@ -54,7 +54,8 @@
               "Bytes of a request's body at most; a plan may state fewer."),
         field("most_unanswered", &caller_settings::most_unanswered, body_bytes,
               "Bytes of requests that are not answered yet, over all connections; a request that "
-              "would exceed this is refused."),
+              "would exceed this is refused. Bytes of answers that wait for earlier ones have the "
+              "same limit, from which on no request is read behind an unanswered one."),
         field("most_pipelined", &caller_settings::most_pipelined, pipelined_counts,
               "Safe requests of one connection that are unanswered at the same time; what is sent "
               "behind them is not read."),
--- a/plugins/entry_io/caller_http/exchange_queue.cpp
+++ b/plugins/entry_io/caller_http/exchange_queue.cpp
@@ -18,15 +18,20 @@
 
 bool exchange_queue::has_room() const
 {
-    return exchanges_.empty() ||
-           (exchanges_.back().request.is_safe &&
-            exchanges_.size() < static_cast<std::size_t>(limits_.most_pipelined.count()) &&
-            waiting_ < limits_.most_waiting_answers && !budget_.is_exhausted());
+    if (exchanges_.empty())
+        return true;
+    auto const unanswered = std::count_if(exchanges_.begin(), exchanges_.end(),
+                                          [](exchange const& it) { return !it.answer; });
+    byte_count const awaited(expected_size_.count() * unanswered);
+    return exchanges_.back().request.is_safe &&
+           exchanges_.size() < static_cast<std::size_t>(limits_.most_pipelined.count()) &&
+           waiting_ + awaited < limits_.most_waiting_answers && !budgets_.requests.is_exhausted() &&
+           !budgets_.answers.is_exhausted();
 }
 
 void exchange_queue::add(read_request const& what)
 {
-    exchanges_.emplace_back(what, budget_).held.replace(what.size + request_overhead);
+    exchanges_.emplace_back(what, budgets_).held.replace(what.size + request_overhead);
 }
 
 void exchange_queue::expect(request_id id)
@@ -49,7 +54,9 @@
         return;
     auto const size = body_size(what);
     waiting_ += size;
-    it->held.replace(size);
+    expected_size_ = std::max(size, byte_count(expected_size_.count() * 7 / 8));
+    it->held.reset();
+    it->waiting.replace(size);
     it->answer.emplace(std::move(what));
     it->is_expected = false;
 }
@@ -64,7 +71,7 @@
     auto& first = exchanges_.front();
     auto& out = *first.answer;
     waiting_ -= body_size(out);
-    first.held.reset();
+    first.waiting.reset();
     out.keep_alive(keep_open);
     if (first.request.head_only)
     {
@@ -90,7 +97,6 @@
             out.push_back(last.request.id);
         exchanges_.pop_back();
     }
-    std::reverse(out.begin(), out.end());
     return out;
 }
 
--- a/plugins/entry_io/caller_http/exchange_queue.hpp
+++ b/plugins/entry_io/caller_http/exchange_queue.hpp
@@ -21,6 +21,13 @@
     byte_count most_waiting_answers; ///< Bytes of answers that wait for an earlier one.
 };
 
+/// What all connections together may hold.
+struct exchange_budgets
+{
+    kernel::byte_budget& requests;
+    kernel::byte_budget& answers; ///< That wait for an earlier one.
+};
+
 /// What the decisions hold of a request, beside its bytes.
 inline constexpr byte_count request_overhead{2048};
 
@@ -40,10 +47,9 @@
 class exchange_queue
 {
 public:
-    /// Requests and waiting answers are charged to `held`.
-    /// Precondition: the budget outlives the queue.
-    exchange_queue(exchange_limits limits, kernel::byte_budget& held)
-        : limits_(limits), budget_(held)
+    /// Precondition: the budgets outlive the queue.
+    exchange_queue(exchange_limits limits, exchange_budgets budgets)
+        : limits_(limits), budgets_(budgets)
     {
     }
 
@@ -51,7 +57,8 @@
     /// Returns whether exactly one answer is not written.
     bool is_last() const { return exchanges_.size() == 1; }
 
-    /// Returns whether a safe request may be taken behind those that are here.
+    /// Returns whether a safe request may be taken behind those that are here. Answers that are
+    /// awaited count as large as recent ones were.
     bool has_room() const;
 
     /// Adds a request at the end.
@@ -77,19 +84,21 @@
     void pop() { exchanges_.pop_front(); }
 
     /// Removes the first request without an answer and all behind it, which can't be answered any
-    /// more; returns those whose answers were expected.
+    /// more; returns those whose answers were expected, the newest first. In that order no
+    /// departure lets a request run that waits for an earlier one.
     std::vector<request_id> drop_unanswered();
 
 private:
     struct exchange
     {
-        exchange(read_request const& what, kernel::byte_budget& budget)
-            : request(what), held(budget)
+        exchange(read_request const& what, exchange_budgets budgets)
+            : request(what), held(budgets.requests), waiting(budgets.answers)
         {
         }
 
         read_request request;
-        kernel::byte_charge held; ///< For itself, then for its answer while that waits.
+        kernel::byte_charge held;    ///< For the request, until it is answered.
+        kernel::byte_charge waiting; ///< For the answer, until its turn.
         std::optional<http_response> answer;
         bool is_expected = false;
     };
@@ -97,9 +106,10 @@
     exchange* find(request_id id);
 
     exchange_limits limits_;
-    kernel::byte_budget& budget_;
+    exchange_budgets budgets_;
     std::deque<exchange> exchanges_; ///< The first one's answer may be referred to by a write.
     byte_count waiting_{0};          ///< Bytes of answers that wait for an earlier one.
+    byte_count expected_size_{0};    ///< Of an answer: the largest one, which is forgotten slowly.
 };
 
 } // namespace mulberryrudder::caller_http
--- a/plugins/entry_io/caller_http/session.cpp
+++ b/plugins/entry_io/caller_http/session.cpp
@@ -67,7 +67,7 @@
       body_(owner.unanswered_bytes()),
       exchanges_({.most_pipelined = owner.config().most_pipelined,
                   .most_waiting_answers = owner.config().most_waiting_answers},
-                 owner.unanswered_bytes()),
+                 {.requests = owner.unanswered_bytes(), .answers = owner.waiting_bytes()}),
       for_operators_(for_operators)
 {
     boost::system::error_code ec;
@@ -168,6 +168,7 @@
     idle_ = false;
     last_taken_ = !parser_->keep_alive();
     auto const first_byte = arrivals_.of(request_begin_);
+    arrivals_.forget_before(parsed_);
     auto const id = owner_.next_id();
     auto what = parser_->release();
     parser_.reset();
@@ -217,9 +218,11 @@
 {
     if (!parser_)
         begin_request();
-    parser_->eager(true);
     while (!parser_->is_done() && buf_.size() != 0)
     {
+        // Its body is read when its turn comes, within the limit for that.
+        if (parser_->is_header_done() && !is_safe(parser_->get().method()))
+            return false;
         boost::system::error_code ec;
         auto const n = parser_->put(buf_.data(), ec);
         buf_.consume(n);
@@ -346,7 +349,9 @@
     silence_check_.async_wait(
         [self = shared_from_this()](boost::system::error_code ec)
         {
-            if (ec || !self->serializer_)
+            // The check of an earlier answer may have been due when it was cancelled.
+            bool const is_stale = self->silence_check_.expiry() > std::chrono::steady_clock::now();
+            if (ec || is_stale || !self->serializer_)
                 return;
             auto const confirmed = self->confirmed_bytes();
             if (confirmed <= self->confirmed_)
--- a/plugins/entry_io/caller_http/session.hpp
+++ b/plugins/entry_io/caller_http/session.hpp
@@ -43,8 +43,10 @@
     virtual void ended(std::shared_ptr<session> const& it) = 0;
     /// Returns the refusal of a request that this instance has no room for.
     virtual http_response refuse_overloaded() = 0;
-    /// For the bytes of requests that are not answered, and of answers that wait for others.
+    /// For the bytes of requests that are not answered.
     virtual kernel::byte_budget& unanswered_bytes() = 0;
+    /// For the bytes of answers that wait for earlier ones of their connection.
+    virtual kernel::byte_budget& waiting_bytes() = 0;
     virtual caller_settings const& config() const = 0;
     /// The limits that hold for the next request.
     virtual caller_limits const& limits() const = 0;
--- a/tests/entry/plan_stages/connection_order_test.cpp
+++ b/tests/entry/plan_stages/connection_order_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(requests_behind_one_that_may_run_once_wait_for_it);
     CPPUNIT_TEST(a_request_that_waits_ends_at_its_deadline_as_not_run);
     CPPUNIT_TEST(a_request_behind_one_that_was_given_up_runs);
+    CPPUNIT_TEST(a_caller_that_leaves_starts_none_of_its_waiting_requests);
     CPPUNIT_TEST(requests_of_other_connections_do_not_wait);
     CPPUNIT_TEST_SUITE_END();
 
@@ -80,6 +81,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, bench_.attempts_of(write));
     }
 
+    // Guards against GONE: the departure that ended a request let the one that waited behind it
+    // run, although it had the same caller. Front ends tell the newest request's departure first.
+    void a_caller_that_leaves_starts_none_of_its_waiting_requests()
+    {
+        auto const read = send("/read/1");
+        auto const write = send("/write/2");
+        auto const last = send("/read/3");
+        for (auto const id : {last, write, read})
+            bench_.disconnect_caller(id);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, bench_.attempts_of(write));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, bench_.attempts_of(last));
+        CPPUNIT_ASSERT_EQUAL(std::string("caller_left"), bench_.outcome_of(write));
+    }
+
     void requests_of_other_connections_do_not_wait()
     {
         send("/write/1");
