Show that an old fault of the old version hides a bad new one

A rollout is judged by totals since its begin: where the old version's targets failed for a while, a version that goes on failing is not rolled back within 5 s of its 50th bad answer.

--- a/tests/control/steering/rollouts_test.cpp
+++ b/tests/control/steering/rollouts_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(a_version_that_gets_no_answers_does_not_succeed);
     CPPUNIT_TEST(a_suspected_version_does_not_succeed);
     CPPUNIT_TEST(a_rollout_that_replaces_a_running_one_starts_anew);
+    CPPUNIT_TEST(an_earlier_fault_of_old_targets_does_not_delay_a_rollback);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -208,6 +209,16 @@
         CPPUNIT_ASSERT(versions().phase == rollout_phase::succeeded);
     }
 
+    // Guards against EXPOSURE: failures of the old version's targets, also after they have ended,
+    // hide those of the new one beyond the time that is allowed from its 50th bad answer on (5 s).
+    void an_earlier_fault_of_old_targets_does_not_delay_a_rollback()
+    {
+        start_rollout_to_v2();
+        run(seconds(5), {.answered = 10, .failed = 3}, {.answered = 10, .failed = 4});
+        run(milliseconds(1500), {.answered = 10, .failed = 3}, {.answered = 10});
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::rolled_back);
+    }
+
 private:
     void start_rollout_to_v2()
     {
