Report a missing leader with its voters, and what begins and ends an entry's doubt

Change: replica.leader_missing (512, warning) after 2 s without a leader and once there is one again, with the voters that answer, are silent or have another disk; plan.doubted (314, warning) with the control instance and the contents of its answer. No decision is changed.

--- a/plugins/control/replica/election.cpp
+++ b/plugins/control/replica/election.cpp
@@ -230,6 +230,7 @@
 
 void replica::handle_vote_reply(instance_id sender, messages::vote_reply const& reply, context&)
 {
+    absence_.record_heard({.id = sender, .disk = reply.disk}, now());
     if (!members().counts(sender, reply.disk))
         return;
     if (!reply.granted)
--- a/plugins/control/replica/following.cpp
+++ b/plugins/control/replica/following.cpp
@@ -28,6 +28,7 @@
     if (role_.current() != role::follower)
         step_down();
     leader_ = sender;
+    absence_.record_leader(now());
     voted_ = false;
     candidate_awaited_until_ = {};
     leader_lease_until_ = now() + config_.lease_duration;
--- a/plugins/control/replica/replica.cpp
+++ b/plugins/control/replica/replica.cpp
@@ -33,6 +33,7 @@
     if (is_stopped())
         role_.disk_restored();
     recovered_at_ = ctx.now;
+    absence_.record_leader(ctx.now);
     state_ = recovery.state;
     init_disk_identity(recovery);
     if (recovery.base)
@@ -163,6 +164,17 @@
         tick_as_leader();
     else
         campaign_if_due();
+    record_leader_absence();
+}
+
+void replica::record_leader_absence()
+{
+    // An instance without a vote is sent nothing by the leader.
+    if (!has_vote() || may_act(now()))
+        absence_.record_leader(now());
+    if (absence_.update(now()))
+        ctx_->events.record(replica_events::leader_missing,
+                            absence_.fields(members(), own_voter(), now()));
 }
 
 bool replica::may_act(instant now) const
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -1,6 +1,7 @@
 #ifndef MULBERRYRUDDER_PLUGINS_CONTROL_REPLICA_REPLICA_HPP
 #define MULBERRYRUDDER_PLUGINS_CONTROL_REPLICA_REPLICA_HPP
 
+#include "leader_absence.hpp"
 #include "leader_lease.hpp"
 #include "log_store.hpp"
 #include "membership_history.hpp"
@@ -108,6 +109,9 @@
             ctx_->out.push_back(send_message{std::move(it)});
     }
 
+    /// Reports that a leader begins or ceases to be missing.
+    void record_leader_absence();
+
     // starting.cpp: founding the group, restarts, and replaced or outdated disks.
     /// Returns whether this disk has neither a group nor any entry.
     bool is_blank() const;
@@ -277,6 +281,7 @@
     instant candidate_awaited_until_; ///< No pre-vote for another replica before then.
     instant recovered_at_;            ///< When the disk was read.
 
+    leader_absence absence_;
     leader_lease lease_;
     std::map<instance_id, progress> peers_;
     log_index term_start_;              ///< Index of the first entry of the own term as leader.
--- a/plugins/control/replica/replica_events.cpp
+++ b/plugins/control/replica/replica_events.cpp
@@ -90,6 +90,17 @@
                               "`disk.slow_sync` with replica/election_timeout, and check the "
                               "connections between control instances."});
 
+event_kind const leader_missing(
+    {.number = 512,
+     .name = "replica.leader_missing",
+     .level = severity::warning,
+     .meaning = "A voter has known no leader for 2 s (`missing`), or knows one again after "
+                "`for_ms`. No order is accepted without one. Of the group's `voters`, those in "
+                "`answering` were heard with the disk that counts, those in `other_disk` with "
+                "another one, and those in `silent` were not heard in the last 3 s.",
+     .action = "A leader needs more than half of the voters in `answering`. Start the silent ones; "
+               "where a disk was replaced, bring back the one that counts."});
+
 counter_kind const pre_votes("replica.trials", "Pre-vote rounds that this replica started.");
 counter_kind const elections("replica.elections",
                              "Elections that this replica started as a candidate.");
--- a/plugins/control/replica/replica_events.hpp
+++ b/plugins/control/replica/replica_events.hpp
@@ -19,6 +19,7 @@
 extern kernel::event_kind const snapshot_installed;
 extern kernel::event_kind const disk_restored;
 extern kernel::event_kind const election_ended;
+extern kernel::event_kind const leader_missing;
 
 extern kernel::counter_kind const pre_votes;
 extern kernel::counter_kind const elections;
--- a/plugins/control/replica/starting.cpp
+++ b/plugins/control/replica/starting.cpp
@@ -96,6 +96,7 @@
 {
     if (req.starts.empty())
         return;
+    absence_.record_heard({.id = sender, .disk = req.disk}, now());
     auto const status = classify_start(sender, req);
     start_record const newest{.instance = sender, .disk = req.disk, .nonce = req.starts.back()};
     if (status == messages::start_standing::known && record_start(newest))
@@ -159,6 +160,7 @@
                                  context& ctx)
 {
     using messages::start_standing;
+    absence_.record_heard({.id = sender, .disk = reply.disk}, now());
     if (reply.nonce != state_.own_starts.back())
         return;
     if (reply.standing == start_standing::outdated)
--- a/plugins/entry/roster/plan_currency.hpp
+++ b/plugins/entry/roster/plan_currency.hpp
@@ -59,6 +59,9 @@
     /// while it did not run.
     bool is_slow(instant now) const;
 
+    /// Returns whether control instances answer that they have restarted and wait for a leader.
+    bool is_doubted() const { return restarted_since_.has_value(); }
+
     /// Returns whether requests must not be sent by the state: it is too old or was never
     /// confirmed, and control instances answer that they have restarted and wait for a leader; or
     /// it is too old, and answers of control take long. Without a word from control this instance
--- a/plugins/entry/roster/roster_events.cpp
+++ b/plugins/entry/roster/roster_events.cpp
@@ -98,6 +98,16 @@
                 "reports to.",
      .action = "Check the connections to control instances and between them."}};
 
+kernel::event_kind const plan_doubted_event{
+    {.number = 314,
+     .name = "plan.doubted",
+     .level = kernel::severity::warning,
+     .meaning =
+         "This instance begins or ends to doubt that its plan is the newest one (`doubted`), "
+         "by an answer of `control`, which hears most others or not (`connected`) and gave "
+         "the age `confirmed_age_ms` of its last confirmation, -1 without one.",
+     .action = "Check whether control has a leader; see `replica.leader_missing` there."}};
+
 kernel::event_kind const target_departed_event{
     {.number = 312,
      .name = "target.departed",
--- a/plugins/entry/roster/roster_events.hpp
+++ b/plugins/entry/roster/roster_events.hpp
@@ -21,6 +21,7 @@
 extern kernel::histogram_kind const notice_age;
 extern kernel::counter_kind const reports_counter;
 extern kernel::event_kind const plan_outdated_event;
+extern kernel::event_kind const plan_doubted_event;
 extern kernel::event_kind const plan_unconfirmed_event;
 extern kernel::event_kind const target_departed_event;
 extern kernel::histogram_kind const round_trips;
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -300,7 +300,10 @@
         if (generation_of(update) > steering_->generation)
             answer.confirmed_age.reset();
         ctx.counters.observe(round_trips, answer.round_trip(ctx.now));
+        bool const was_doubted = currency_.is_doubted();
         currency_.record(answer, ctx.now);
+        if (currency_.is_doubted() != was_doubted)
+            record_doubt_change(sender, update, ctx);
         record_outdated_change(ctx);
         if (answer.control_restarted)
             await_confirmation(ctx.now);
@@ -343,6 +346,17 @@
                                                 {"age_ms", std::to_string(age_ms)}});
     }
 
+    void record_doubt_change(instance_id sender, messages::roster_update const& update,
+                             context& ctx)
+    {
+        auto const age_ms = update.confirmed_age ? update.confirmed_age->count() : -1;
+        ctx.events.record(plan_doubted_event,
+                          {{"doubted", currency_.is_doubted() ? "true" : "false"},
+                           {"control", std::to_string(sender.value())},
+                           {"connected", update.connected ? "true" : "false"},
+                           {"confirmed_age_ms", std::to_string(age_ms)}});
+    }
+
     void begin_search(std::string const& reason, std::optional<milliseconds> age,
                       instant first_round, context& ctx)
     {
