Reproduce the lost majority and the doubt that ends without a confirmation

Callers saw requests handled by an older plan, and a plan that is never read back. Change: planned_stop_tests runs replicas and the keeper of the voters through a planned stop, or an abrupt removal, that is followed by a loss of all power with one disk.

--- a/tests/control/replica/fake_group.cpp
+++ b/tests/control/replica/fake_group.cpp
@@ -96,6 +96,22 @@
     instance.decision_core.reset();
 }
 
+void fake_group::request_stop(std::uint32_t id)
+{
+    deliver_when_running(id, at(id).start, stop_requested{});
+}
+
+void fake_group::end_process(std::uint32_t id, std::uint64_t start)
+{
+    // The core is in use until the input that completed the stop was handled.
+    schedule(now_,
+             [=, this]
+             {
+                 if (is_up(id) && at(id).start == start)
+                     kill(id);
+             });
+}
+
 void fake_group::freeze(std::uint32_t id, span duration)
 {
     at(id).frozen_until = now_ + duration;
@@ -242,6 +258,8 @@
             answers.push_back(answer->body);
             answer_by_request_.emplace(answer->id, answer->body);
         }
+        if (std::holds_alternative<stop_completed>(it))
+            end_process(instance.id.value(), instance.start);
         if (std::holds_alternative<reopen_disk>(it))
             reopen_disk_when_mended(instance.id.value(), instance.start);
         if (auto const* const saved = std::get_if<persist_snapshot>(&it))
--- a/tests/control/replica/fake_group.hpp
+++ b/tests/control/replica/fake_group.hpp
@@ -76,6 +76,8 @@
     /// Starts an instance whose disk cannot be read until mend_disk().
     void start_unreadable(std::uint32_t id);
     void kill(std::uint32_t id);
+    /// Requests a planned stop; the process ends once its core completes it.
+    void request_stop(std::uint32_t id);
     void freeze(std::uint32_t id, span duration);
     /// Lets all writes to an instance's disk fail until mend_disk() or the next start.
     void fail_disk(std::uint32_t id);
@@ -136,6 +138,7 @@
     void perform(fake_instance& instance, effects const& out);
     void transmit(envelope const& message);
     void write(fake_instance& instance, fake_disk::write data);
+    void end_process(std::uint32_t id, std::uint64_t start);
     /// Syncs all writes that wait, one batch after the other as the disk duty does.
     void sync_batch(std::uint32_t id, std::uint64_t start);
     /// Tells an instance that its disk was reopened, or what it holds, once it is mended.
--- /dev/null
+++ b/tests/control/voters/planned_stop_test.cpp
@@ -0,0 +1,163 @@
+#include "tests/control/replica/fake_group.hpp"
+
+#include <mulberryrudder/control/roster.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace mulberryrudder::control::testing
+{
+
+namespace
+{
+
+/// Bounds of the platform: time after a planned stop after which the process is killed, and time
+/// within which service is expected after all machines are back.
+constexpr seconds grace{6};
+constexpr seconds recovery{15};
+/// Time within which the voters that a group needs have joined after its start.
+constexpr seconds settling_time{5};
+constexpr std::uint32_t seeds = 3;
+
+/// Fake roster: an instance is reachable if one of its messages arrived lately.
+class fake_roster final : public component, public roster_view
+{
+public:
+    explicit fake_roster(component_parts const& parts)
+    {
+        parts.services.provide<roster_view>(*this);
+    }
+
+    void received(envelope const& message, context& ctx) override
+    {
+        last_heard_[message.from] = ctx.now;
+    }
+
+    std::vector<version_id> versions_of(service_id const&) const override { return {}; }
+    slots capacity_of(service_id const&, version_id const&) const override { return {}; }
+    std::vector<messages::entry_notice> entry_notices() const override { return {}; }
+    std::vector<instance_description> control_since(instant since) const override
+    {
+        std::vector<instance_description> out;
+        for (auto const& [id, at] : last_heard_)
+            if (at >= since)
+                out.push_back({.id = id, .region = {}, .domain = {}, .peer = {}, .caller = {}});
+        return out;
+    }
+    std::optional<instant> control_last_heard(instance_id id) const override
+    {
+        auto const found = last_heard_.find(id);
+        return found == last_heard_.end() ? std::nullopt : std::optional(found->second);
+    }
+
+private:
+    std::map<instance_id, instant> last_heard_;
+};
+
+component_registrar<fake_roster> const registered{"fake_roster", component_order::roster};
+
+class planned_stop_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(planned_stop_test);
+    CPPUNIT_TEST(a_planned_stop_and_then_the_loss_of_a_disk_leave_a_leader);
+    CPPUNIT_TEST(a_removed_instance_and_the_loss_of_a_disk_leave_a_leader);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against CONFIG: a voter that was stopped as planned left its vote behind for two
+    // seconds. A loss of all power with one disk then took a second voter of three, and the group
+    // had no leader any more.
+    void a_planned_stop_and_then_the_loss_of_a_disk_leave_a_leader()
+    {
+        for_each_pair(
+            [this](std::uint32_t stopped, std::uint32_t blank)
+            {
+                start_group(4);
+                stop(stopped);
+                lose_power_and_disk(stopped, blank);
+                expect_recovery(stopped, blank);
+            });
+    }
+
+    // Guards against CONFIG: an instance was removed once its successor had run for long enough
+    // not to count as a loss, and a disk was lost before its vote had passed on.
+    void a_removed_instance_and_the_loss_of_a_disk_leave_a_leader()
+    {
+        for_each_pair(
+            [this](std::uint32_t removed, std::uint32_t blank)
+            {
+                start_group(6);
+                group_->kill(removed);
+                lose_power_and_disk(removed, blank);
+                expect_recovery(removed, blank);
+            });
+    }
+
+private:
+    /// Calls a function with each two seeds.
+    template <class Function>
+    static void for_each_pair(Function const& call)
+    {
+        for (std::uint32_t first = 1; first <= seeds; ++first)
+            for (std::uint32_t second = 1; second <= seeds; ++second)
+                if (first != second)
+                    call(first, second);
+    }
+
+    /// Starts a group of three seeds and other instances, and waits until its voters have joined.
+    void start_group(std::uint32_t size)
+    {
+        group_ = std::make_unique<fake_group>(seeds, 20261207);
+        while (group_->size() < size)
+            group_->add_instance();
+        for (std::uint32_t id = 1; id <= size; ++id)
+            group_->start(id);
+        CPPUNIT_ASSERT(group_->run_until([this] { return has_leader(); }, seconds(20)));
+        group_->run_for(settling_time);
+        CPPUNIT_ASSERT(group_->propose(last_value));
+        group_->run_for(seconds(1));
+    }
+
+    bool has_leader() { return group_->acting_leader() != 0; }
+
+    /// Stops an instance as planned, and waits until its process has ended.
+    void stop(std::uint32_t id)
+    {
+        group_->request_stop(id);
+        CPPUNIT_ASSERT(group_->run_until([this, id] { return !group_->is_up(id); }, grace));
+    }
+
+    /// Kills all instances at once, and starts all but one again, one of them with a blank disk.
+    void lose_power_and_disk(std::uint32_t removed, std::uint32_t blank)
+    {
+        for (std::uint32_t id = 1; id <= group_->size(); ++id)
+            if (group_->is_up(id))
+                group_->kill(id);
+        group_->at(blank).disk.replace_contents({});
+        group_->run_for(seconds(1));
+        for (std::uint32_t id = 1; id <= group_->size(); ++id)
+            if (id != removed)
+                group_->start(id);
+    }
+
+    void expect_recovery(std::uint32_t removed, std::uint32_t blank)
+    {
+        auto const name =
+            std::to_string(removed) + " is gone, the disk of " + std::to_string(blank) + " is lost";
+        CPPUNIT_ASSERT_MESSAGE(name, group_->run_until([this] { return has_leader(); }, recovery));
+        CPPUNIT_ASSERT_MESSAGE(name, group_->has_value(group_->acting_leader(), last_value));
+    }
+
+    static constexpr std::uint64_t last_value = 7;
+    std::unique_ptr<fake_group> group_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(planned_stop_test);
+
+} // namespace
+
+} // namespace mulberryrudder::control::testing
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -55,6 +55,11 @@
     CPPUNIT_TEST(a_plan_is_not_outdated_while_a_control_instance_did_not_restart);
     CPPUNIT_TEST(a_plan_is_outdated_after_a_pause_until_control_answers);
     CPPUNIT_TEST(an_unconfirmed_answer_after_a_pause_leaves_the_plan_outdated);
+    CPPUNIT_TEST(unconfirmed_answers_after_a_pause_never_end_the_doubt);
+    CPPUNIT_TEST(a_plan_stays_outdated_while_restarted_control_is_cut_off_for_a_moment);
+    CPPUNIT_TEST(a_plan_stays_outdated_if_an_instance_was_confirmed_before_the_restart);
+    CPPUNIT_TEST(a_plan_is_outdated_by_its_last_confirmation_once_control_restarts);
+    CPPUNIT_TEST(an_instance_that_doubts_its_plan_serves_while_no_control_is_heard);
     CPPUNIT_TEST(reports_are_answered_at_once_while_control_is_slow);
     CPPUNIT_TEST(the_time_for_which_control_held_a_report_is_not_part_of_the_plans_age);
     CPPUNIT_TEST(a_difference_is_applied_to_the_state_that_is_held);
@@ -536,6 +541,97 @@
         CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
     }
 
+    // Guards against CONFIG: unconfirmed answers passed for the silence after which an instance
+    // that is cut off goes on.
+    void unconfirmed_answers_after_a_pause_never_end_the_doubt()
+    {
+        receive_confirmed_plan();
+        tick();
+        tick(seconds(4));
+        for (int n = 0; n != 100; ++n)
+        {
+            answer({.boot = boot_id(9),
+                    .current = false,
+                    .confirmed_age = milliseconds(5000) + milliseconds(100) * n});
+            tick(milliseconds(100));
+            CPPUNIT_ASSERT(view().is_plan_outdated(now_));
+        }
+    }
+
+    // Guards against CONFIG: six seconds after a start of all control instances, most are cut off
+    // for half a second. Their answers then passed for those of control that did not restart, and
+    // entries acted by an old plan again for as long as it took to doubt it once more.
+    void a_plan_stays_outdated_while_restarted_control_is_cut_off_for_a_moment()
+    {
+        receive_confirmed_plan();
+        for (int n = 0; n != 100; ++n)
+        {
+            tick(milliseconds(100));
+            bool const is_cut_off = n >= 60 && n < 64;
+            answer({.boot = boot_id(10), .connected = !is_cut_off, .current = false});
+            if (n > 20)
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(n), view().is_plan_outdated(now_));
+        }
+        answer_with_confirmation();
+        CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
+    }
+
+    // Guards against CONFIG: an instance that ran on, but was cut off while a plan was
+    // acknowledged, passed for one that holds every acknowledged order.
+    void a_plan_stays_outdated_if_an_instance_was_confirmed_before_the_restart()
+    {
+        receive_confirmed_plan();
+        for (int n = 0; n != 30; ++n)
+        {
+            tick(milliseconds(100));
+            answer({.boot = boot_id(10), .current = false});
+        }
+        for (int n = 0; n != 30; ++n)
+        {
+            CPPUNIT_ASSERT(view().is_plan_outdated(now_));
+            tick(milliseconds(100));
+            answer({.boot = boot_id(9),
+                    .current = false,
+                    .confirmed_age = milliseconds(4000) + milliseconds(100) * n});
+        }
+        answer_with_confirmation();
+        CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
+    }
+
+    // Guards against CONFIG: the age of the last confirmation was added to the time for which an
+    // entry goes on without one, so that it acted by an old plan for several seconds longer.
+    void a_plan_is_outdated_by_its_last_confirmation_once_control_restarts()
+    {
+        receive_confirmed_plan();
+        tick(milliseconds(900));
+        tick(milliseconds(900));
+        tick(milliseconds(900));
+        CPPUNIT_ASSERT_MESSAGE("no control is heard", !view().is_plan_outdated(now_));
+        answer({.boot = boot_id(10), .current = false});
+        CPPUNIT_ASSERT(view().is_plan_outdated(now_));
+        tick();
+        answer_with_confirmation();
+        CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
+    }
+
+    // Guards against an outage of a failure domain that is cut off while control restarts. The
+    // first word of control brings the doubt back, since nothing was confirmed meanwhile.
+    void an_instance_that_doubts_its_plan_serves_while_no_control_is_heard()
+    {
+        receive_confirmed_plan();
+        for (int n = 0; n != 30; ++n)
+        {
+            tick(milliseconds(100));
+            answer({.boot = boot_id(10), .current = false});
+        }
+        CPPUNIT_ASSERT(view().is_plan_outdated(now_));
+        for (int n = 0; n != 51; ++n)
+            tick(milliseconds(100));
+        CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
+        answer({.boot = boot_id(10), .connected = false, .current = false});
+        CPPUNIT_ASSERT(view().is_plan_outdated(now_));
+    }
+
     // Guards against needless refusals: control holds a report for longer than an answer takes on
     // a full link, and the plan counts as older by that time.
     void reports_are_answered_at_once_while_control_is_slow()
@@ -706,6 +802,17 @@
             {.boot = boot_id(9), .confirmed_age = milliseconds(100), .steering = state(4, true)});
     }
 
+    /// Answers two reports with confirmations, as a leader that has just been elected lets a
+    /// control instance do.
+    void answer_with_confirmation()
+    {
+        for (int n = 0; n != 2; ++n)
+        {
+            answer({.boot = boot_id(10), .confirmed_age = milliseconds(100)});
+            tick(milliseconds(200));
+        }
+    }
+
     /// Receives a plan from a control instance, and then that its state is not confirmed.
     /// Returns that instance.
     instance_id attach_to_unconfirmed()
