Let only a confirmation end an entry's doubt about its plan

What callers saw: after a restart of all control instances without a leader, requests were handled by an older plan for about two seconds twice: right after the restart and again about seven seconds later, when machines count as in touch. Cause: missing news were taken for good news. An answer of an instance that was cut off for half a second, or that was confirmed before the restart, counted as "did not restart" and ended the doubt; after a pause, five seconds did, although control was heard. The time of max_plan_age began anew with the first answer after the restart, on top of the age of the last confirmation. Change: a restart of control is in doubt until a confirmation as of a later time, a late answer or a pause until a prompt answer confirms the plan. The age counts from the last confirmation. Silence of all control instances for five seconds still means that the entry is cut off and goes on; the next word brings the doubt back. An entry that starts waits for its first plan's confirmation as long as control is heard that has restarted. a_plan_is_outdated_if_control_restarts_and_has_no_leader expected two seconds from the first answer; it now expects two seconds from the last confirmation, which is stricter.

--- a/plugins/entry/roster/plan_currency.cpp
+++ b/plugins/entry/roster/plan_currency.cpp
@@ -29,35 +29,29 @@
 
 void plan_currency::record(answer const& arrived, instant now)
 {
+    heard_until_ = now + max_silence;
     auto const confirmed_at = arrived.confirmed_at();
     if (arrived.round_trip(now) > limits_.max_round_trip)
-        slow_until_ = now + max_silence;
-    // A prompt answer ends the doubt only if it says what the plan is now.
+        is_delayed_ = true;
     else if (confirmed_at && *confirmed_at + limits_.max_age >= now)
-        slow_until_ = now;
-    record_restart(arrived.control_restarted, now);
+        is_delayed_ = false;
+    // A confirmation from before the restart says nothing of the orders that it made uncertain.
+    if (restart_heard_at_ && confirmed_at > restart_heard_at_)
+        restart_heard_at_.reset();
+    if (arrived.control_restarted)
+        restart_heard_at_ = restart_heard_at_.value_or(now);
     if (confirmed_at)
         confirmed_at_ = std::max(confirmed_at_.value_or(*confirmed_at), *confirmed_at);
 }
 
-void plan_currency::record_restart(bool restarted, instant now)
-{
-    if (!restarted)
-        return restarted_since_.reset();
-    restarted_since_ = restarted_since_.value_or(now);
-    restart_heard_ = now;
-}
-
-bool plan_currency::awaits_leader(instant now) const
-{
-    return restarted_since_ && now > *restarted_since_ + limits_.max_age &&
-           now < restart_heard_ + max_silence;
-}
-
 void plan_currency::tick(instant now)
 {
     if (was_paused(now))
-        slow_until_ = now + max_silence;
+    {
+        is_delayed_ = true;
+        // An answer may wait for this process.
+        heard_until_ = now + max_silence;
+    }
     last_tick_ = now;
 }
 
@@ -70,14 +64,14 @@
 
 bool plan_currency::is_slow(instant now) const
 {
-    return now < slow_until_ || was_paused(now);
+    return (is_delayed_ && !is_cut_off(now)) || was_paused(now);
 }
 
 bool plan_currency::is_outdated(instant now) const
 {
     if (confirmed_at_ && now <= *confirmed_at_ + limits_.max_age)
         return false;
-    return awaits_leader(now) || (confirmed_at_ && is_slow(now));
+    return (awaits_leader() && !is_cut_off(now)) || (confirmed_at_ && is_slow(now));
 }
 
 bool plan_currency::was_paused(instant now) const
--- a/plugins/entry/roster/plan_currency.hpp
+++ b/plugins/entry/roster/plan_currency.hpp
@@ -16,6 +16,9 @@
 /// plus the time for which the control instance held it. How long the answer was on its way adds
 /// to its age.
 ///
+/// A late answer, a pause of this process, and control instances that have restarted cast doubt on
+/// the state: a newer one may be in force. Only an answer that confirms it ends a doubt.
+///
 /// Thread safety: one owner.
 class plan_currency
 {
@@ -59,26 +62,24 @@
     /// while it did not run.
     bool is_slow(instant now) const;
 
-    /// Returns whether control instances answer that they have restarted and wait for a leader.
-    bool is_doubted() const { return restarted_since_.has_value(); }
+    /// Returns whether control instances answered that they have restarted, and the state was not
+    /// confirmed as of a later time.
+    bool awaits_leader() const { return restart_heard_at_.has_value(); }
 
     /// Returns whether requests must not be sent by the state: it is too old or was never
-    /// confirmed, and control instances answer that they have restarted and wait for a leader; or
-    /// it is too old, and answers of control take long. Without a word from control this instance
+    /// confirmed, it is in doubt, and control is heard. Without a word from control this instance
     /// is cut off, and goes on with the state that it holds.
     bool is_outdated(instant now) const;
 
 private:
     bool was_paused(instant now) const;
-    void record_restart(bool restarted, instant now);
-    bool awaits_leader(instant now) const;
+    bool is_cut_off(instant now) const { return now >= heard_until_; }
 
     options limits_;
     std::optional<instant> confirmed_at_;
-    instant slow_until_; ///< Until when answers of control count as slow.
-    /// Since when control instances answer that they have restarted.
-    std::optional<instant> restarted_since_;
-    instant restart_heard_; ///< Last answer of that kind.
+    bool is_delayed_ = false;                 ///< In doubt by a late answer or a pause.
+    std::optional<instant> restart_heard_at_; ///< In doubt by a restart of control since then.
+    instant heard_until_; ///< Cut off from control then, without a further answer.
     std::optional<instant> last_tick_;
 };
 
--- a/plugins/entry/roster/roster_events.cpp
+++ b/plugins/entry/roster/roster_events.cpp
@@ -83,8 +83,9 @@
      .name = "plan.outdated",
      .level = kernel::severity::warning,
      .meaning = "This instance begins or ends to refuse requests since its plan is outdated: it "
-                "was confirmed `age_ms` ago, and answers of control take long, or all control "
-                "instances have restarted and there is no leader. `outdated` is whether it begins.",
+                "was confirmed `age_ms` ago, and answers of control take long, or control "
+                "instances have restarted and have confirmed nothing since. `outdated` is whether "
+                "it begins.",
      .action = "Check the load of this instance's network link; see `control.round_trip`. Check "
                "whether control has a leader."}};
 
@@ -102,10 +103,10 @@
     {.number = 314,
      .name = "plan.doubted",
      .level = kernel::severity::warning,
-     .meaning =
-         "This instance begins or ends to doubt that its plan is the newest one (`doubted`), "
-         "by an answer of `control`, which hears most others or not (`connected`) and gave "
-         "the age `confirmed_age_ms` of its last confirmation, -1 without one.",
+     .meaning = "This instance begins or ends to doubt that its plan is the newest one "
+                "(`doubted`): `control` has restarted and awaits a leader, or has confirmed the "
+                "plan since. Its answer says whether it hears most others (`connected`) and the "
+                "age `confirmed_age_ms` of its last confirmation, -1 without one.",
      .action = "Check whether control has a leader; see `replica.leader_missing` there."}};
 
 kernel::event_kind const target_departed_event{
--- a/plugins/entry/roster/roster_settings.cpp
+++ b/plugins/entry/roster/roster_settings.cpp
@@ -19,9 +19,9 @@
             "together."),
         kernel::field("max_plan_age", &roster_settings::max_plan_age, {100, 600'000},
                       "Milliseconds since its plan was the newest after which this instance "
-                      "refuses requests, if control is heard with a delay, or has restarted for "
-                      "as long and has no leader; below the time within which an acknowledged plan "
-                      "must be in force."),
+                      "refuses requests, if control is heard with a delay, or has restarted and "
+                      "has confirmed nothing since; below the time within which an acknowledged "
+                      "plan must be in force."),
         kernel::field(
             "first_plan_limit", &roster_settings::first_plan_timeout, {0, 600'000},
             "Milliseconds after which an instance that has just started accepts callers with a "
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -300,12 +300,12 @@
         if (generation_of(update) > steering_->generation)
             answer.confirmed_age.reset();
         ctx.counters.observe(round_trips, answer.round_trip(ctx.now));
-        bool const was_doubted = currency_.is_doubted();
+        bool const awaited_leader = currency_.awaits_leader();
         currency_.record(answer, ctx.now);
-        if (currency_.is_doubted() != was_doubted)
+        if (currency_.awaits_leader() != awaited_leader)
             record_doubt_change(sender, update, ctx);
         record_outdated_change(ctx);
-        if (answer.control_restarted)
+        if (currency_.awaits_leader())
             await_confirmation(ctx.now);
         // A late answer tells what held when it was sent.
         bool const confirms = update.current && is_recent(answer, ctx.now);
@@ -351,7 +351,7 @@
     {
         auto const age_ms = update.confirmed_age ? update.confirmed_age->count() : -1;
         ctx.events.record(plan_doubted_event,
-                          {{"doubted", currency_.is_doubted() ? "true" : "false"},
+                          {{"doubted", currency_.awaits_leader() ? "true" : "false"},
                            {"control", std::to_string(sender.value())},
                            {"connected", update.connected ? "true" : "false"},
                            {"confirmed_age_ms", std::to_string(age_ms)}});
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -471,7 +471,8 @@
         {
             tick(milliseconds(100));
             answer({.boot = boot_id(10), .current = false});
-            auto const expected = n > 20;
+            // Two seconds after the last confirmation.
+            auto const expected = n > 18;
             CPPUNIT_ASSERT_EQUAL(expected, view().is_plan_outdated(now_));
         }
         tick();
