Hand the vote and the lead over at a planned stop

What callers saw: after an instance was taken away as planned and all power was lost with one disk, control had no leader for good. The newest plan could not be read back, and no order was accepted. Cause: no component of control took part in a planned stop, and the process ended at once. Its vote counted until it had been silent for voters/replace_after. A state that was safe only by a timer counted as left in order. Evidence: planned_stop_test::a_planned_stop_and_then_the_loss_of_a_disk_leave_a_leader failed before (three of three voters, one gone, one with a blank disk). Change: a process that stops ends once its components agree, and 0.1 s later. A leader that stops waits until its log is committed, acts no longer, and asks a voter that holds all entries to begin an election; that election is not bound by the lease that it has ended. An instance that stops tells the leader until it may end: its vote has passed to another instance by a change of voters that is committed, or no instance could take it. voters/stop_limit (4 s, below Grace) ends the wait, with a warning. Why it works: the vote passes on while its disk still counts, so that the group is never smaller than before. A lease binds voters only as long as its leader acts, and the leader that hands over has stepped down in its term.

--- a/control/core.cpp
+++ b/control/core.cpp
@@ -1,10 +1,19 @@
 #include <mulberryrudder/control/core.hpp>
 
+#include <algorithm>
 #include <iterator>
 
 namespace mulberryrudder::control
 {
 
+namespace
+{
+
+/// Time for the last answers and messages to leave the process.
+constexpr milliseconds sending_time{100};
+
+} // namespace
+
 core::core(options with)
     : self_(std::move(with.self)), random_(with.seed), context_{.now = instant{},
                                                                 .random = random_,
@@ -33,11 +42,26 @@
     flush(out);
 }
 
+void core::complete_stop()
+{
+    bool const is_done = std::all_of(components_.begin(), components_.end(),
+                                     [this](auto const& it) { return it->may_stop(context_.now); });
+    if (!is_done)
+        return stop_at_.reset();
+    stop_at_ = stop_at_.value_or(context_.now + sending_time);
+    if (context_.now < *stop_at_)
+        return;
+    is_stopping_ = false;
+    scratch_.push_back(stop_completed{});
+}
+
 void core::tick(instant now, effects& out)
 {
     context_.now = now;
     for (auto& it : components_)
         it->tick(context_);
+    if (is_stopping_)
+        complete_stop();
     flush(out);
 }
 
@@ -57,6 +81,7 @@
 
 void core::take(disk_recovered const& it)
 {
+    has_recovered_ = true;
     for (auto& component : components_)
         component->recovered(it, context_);
 }
@@ -81,9 +106,11 @@
 
 void core::take(stop_requested const&)
 {
+    if (!has_recovered_)
+        return scratch_.push_back(stop_completed{});
+    is_stopping_ = true;
     for (auto& component : components_)
         component->stopping(context_);
-    scratch_.push_back(stop_completed{});
 }
 
 void core::publish_applied(log_entry const& it)
--- a/include/mulberryrudder/control/core.hpp
+++ b/include/mulberryrudder/control/core.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace mulberryrudder::control
@@ -60,6 +61,8 @@
     std::vector<any_message> collect_snapshot() override;
     void publish_snapshot(std::vector<any_message> const& parts) override;
 
+    /// Completes a planned stop once all components have finished their work.
+    void complete_stop();
     void flush(effects& out);
 
     identity self_;
@@ -68,6 +71,9 @@
     effects scratch_; ///< Collects the effects of the call that is being handled.
     context context_;
     std::vector<std::unique_ptr<component>> components_;
+    bool has_recovered_ = false; ///< The contents of the disk are known.
+    bool is_stopping_ = false;
+    std::optional<instant> stop_at_; ///< When the stop is complete unless more work arrives.
 };
 
 /// Answers an operator's request that no linked component knows.
--- a/include/mulberryrudder/control/replicated_log.hpp
+++ b/include/mulberryrudder/control/replicated_log.hpp
@@ -5,6 +5,7 @@
 #include <mulberryrudder/core/time.hpp>
 
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace mulberryrudder::control
@@ -60,6 +61,15 @@
     /// changes in `abandoned` are given up.
     virtual bool begin_replacement(replacement const& wanted,
                                    std::vector<replacement> const& abandoned, instant now) = 0;
+
+    /// Returns whether the newest membership is committed.
+    virtual bool is_settled() const = 0;
+
+    /// Hands the lead over to a voter that works and is not one of `excluded`, as soon as it holds
+    /// all entries and these are committed; until then this replica accepts no command. Call it
+    /// again with each tick until this replica may not act. Returns false if there is no such
+    /// voter.
+    virtual bool hand_over_lead(std::set<instance_id> const& excluded, instant now) = 0;
 };
 
 } // namespace mulberryrudder::control
--- a/include/mulberryrudder/messages/replica.hpp
+++ b/include/mulberryrudder/messages/replica.hpp
@@ -51,6 +51,29 @@
     bool trial = false;
     log_index last;
     term_id last_term;
+    /// The leader of the term before asked for this election and acts no longer, so that its lease
+    /// binds nobody.
+    bool handed_over = false;
+};
+
+/// Asks a voter that holds all entries to begin an election at once. The sender was the leader of
+/// this term and does not act in it any more.
+struct lead_handover
+{
+    term_id term;
+    control::disk_id to_disk; ///< The receiver ignores the message on another disk.
+};
+
+/// Tells the leader that the sender stops as planned and its vote is to go to another instance.
+/// Repeated until a stop_permission arrives.
+struct stop_notice
+{
+};
+
+/// Answers stop_notice.
+struct stop_permission
+{
+    bool granted = false; ///< The sender has no vote any more, or nobody can take it.
 };
 
 /// Answers vote_request; a vote is synced before it is answered.
--- a/plugins/control/replica/election.cpp
+++ b/plugins/control/replica/election.cpp
@@ -80,11 +80,15 @@
     return voted_ || now() < candidate_awaited_until_;
 }
 
-void replica::campaign_if_due()
+bool replica::may_campaign() const
 {
     // What a vote is granted for must survive a crash: the vote may be counted after it.
-    bool const may_campaign = has_vote() && is_registered() && is_term_synced() && is_log_synced();
-    if (now() < election_due_ || leader_lease_holds() || !may_campaign)
+    return has_vote() && is_registered() && is_term_synced() && is_log_synced();
+}
+
+void replica::campaign_if_due()
+{
+    if (now() < election_due_ || leader_lease_holds() || !may_campaign())
         return;
     reset_election_retry_timer();
     role_.election_timed_out();
@@ -100,11 +104,13 @@
     auto const requested_term = pre_vote ? term_id(state_.term.value() + 1) : state_.term;
     for (auto const& it : members().voters)
         if (it.id != self_.self.id)
-            ctx_->send(it.id, messages::vote_request{.term = requested_term,
-                                                     .to_disk = it.disk,
-                                                     .trial = pre_vote,
-                                                     .last = log_.last().index,
-                                                     .last_term = log_.last().term});
+            ctx_->send(it.id,
+                       messages::vote_request{.term = requested_term,
+                                              .to_disk = it.disk,
+                                              .trial = pre_vote,
+                                              .last = log_.last().index,
+                                              .last_term = log_.last().term,
+                                              .handed_over = !pre_vote && election_->handed_over});
 }
 
 void replica::count_pre_vote(instance_id voter_id)
@@ -127,7 +133,7 @@
     become_leader();
 }
 
-void replica::start_election()
+void replica::start_election(bool handed_over)
 {
     end_election("given_up");
     role_.pre_vote_won();
@@ -138,7 +144,7 @@
     state_.voted_for = self_.self.id;
     voted_ = true;
     persist_term();
-    election_ = {.begun = now(), .vote_synced = {}};
+    election_ = {.begun = now(), .vote_synced = {}, .handed_over = handed_over};
     request_votes(false);
 }
 
@@ -180,6 +186,7 @@
     votes_.clear();
     lease_.reset();
     peers_.clear();
+    hands_over_ = false;
     refuse_uncommitted_replacements();
     reset_election_timer();
     if (!leadership_announced_)
@@ -195,7 +202,7 @@
         return;
     // While the leader's lease holds, the term does not change, so that a returning instance
     // with a higher term does not depose the leader.
-    if (!req.trial && !leader_lease_holds() && req.term > state_.term)
+    if (!req.trial && !is_bound_by_lease(req) && req.term > state_.term)
         adopt_term(req.term, candidate_is_up_to_date(req) ? std::optional(sender) : std::nullopt);
     bool const granted = grants_vote(sender, req);
     if (!granted)
@@ -218,9 +225,29 @@
         send_after_sync(sender, reply);
 }
 
+bool replica::is_bound_by_lease(messages::vote_request const& req) const
+{
+    // The leader that hands over has ended its lease. One of a later term was elected by a majority
+    // without which the requested term elects nobody.
+    return leader_lease_holds() && !req.handed_over;
+}
+
+void replica::handle_lead_handover(instance_id sender, messages::lead_handover const& handover,
+                                   context&)
+{
+    if (handover.to_disk != state_.disk || handover.term != state_.term || leader_ != sender ||
+        !may_campaign())
+        return;
+    reset_election_retry_timer();
+    role_.election_timed_out();
+    leader_.reset();
+    leader_lease_until_ = now();
+    start_election(true);
+}
+
 bool replica::grants_vote(instance_id sender, messages::vote_request const& req)
 {
-    if (leader_lease_holds() || is_leader() || !candidate_is_up_to_date(req))
+    if (is_bound_by_lease(req) || is_leader() || !candidate_is_up_to_date(req))
         return false;
     // A new term would end the election that this replica has just voted in.
     if (req.trial)
--- a/plugins/control/replica/leading.cpp
+++ b/plugins/control/replica/leading.cpp
@@ -61,6 +61,30 @@
                         [this](voter const& it) { return is_heard(it); });
 }
 
+bool replica::hand_over_lead(std::set<instance_id> const& excluded, instant now)
+{
+    if (ctx_ == nullptr || !may_act(now))
+        return false;
+    hands_over_ = false;
+    bool const is_committed = commit_index_ == log_.last().index;
+    for (auto const& it : members().voters)
+    {
+        if (it.id == self_.self.id || excluded.contains(it.id) || !is_working(it))
+            continue;
+        hands_over_ = true;
+        if (!is_committed || peers_.at(it.id).match_index != log_.last().index)
+            continue;
+        messages::lead_handover const out{.term = state_.term, .to_disk = it.disk};
+        ctx_->events.record(replica_events::lead_handed_over,
+                            {{"to", std::to_string(it.id.value())}});
+        // The other one may lead from the moment at which it receives the message.
+        step_down();
+        ctx_->send(it.id, out);
+        return true;
+    }
+    return hands_over_;
+}
+
 bool replica::is_voter_or_joining(instance_id id) const
 {
     auto const joins = [&](replacement const& it) { return it.joining == id; };
--- a/plugins/control/replica/replica.cpp
+++ b/plugins/control/replica/replica.cpp
@@ -136,7 +136,7 @@
         on<&replica::handle_vote_request>(),   on<&replica::handle_vote_reply>(),
         on<&replica::handle_start_request>(),  on<&replica::handle_start_reply>(),
         on<&replica::handle_snapshot_piece>(), on<&replica::handle_snapshot_reply>(),
-        on<&replica::handle_round_received>(),
+        on<&replica::handle_round_received>(), on<&replica::handle_lead_handover>(),
     };
     ctx_ = &ctx;
     if (message.body.get<messages::roster_exchange>() != nullptr)
@@ -189,7 +189,7 @@
 
 std::optional<log_index> replica::propose(any_message command)
 {
-    if (ctx_ == nullptr || !may_act(now()))
+    if (ctx_ == nullptr || !may_act(now()) || hands_over_)
     {
         if (ctx_ != nullptr)
             ctx_->counters.add(replica_events::proposals_refused);
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -42,6 +42,7 @@
 {
     instant begun;
     std::optional<instant> vote_synced; ///< The own vote counts from then on.
+    bool handed_over = false;           ///< The leader of the term before asked for it.
 };
 
 /// Replicates the control group's log: elects a leader, replicates and commits commands,
@@ -73,6 +74,8 @@
     bool answers(instance_id id) const override;
     bool begin_replacement(replacement const& change, std::vector<replacement> const& abandoned,
                            instant now) override;
+    bool is_settled() const override { return memberships_.newest_index() <= commit_index_; }
+    bool hand_over_lead(std::set<instance_id> const& excluded, instant now) override;
 
 private:
     // replica.cpp: persistence, commit and apply; used by all other parts.
@@ -143,10 +146,12 @@
     /// Returns whether this replica has voted and the candidate may still become the leader.
     bool awaits_candidate() const;
     void campaign_if_due();
+    /// Returns whether an election of this replica may begin.
+    bool may_campaign() const;
     void request_votes(bool pre_vote);
     void count_pre_vote(instance_id voter_id);
     void count_vote(instance_id voter_id);
-    void start_election();
+    void start_election(bool handed_over = false);
     /// Records the end of the own election, if one is open.
     void end_election(char const* outcome);
     /// Takes over a higher term, with a vote for its candidate if there is one.
@@ -155,6 +160,10 @@
     void handle_vote_request(instance_id sender, messages::vote_request const& req, context& ctx);
     void handle_vote_reply(instance_id sender, messages::vote_reply const& reply, context& ctx);
     bool grants_vote(instance_id sender, messages::vote_request const& req);
+    /// Returns whether a lease forbids to vote as requested.
+    bool is_bound_by_lease(messages::vote_request const& req) const;
+    void handle_lead_handover(instance_id sender, messages::lead_handover const& handover,
+                              context& ctx);
 
     // leading.cpp: replication and commit on the leader.
     void become_leader();
@@ -286,6 +295,7 @@
     std::map<instance_id, progress> peers_;
     log_index term_start_;              ///< Index of the first entry of the own term as leader.
     bool leadership_announced_ = false; ///< publish_leading() was called in this term.
+    bool hands_over_ = false;           ///< Accepts no command until another replica leads.
     instant heartbeat_due_;
     instant confirmation_deadline_; ///< Steps down unless a majority replies before then.
     instant give_way_at_;           ///< Steps down then if nothing is committed before.
--- a/plugins/control/replica/replica_events.cpp
+++ b/plugins/control/replica/replica_events.cpp
@@ -101,6 +101,13 @@
      .action = "A leader needs more than half of the voters in `answering`. Start the silent ones; "
                "where a disk was replaced, bring back the one that counts."});
 
+event_kind const lead_handed_over(
+    {.number = 513,
+     .name = "replica.lead_handed_over",
+     .level = severity::info,
+     .meaning = "This control instance stops as planned, and asked the voter `to` to lead.",
+     .action = "None."});
+
 counter_kind const pre_votes("replica.trials", "Pre-vote rounds that this replica started.");
 counter_kind const elections("replica.elections",
                              "Elections that this replica started as a candidate.");
--- a/plugins/control/replica/replica_events.hpp
+++ b/plugins/control/replica/replica_events.hpp
@@ -20,6 +20,7 @@
 extern kernel::event_kind const disk_restored;
 extern kernel::event_kind const election_ended;
 extern kernel::event_kind const leader_missing;
+extern kernel::event_kind const lead_handed_over;
 
 extern kernel::counter_kind const pre_votes;
 extern kernel::counter_kind const elections;
--- a/plugins/control/voters/voter_keeper.cpp
+++ b/plugins/control/voters/voter_keeper.cpp
@@ -1,8 +1,10 @@
 #include <mulberryrudder/control/component.hpp>
 #include <mulberryrudder/control/replicated_log.hpp>
 #include <mulberryrudder/control/roster.hpp>
+#include <mulberryrudder/messages/replica.hpp>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <optional>
 #include <set>
@@ -21,6 +23,7 @@
     milliseconds silence_timeout{2000};
     milliseconds joining_timeout{4000};
     milliseconds check_interval{100};
+    milliseconds stop_timeout{4000};
 };
 
 constexpr kernel::limits time_limits{10, 600'000};
@@ -42,6 +45,9 @@
                       "it blocks no other change."),
         kernel::field("check_period", &voter_settings::check_interval, time_limits,
                       "Milliseconds between two checks of the voters."),
+        kernel::field("stop_limit", &voter_settings::stop_timeout, time_limits,
+                      "Milliseconds after which a planned stop ends although another instance has "
+                      "not taken over the vote; below the time after which the process is killed."),
     }};
 
 kernel::event_kind const adding_event{
@@ -75,6 +81,28 @@
                 "that one takes the place of a voter.",
      .action = "None."}};
 
+kernel::event_kind const handover_event{
+    {.number = 734,
+     .name = "voters.handing_over",
+     .level = kernel::severity::info,
+     .meaning = "A voter stops as planned; another control instance takes over its vote.",
+     .action = "None."}};
+
+kernel::event_kind const stop_event{
+    {.number = 735,
+     .name = "voters.stop_unfinished",
+     .level = kernel::severity::warning,
+     .meaning = "A planned stop ends after voters/stop_limit although no leader has confirmed that "
+                "this control instance has no vote any more. The vote counts as lost until "
+                "the instance is back or another one has taken its place.",
+     .action = "Check whether control has a leader, and stop no other control instance before."}};
+
+/// Time between two notices of an instance that stops.
+constexpr milliseconds notice_interval{100};
+/// Time after its last notice for which an instance counts as stopping.
+constexpr milliseconds notice_lifetime{1000};
+/// Time from the beginning of a leadership within which other instances that stop tell so.
+constexpr milliseconds notice_collection_time{300};
 /// Time for which a region must be able to take a voter before the voters are spread again: below
 /// the time after which another region may be lost.
 constexpr milliseconds spreading_delay{2000};
@@ -105,10 +133,25 @@
         avoided_until_.clear();
         spread_at_.reset();
         next_check_ = ctx.now + first_check_delay;
+        stopping_until_.clear();
+        handover_at_ = ctx.now + notice_collection_time;
     }
 
+    void received(envelope const& message, context& ctx) override
+    {
+        static std::array const table{on<&voter_keeper::handle_stop_notice>(),
+                                      on<&voter_keeper::handle_stop_permission>()};
+        dispatch(*this, table, message.from, message.body, ctx);
+    }
+
+    void stopping(context& ctx) override { stop_deadline_ = ctx.now + config_.stop_timeout; }
+
+    bool may_stop(instant now) const override { return may_stop_ || now >= *stop_deadline_; }
+
     void tick(context& ctx) override
     {
+        if (stop_deadline_ && !may_stop_)
+            advance_stop(ctx);
         if (ctx.now < next_check_)
             return;
         next_check_ = ctx.now + config_.check_interval;
@@ -119,8 +162,7 @@
         auto const abandoned = abandoned_changes(ctx.now);
         for (auto const& it : abandoned)
             avoided_until_[it.joining] = ctx.now + avoidance;
-        auto const reachable =
-            services_.require<roster_view>().control_since(ctx.now - candidate_silence);
+        auto const reachable = reachable_instances(ctx.now);
         if (auto const change = choose_replacement(reachable, abandoned, ctx.now))
             replace_voter(*change, abandoned, ctx);
         else if (needs_more_voters())
@@ -132,6 +174,83 @@
 private:
     voter_group& group() { return services_.require<voter_group>(); }
 
+    /// Hands the lead over, and asks the leader for the permission to stop.
+    void advance_stop(context& ctx)
+    {
+        auto const& log = services_.require<replicated_log>();
+        if (ctx.now >= *stop_deadline_)
+        {
+            may_stop_ = true;
+            return ctx.events.record(stop_event, {});
+        }
+        if (log.may_act(ctx.now))
+        {
+            if (ctx.now >= handover_at_)
+                may_stop_ = !group().hand_over_lead(stopping_instances(ctx.now), ctx.now);
+            return;
+        }
+        auto const leader = log.leader();
+        if (leader && ctx.now >= next_notice_)
+        {
+            next_notice_ = ctx.now + notice_interval;
+            ctx.send(*leader, messages::stop_notice{});
+        }
+        // The leader sends nothing to an instance that neither has a vote nor is to get one.
+        may_stop_ = !leader && !is_voter_or_joining(self_.self.id);
+    }
+
+    bool is_voter_or_joining(instance_id id)
+    {
+        auto const& members = group().membership();
+        return members.find(id) != nullptr ||
+               std::any_of(members.pending.begin(), members.pending.end(),
+                           [id](replacement const& it) { return it.joining == id; });
+    }
+
+    void handle_stop_notice(instance_id sender, messages::stop_notice const&, context& ctx)
+    {
+        if (!services_.require<replicated_log>().may_act(ctx.now))
+            return;
+        stopping_until_[sender] = ctx.now + notice_lifetime;
+        ctx.send(sender, messages::stop_permission{.granted = may_leave(sender, ctx.now)});
+    }
+
+    void handle_stop_permission(instance_id, messages::stop_permission const& permission, context&)
+    {
+        may_stop_ = may_stop_ || (stop_deadline_ && permission.granted);
+    }
+
+    /// Returns whether an instance that stops leaves no vote behind that another one could take.
+    bool may_leave(instance_id id, instant now)
+    {
+        if (!group().is_settled())
+            return false;
+        if (!is_voter_or_joining(id))
+            return true;
+        return group().membership().pending.empty() &&
+               best_candidate(reachable_instances(now), id, now) == nullptr;
+    }
+
+    bool is_stopping(instance_id id, instant now) const
+    {
+        auto const found = stopping_until_.find(id);
+        return found != stopping_until_.end() && now < found->second;
+    }
+
+    std::set<instance_id> stopping_instances(instant now) const
+    {
+        std::set<instance_id> out;
+        for (auto const& [id, until] : stopping_until_)
+            if (now < until)
+                out.insert(id);
+        return out;
+    }
+
+    std::vector<instance_description> reachable_instances(instant now)
+    {
+        return services_.require<roster_view>().control_since(now - candidate_silence);
+    }
+
     /// Notes since when the voters, and the instances that are to join, do not answer the leader.
     /// One that was silent before this instance led counts from its last message of any kind.
     void update_silence(instant now)
@@ -181,18 +300,33 @@
         return group().membership().voters.size() < required;
     }
 
+    /// Returns the replacement of a voter that is lost, or else of one that stops as planned.
     std::optional<replacement>
     choose_replacement(std::vector<instance_description> const& reachable,
                        std::vector<replacement> const& abandoned, instant now)
+    {
+        auto const lost = [&](instance_id id)
+        { return has_been_silent(id, config_.silence_timeout, now); };
+        auto const stops = [&](instance_id id) { return is_stopping(id, now); };
+        if (auto change = choose_replacement_of(lost, reachable, abandoned, now))
+            return change;
+        return choose_replacement_of(stops, reachable, abandoned, now);
+    }
+
+    template <class Predicate>
+    std::optional<replacement>
+    choose_replacement_of(Predicate const& leaves,
+                          std::vector<instance_description> const& reachable,
+                          std::vector<replacement> const& abandoned, instant now)
     {
         auto const& members = group().membership();
         auto const is_pending = [&](auto const& matches)
         { return std::any_of(members.pending.begin(), members.pending.end(), matches); };
-        auto const* const joining = best_candidate(reachable);
-        if (joining == nullptr)
-            return std::nullopt;
         for (auto const& it : members.voters)
         {
+            auto const* const joining = best_candidate(reachable, it.id, now);
+            if (joining == nullptr || !leaves(it.id))
+                continue;
             replacement const change{
                 .leaving = it.id, .joining = joining->id, .peer = joining->peer};
             auto const replaces = [&](replacement const& each)
@@ -201,37 +335,41 @@
                        std::find(abandoned.begin(), abandoned.end(), each) == abandoned.end();
             };
             auto const is_same = [&](replacement const& each) { return each == change; };
-            if (has_been_silent(it.id, config_.silence_timeout, now) && !is_pending(replaces) &&
-                !is_pending(is_same))
+            if (!is_pending(replaces) && !is_pending(is_same))
                 return change;
         }
         return std::nullopt;
     }
 
-    /// Returns the number of voters in each region that has a reachable instance.
+    /// Returns the number of voters in each region that has a reachable instance, without
+    /// `leaving`.
     std::map<region_id, int>
-    count_voters_by_region(std::vector<instance_description> const& reachable)
+    count_voters_by_region(std::vector<instance_description> const& reachable,
+                           std::optional<instance_id> leaving)
     {
         auto const& members = group().membership();
         std::map<region_id, int> out;
         ++out[self_.self.region];
         for (auto const& it : reachable)
-            out[it.region] += members.find(it.id) != nullptr;
+            out[it.region] += members.find(it.id) != nullptr && it.id != leaving;
         return out;
     }
 
-    /// Returns the reachable instance to make a voter next; null if all of them are voters.
-    instance_description const* best_candidate(std::vector<instance_description> const& reachable)
+    /// Returns the reachable instance to make a voter next, in the place of `leaving` if there is
+    /// one; null if all of them are voters or stop as planned.
+    instance_description const* best_candidate(std::vector<instance_description> const& reachable,
+                                               std::optional<instance_id> leaving, instant now)
     {
         auto const& members = group().membership();
-        auto voters_by_region = count_voters_by_region(reachable);
+        auto voters_by_region = count_voters_by_region(reachable, leaving);
         instance_description const* out = nullptr;
         std::tuple<bool, int, instance_id> lowest_cost{};
         for (auto const& it : reachable)
         {
             std::tuple const cost(avoided_until_.contains(it.id), voters_by_region[it.region],
                                   it.id);
-            if (members.find(it.id) != nullptr || (out != nullptr && cost >= lowest_cost))
+            if (members.find(it.id) != nullptr || is_stopping(it.id, now) ||
+                (out != nullptr && cost >= lowest_cost))
                 continue;
             lowest_cost = cost;
             out = &it;
@@ -242,7 +380,7 @@
     void add_voter(std::vector<instance_description> const& reachable,
                    std::vector<replacement> const& abandoned, context& ctx)
     {
-        auto const* const candidate = best_candidate(reachable);
+        auto const* const candidate = best_candidate(reachable, std::nullopt, ctx.now);
         if (candidate == nullptr)
             return;
         // An instance that replaces itself is added without removing a voter.
@@ -261,12 +399,13 @@
 
     /// Returns the change that moves a voter from the region with the most of them to one that has
     /// fewer by two or more, if all voters work.
-    std::optional<replacement> choose_spreading(std::vector<instance_description> const& reachable)
+    std::optional<replacement> choose_spreading(std::vector<instance_description> const& reachable,
+                                                instant now)
     {
-        auto const* const joining = best_candidate(reachable);
+        auto const* const joining = best_candidate(reachable, std::nullopt, now);
         if (joining == nullptr || !silent_since_.empty() || avoided_until_.contains(joining->id))
             return std::nullopt;
-        auto voters_by_region = count_voters_by_region(reachable);
+        auto voters_by_region = count_voters_by_region(reachable, std::nullopt);
         auto const& members = group().membership();
         instance_description const* leaving = nullptr;
         for (auto const& it : reachable)
@@ -284,7 +423,7 @@
     /// most voters would end the group's work.
     void spread_voters(std::vector<instance_description> const& reachable, context& ctx)
     {
-        auto const change = choose_spreading(reachable);
+        auto const change = choose_spreading(reachable, ctx.now);
         if (!change)
             return spread_at_.reset();
         spread_at_ = spread_at_.value_or(ctx.now + spreading_delay);
@@ -301,6 +440,10 @@
         if (!group().begin_replacement(change, abandoned, ctx.now))
             return;
         record_abandoned(abandoned, ctx);
+        if (!silent_since_.contains(change.leaving))
+            return ctx.events.record(handover_event,
+                                     {{"leaving", std::to_string(change.leaving.value())},
+                                      {"joining", std::to_string(change.joining.value())}});
         auto const since = silent_since_.at(change.leaving);
         auto const elapsed = std::chrono::duration_cast<milliseconds>(ctx.now - since);
         ctx.events.record(replacing_event, {{"leaving", std::to_string(change.leaving.value())},
@@ -320,8 +463,13 @@
     identity const& self_;
     instant next_check_;
     std::optional<instant> spread_at_; ///< When the voters are spread, if the need lasts.
-    std::map<instance_id, instant> silent_since_;  ///< Voters and instances that are to join.
-    std::map<instance_id, instant> avoided_until_; ///< They did not join when they were to.
+    std::map<instance_id, instant> silent_since_;   ///< Voters and instances that are to join.
+    std::map<instance_id, instant> avoided_until_;  ///< They did not join when they were to.
+    std::map<instance_id, instant> stopping_until_; ///< They told this leader that they stop.
+    std::optional<instant> stop_deadline_;          ///< Of the planned stop of this instance.
+    bool may_stop_ = false;                         ///< The planned stop leaves no vote behind.
+    instant next_notice_;
+    instant handover_at_; ///< When the lead may be handed over at a planned stop.
 };
 
 component_registrar<voter_keeper> const registered{"voter_keeper", component_order::voters};
--- a/plugins/peer/codecs/replica_codec.cpp
+++ b/plugins/peer/codecs/replica_codec.cpp
@@ -81,6 +81,7 @@
     to.setTrial(from.trial);
     to.setLast(from.last.value());
     to.setLastTerm(from.last_term.value());
+    to.setHandedOver(from.handed_over);
 }
 
 vote_request decode_vote(wired::VoteRequest::Reader from)
@@ -89,7 +90,36 @@
             .to_disk = disk_id(from.getToDisk()),
             .trial = from.getTrial(),
             .last = log_index(from.getLast()),
-            .last_term = term_id(from.getLastTerm())};
+            .last_term = term_id(from.getLastTerm()),
+            .handed_over = from.getHandedOver()};
+}
+
+void encode_handover(lead_handover const& from, wired::LeadHandover::Builder to)
+{
+    to.setTerm(from.term.value());
+    to.setToDisk(from.to_disk.value());
+}
+
+lead_handover decode_handover(wired::LeadHandover::Reader from)
+{
+    return {.term = term_id(from.getTerm()), .to_disk = disk_id(from.getToDisk())};
+}
+
+void encode_stop_notice(stop_notice const&, wired::StopNotice::Builder) {}
+
+stop_notice decode_stop_notice(wired::StopNotice::Reader)
+{
+    return {};
+}
+
+void encode_stop_permission(stop_permission const& from, wired::StopPermission::Builder to)
+{
+    to.setGranted(from.granted);
+}
+
+stop_permission decode_stop_permission(wired::StopPermission::Reader from)
+{
+    return {.granted = from.getGranted()};
 }
 
 void encode_vote_reply(vote_reply const& from, wired::VoteReply::Builder to)
@@ -237,6 +267,11 @@
 
 registrar<round_received, wired::RoundReceived, &encode_round_received,
           &decode_round_received> const round_notice{110};
+registrar<lead_handover, wired::LeadHandover, &encode_handover, &decode_handover> const handover{
+    111};
+registrar<stop_notice, wired::StopNotice, &encode_stop_notice, &decode_stop_notice> const stop{112};
+registrar<stop_permission, wired::StopPermission, &encode_stop_permission,
+          &decode_stop_permission> const stop_answer{113};
 
 } // namespace
 
--- a/schemas/replica.capnp
+++ b/schemas/replica.capnp
@@ -106,6 +106,19 @@
   trial @2 :Bool;
   last @3 :UInt64;
   lastTerm @4 :UInt64;
+  handedOver @5 :Bool;
+}
+
+struct LeadHandover {
+  term @0 :UInt64;
+  toDisk @1 :UInt64;
+}
+
+struct StopNotice {
+}
+
+struct StopPermission {
+  granted @0 :Bool;
 }
 
 struct VoteReply {
--- a/tests/control/replica/random_schedules_test.cpp
+++ b/tests/control/replica/random_schedules_test.cpp
@@ -54,7 +54,7 @@
         copy_disk();
     }
 
-    void run(std::array<fault, 17> const& faults)
+    void run(std::array<fault, 18> const& faults)
     {
         group_.network.loss_probability = 0.05 * random_fraction();
         group_.network.duplicate_probability = 0.1 * random_fraction();
@@ -140,6 +140,23 @@
         group_.run_for(milliseconds(1500));
         heal_cuts();
     }
+    /// Hands the lead over as at a planned stop; the replica may be suspended right after that.
+    void hand_over_lead()
+    {
+        auto const leader = group_.acting_leader();
+        auto const hands_over = [&](std::uint32_t id, instant now)
+        {
+            auto& voters = group_.at(id).decision_core->services().require<voter_group>();
+            voters.hand_over_lead({}, now);
+        };
+        for (int n = 0; n != 20 && leader != 0 && group_.acting_leader() == leader; ++n)
+        {
+            group_.act_as_leader(hands_over);
+            group_.run_for(milliseconds(random_below(50)));
+        }
+        if (leader != 0 && random_below(2) == 0)
+            group_.freeze(leader, milliseconds(random_below(4000)));
+    }
     void heal_cuts()
     {
         for (std::uint32_t sender = 1; sender <= size_; ++sender)
@@ -268,7 +285,7 @@
     std::ostringstream trace_;
 };
 
-constexpr std::array<fault, 17> faults{{
+constexpr std::array<fault, 18> faults{{
     {"nothing", [](schedule& it) { it.nothing(); }},
     {"kill", [](schedule& it) { it.kill_one(); }},
     {"restart", [](schedule& it) { it.restart_one(); }},
@@ -276,6 +293,7 @@
     {"cut_one_way", [](schedule& it) { it.cut_one_way(); }},
     {"isolate_leader", [](schedule& it) { it.isolate_leader(); }},
     {"silence_leader", [](schedule& it) { it.silence_leader(); }},
+    {"hand_over_lead", [](schedule& it) { it.hand_over_lead(); }},
     {"heal", [](schedule& it) { it.heal_cuts(); }},
     {"freeze", [](schedule& it) { it.freeze_one(); }},
     {"fail_disk", [](schedule& it) { it.fail_disk(); }},
--- a/tests/control/support/replica.hpp
+++ b/tests/control/support/replica.hpp
@@ -64,6 +64,17 @@
         return id;
     }
 
+    /// Delivers a message of another instance.
+    template <class T>
+    void receive(instance_id sender, T message)
+    {
+        core_.handle(now_,
+                     message_arrived{
+                         {.from = sender, .to = {}, .body = any_message::of(std::move(message))}},
+                     effects_);
+        collect();
+    }
+
     /// Advances the time and runs one tick of the core, in which the fake log applies its orders.
     void tick(span elapsed = milliseconds(10))
     {
--- a/tests/control/voters/planned_stop_test.cpp
+++ b/tests/control/voters/planned_stop_test.cpp
@@ -21,6 +21,8 @@
 constexpr seconds recovery{15};
 /// Time within which the voters that a group needs have joined after its start.
 constexpr seconds settling_time{5};
+/// Time without a leader that two elections in succession take at most.
+constexpr seconds max_gap{4};
 constexpr std::uint32_t seeds = 3;
 
 /// Fake roster: an instance is reachable if one of its messages arrived lately.
@@ -65,6 +67,13 @@
     CPPUNIT_TEST_SUITE(planned_stop_test);
     CPPUNIT_TEST(a_planned_stop_and_then_the_loss_of_a_disk_leave_a_leader);
     CPPUNIT_TEST(a_removed_instance_and_the_loss_of_a_disk_leave_a_leader);
+    CPPUNIT_TEST(instances_that_are_stopped_and_started_in_turn_leave_a_leader);
+    CPPUNIT_TEST(two_planned_stops_at_once_leave_a_leader);
+    CPPUNIT_TEST(the_leader_hands_over_before_its_lease_could_end);
+    CPPUNIT_TEST(a_planned_stop_does_not_wait_for_a_successor_that_does_not_exist);
+    CPPUNIT_TEST(a_planned_stop_ends_without_a_leader);
+    CPPUNIT_TEST(planned_stops_of_all_instances_at_once_end);
+    CPPUNIT_TEST(a_planned_stop_ends_before_the_disk_was_read);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -97,6 +106,113 @@
             });
     }
 
+    // Guards against CONFIG: votes that pile up at instances that are down while machines are
+    // stopped and started in turn.
+    void instances_that_are_stopped_and_started_in_turn_leave_a_leader()
+    {
+        for (std::uint32_t size = 4; size <= 6; ++size)
+        {
+            start_group(size);
+            for (std::uint32_t id = 1; id <= size; ++id)
+            {
+                stop(id);
+                CPPUNIT_ASSERT(group_->run_until([this] { return has_leader(); }, max_gap));
+                group_->start(id);
+                group_->run_for(milliseconds(300));
+            }
+            CPPUNIT_ASSERT(group_->run_until([this] { return has_leader(); }, max_gap));
+            lose_power_and_disk(0, 2);
+            expect_recovery(0, 2);
+        }
+    }
+
+    // Guards against the same by two stops that overlap, one of them of the leader.
+    void two_planned_stops_at_once_leave_a_leader()
+    {
+        for_each_pair(
+            [this](std::uint32_t first, std::uint32_t second)
+            {
+                start_group(6);
+                group_->request_stop(first);
+                group_->request_stop(second);
+                auto const have_ended = [=, this]
+                { return !group_->is_up(first) && !group_->is_up(second); };
+                CPPUNIT_ASSERT(group_->run_until(have_ended, grace));
+                CPPUNIT_ASSERT(group_->run_until([this] { return has_leader(); }, max_gap));
+                lose_power_and_disk(first, 4);
+                expect_recovery(first, 4);
+            });
+    }
+
+    // Guards against orders without an answer at each planned stop: without a hand-over, nobody can
+    // be elected before the lease of the leader that stopped has ended.
+    void the_leader_hands_over_before_its_lease_could_end()
+    {
+        for (std::uint32_t size = 3; size <= 6; ++size)
+        {
+            start_group(size);
+            auto const leader = group_->acting_leader();
+            group_->request_stop(leader);
+            auto const has_handed_over = [=, this] { return !group_->may_act(leader); };
+            CPPUNIT_ASSERT(group_->run_until(has_handed_over, seconds(1)));
+            auto const gap_begin = group_->now();
+            CPPUNIT_ASSERT(group_->run_until([this] { return has_leader(); }, max_gap));
+            CPPUNIT_ASSERT(group_->now() - gap_begin < replica_settings().lease_duration / 2);
+            CPPUNIT_ASSERT_MESSAGE("it ends after that", group_->is_up(leader));
+            CPPUNIT_ASSERT(
+                group_->run_until([this, leader] { return !group_->is_up(leader); }, grace));
+        }
+    }
+
+    void a_planned_stop_does_not_wait_for_a_successor_that_does_not_exist()
+    {
+        start_group(3);
+        for (std::uint32_t id = 1; id <= 3; ++id)
+        {
+            group_->request_stop(id);
+            CPPUNIT_ASSERT(group_->run_until([=, this] { return !group_->is_up(id); }, seconds(1)));
+            group_->start(id);
+            CPPUNIT_ASSERT(group_->run_until([this] { return has_leader(); }, max_gap));
+            group_->run_for(seconds(1));
+        }
+    }
+
+    void a_planned_stop_ends_without_a_leader()
+    {
+        start_group(3);
+        group_->kill(1);
+        group_->kill(2);
+        group_->run_for(seconds(2));
+        stop(3);
+    }
+
+    // Guards against a lead that is handed around between instances that all stop.
+    void planned_stops_of_all_instances_at_once_end()
+    {
+        for (std::uint32_t size = 1; size <= 6; ++size)
+        {
+            start_group(size);
+            for (std::uint32_t id = 1; id <= size; ++id)
+                group_->request_stop(id);
+            auto const have_ended = [this]
+            {
+                bool is_any_up = false;
+                for (std::uint32_t id = 1; id <= group_->size(); ++id)
+                    is_any_up = is_any_up || group_->is_up(id);
+                return !is_any_up;
+            };
+            CPPUNIT_ASSERT(group_->run_until(have_ended, grace));
+        }
+    }
+
+    void a_planned_stop_ends_before_the_disk_was_read()
+    {
+        start_group(3);
+        group_->kill(1);
+        group_->start_unreadable(1);
+        stop(1);
+    }
+
 private:
     /// Calls a function with each two seeds.
     template <class Function>
@@ -111,7 +227,7 @@
     /// Starts a group of three seeds and other instances, and waits until its voters have joined.
     void start_group(std::uint32_t size)
     {
-        group_ = std::make_unique<fake_group>(seeds, 20261207);
+        group_ = std::make_unique<fake_group>(std::min(seeds, size), 20261207);
         while (group_->size() < size)
             group_->add_instance();
         for (std::uint32_t id = 1; id <= size; ++id)
--- a/tests/control/voters/voter_keeper_test.cpp
+++ b/tests/control/voters/voter_keeper_test.cpp
@@ -2,6 +2,7 @@
 
 #include <mulberryrudder/control/replicated_log.hpp>
 #include <mulberryrudder/control/roster.hpp>
+#include <mulberryrudder/messages/replica.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -62,6 +63,9 @@
         return true;
     }
 
+    bool is_settled() const override { return true; }
+    bool hand_over_lead(std::set<instance_id> const&, instant) override { return false; }
+
     std::vector<instance_description> reachable;
     group_membership members;
     std::map<instance_id, instant> last_heard; ///< Where the test sets it.
@@ -114,6 +118,9 @@
     CPPUNIT_TEST(any_number_of_losses_is_accepted);
     CPPUNIT_TEST(a_group_that_is_to_tolerate_no_loss_stays_as_it_is);
     CPPUNIT_TEST(a_group_that_is_to_tolerate_many_losses_takes_all_instances);
+    CPPUNIT_TEST(a_voter_that_stops_gives_its_vote_to_an_instance_of_its_region);
+    CPPUNIT_TEST(a_lost_voter_is_replaced_before_one_that_stops);
+    CPPUNIT_TEST(an_instance_that_stops_takes_over_no_vote);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -335,21 +342,68 @@
     void a_group_that_is_to_tolerate_many_losses_takes_all_instances()
     {
         configure(4);
-        std::set<instance_id> joined;
+        CPPUNIT_ASSERT(add_voters() == (std::set{instance_id(4), instance_id(5)}));
+    }
+
+    // Guards against voters that are moved again right after a planned stop, since a region was
+    // left without one.
+    void a_voter_that_stops_gives_its_vote_to_an_instance_of_its_region()
+    {
+        group().reachable = {instance_in(2, "e"), instance_in(3, "u"), instance_in(4, "e"),
+                             instance_in(5, "u")};
+        run_for(seconds(1));
+        replica_->receive(instance_id(3), messages::stop_notice{});
+        run_for(milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, group().begun_replacements.size());
+        CPPUNIT_ASSERT(group().begun_replacements.front().leaving == instance_id(3));
+        CPPUNIT_ASSERT(group().begun_replacements.front().joining == instance_id(5));
+    }
+
+    void a_lost_voter_is_replaced_before_one_that_stops()
+    {
+        run_for(seconds(1));
+        make_silent(3);
+        run_for(milliseconds(2100));
+        group().begun_replacements.clear();
+        group().members.pending.clear();
+        replica_->receive(instance_id(2), messages::stop_notice{});
+        run_for(milliseconds(200));
+        CPPUNIT_ASSERT(!group().begun_replacements.empty());
+        CPPUNIT_ASSERT(group().begun_replacements.front().leaving == instance_id(3));
+    }
+
+    void an_instance_that_stops_takes_over_no_vote()
+    {
+        run_for(seconds(1));
+        make_silent(3);
+        for (int n = 0; n != 50; ++n)
+        {
+            replica_->receive(instance_id(5), messages::stop_notice{});
+            run_for(milliseconds(100));
+        }
+        CPPUNIT_ASSERT(!group().begun_replacements.empty());
+        CPPUNIT_ASSERT(group().begun_replacements.front().joining == instance_id(4));
+    }
+
+private:
+    /// Runs for a while and lets each instance join that is chosen; returns these.
+    std::set<instance_id> add_voters()
+    {
+        std::set<instance_id> out;
         for (int n = 0; n != 10; ++n)
         {
             run_for(seconds(1));
             for (auto const& it : std::exchange(group().begun_replacements, {}))
             {
                 CPPUNIT_ASSERT_MESSAGE("no voter leaves", it.leaving == it.joining);
-                if (joined.insert(it.joining).second)
+                if (out.insert(it.joining).second)
                     group().members.voters.push_back({.id = it.joining});
+                group().members.pending.clear();
             }
         }
-        CPPUNIT_ASSERT(joined == (std::set{instance_id(4), instance_id(5)}));
+        return out;
     }
 
-private:
     static result<kernel::settings> read_settings(int losses)
     {
         return kernel::parse_settings(
@@ -380,7 +434,8 @@
             replica_->tick(milliseconds(100));
     }
 
-    std::unique_ptr<replica> replica_ = std::make_unique<replica>();
+    std::unique_ptr<replica> replica_ =
+        std::make_unique<replica>(instance_id(1), read_settings(1).value());
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(voter_keeper_test);
