Answer the accepted requests before a planned stop of control ends

What callers saw: orders and announced leaves that a control instance had just accepted were cut off without an answer when it was stopped as planned. Cause: the process ended with the signal. Evidence: steering_test::a_planned_stop_waits_for_the_answer_to_an_order; a stop was complete with the request before. Change: the core keeps the requests that have no answer. A planned stop is complete once those are answered that had come before the components had finished, and 0.1 s later, at the latest 5 s after the signal. Requests that come during the last 0.1 s may still be cut off; a caller sends these again elsewhere.

--- a/control/core.cpp
+++ b/control/core.cpp
@@ -11,6 +11,9 @@
 
 /// Time for the last answers and messages to leave the process.
 constexpr milliseconds sending_time{100};
+/// Time after which a planned stop is completed in any case: below the time after which the process
+/// is killed.
+constexpr seconds max_stopping_time{5};
 
 } // namespace
 
@@ -31,6 +34,9 @@
 
 void core::flush(effects& out)
 {
+    for (auto const& it : scratch_)
+        if (auto const* const answer = std::get_if<answer_operator>(&it))
+            open_requests_.erase(answer->id);
     std::move(scratch_.begin(), scratch_.end(), std::back_inserter(out));
     scratch_.clear();
 }
@@ -44,23 +50,34 @@
 
 void core::complete_stop()
 {
-    bool const is_done = std::all_of(components_.begin(), components_.end(),
-                                     [this](auto const& it) { return it->may_stop(context_.now); });
-    if (!is_done)
-        return stop_at_.reset();
-    stop_at_ = stop_at_.value_or(context_.now + sending_time);
-    if (context_.now < *stop_at_)
+    auto const now = context_.now;
+    bool const is_finished = std::all_of(components_.begin(), components_.end(),
+                                         [now](auto const& it) { return it->may_stop(now); });
+    if (is_finished && !finished_at_)
+        finished_at_ = now;
+    if (finished_at_ && !answered_at_ && !has_open_request(*finished_at_))
+        answered_at_ = now;
+    bool const is_sent = answered_at_ && now >= *answered_at_ + sending_time;
+    if (!is_sent && now < *stop_limit_)
         return;
-    is_stopping_ = false;
+    stop_limit_.reset();
     scratch_.push_back(stop_completed{});
 }
 
+bool core::has_open_request(instant cutoff) const
+{
+    return std::any_of(open_requests_.begin(), open_requests_.end(),
+                       [cutoff](auto const& it) { return it.second <= cutoff; });
+}
+
 void core::tick(instant now, effects& out)
 {
     context_.now = now;
     for (auto& it : components_)
         it->tick(context_);
-    if (is_stopping_)
+    // Erases the requests that were answered in this tick.
+    flush(out);
+    if (stop_limit_)
         complete_stop();
     flush(out);
 }
@@ -73,6 +90,7 @@
 
 void core::take(operator_asked const& it)
 {
+    open_requests_.emplace(it.id, context_.now);
     for (auto& component : components_)
         if (component->asked(it, context_))
             return;
@@ -108,7 +126,7 @@
 {
     if (!has_recovered_)
         return scratch_.push_back(stop_completed{});
-    is_stopping_ = true;
+    stop_limit_ = context_.now + max_stopping_time;
     for (auto& component : components_)
         component->stopping(context_);
 }
--- a/include/mulberryrudder/control/component.hpp
+++ b/include/mulberryrudder/control/component.hpp
@@ -124,7 +124,7 @@
     /// A planned stop begins.
     virtual void stopping(context&) {}
     /// Returns whether this component has nothing left to do before the process ends as planned.
-    /// Called after stopping() only; true after a limited time in any case.
+    /// Called after stopping() only. The process ends after a limited time in any case.
     virtual bool may_stop(instant) const { return true; }
     /// Time has passed; called at least every tick period.
     virtual void tick(context&) {}
--- a/include/mulberryrudder/control/core.hpp
+++ b/include/mulberryrudder/control/core.hpp
@@ -4,6 +4,7 @@
 #include <mulberryrudder/control/component.hpp>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -61,8 +62,11 @@
     std::vector<any_message> collect_snapshot() override;
     void publish_snapshot(std::vector<any_message> const& parts) override;
 
-    /// Completes a planned stop once all components have finished their work.
+    /// Completes a planned stop once all components have finished their work and the requests that
+    /// had come by then are answered.
     void complete_stop();
+    /// Returns whether a request waits for its answer that came at `cutoff` or before.
+    bool has_open_request(instant cutoff) const;
     void flush(effects& out);
 
     identity self_;
@@ -71,9 +75,11 @@
     effects scratch_; ///< Collects the effects of the call that is being handled.
     context context_;
     std::vector<std::unique_ptr<component>> components_;
-    bool has_recovered_ = false; ///< The contents of the disk are known.
-    bool is_stopping_ = false;
-    std::optional<instant> stop_at_; ///< When the stop is complete unless more work arrives.
+    bool has_recovered_ = false;                           ///< The contents of the disk are known.
+    std::map<operator_request_id, instant> open_requests_; ///< When those without answer came.
+    std::optional<instant> stop_limit_; ///< When a planned stop that has begun is completed anyway.
+    std::optional<instant> finished_at_; ///< When the components had finished their work.
+    std::optional<instant> answered_at_; ///< When the requests that had come by then were answered.
 };
 
 /// Answers an operator's request that no linked component knows.
--- a/tests/control/steering/steering_test.cpp
+++ b/tests/control/steering/steering_test.cpp
@@ -41,6 +41,8 @@
     CPPUNIT_TEST(a_follower_without_a_known_leader_redirects_without_an_address);
     CPPUNIT_TEST(a_follower_redirects_plan_queries);
     CPPUNIT_TEST(an_order_that_is_not_committed_in_time_has_an_unknown_outcome);
+    CPPUNIT_TEST(a_planned_stop_waits_for_the_answer_to_an_order);
+    CPPUNIT_TEST(a_planned_stop_does_not_wait_for_orders_that_come_later);
     CPPUNIT_TEST(an_evacuation_holds_until_it_is_ended);
     CPPUNIT_TEST(a_resent_rollout_is_acknowledged_and_not_restarted);
     CPPUNIT_TEST(a_snapshot_contains_the_accepted_plans);
@@ -133,6 +135,35 @@
         replica_.answer<outcome_unknown>(id);
     }
 
+    // Guards against orders that had just been accepted and were cut off without an answer by a
+    // planned stop.
+    void a_planned_stop_waits_for_the_answer_to_an_order()
+    {
+        replica_.recover();
+        auto const id = replica_.ask(submission(0, 5, "a"));
+        replica_.request_stop();
+        run_for(milliseconds(500));
+        CPPUNIT_ASSERT(!replica_.has_stopped());
+        replica_.log().commit_all();
+        replica_.tick();
+        CPPUNIT_ASSERT(replica_.answer<steering_answer>(id).result == order_result::accepted);
+        CPPUNIT_ASSERT_MESSAGE("the answer is on its way", !replica_.has_stopped());
+        run_for(milliseconds(200));
+        CPPUNIT_ASSERT(replica_.has_stopped());
+    }
+
+    void a_planned_stop_does_not_wait_for_orders_that_come_later()
+    {
+        replica_.recover();
+        replica_.request_stop();
+        for (int n = 0; n != 100 && !replica_.has_stopped(); ++n)
+        {
+            replica_.ask(submission(0, 5, "a"));
+            replica_.tick();
+        }
+        CPPUNIT_ASSERT(replica_.has_stopped());
+    }
+
     void an_evacuation_holds_until_it_is_ended()
     {
         domain_id const domain("m-a");
@@ -189,6 +220,12 @@
     }
 
 private:
+    void run_for(span duration)
+    {
+        for (span elapsed{0}; elapsed < duration; elapsed += milliseconds(10))
+            replica_.tick(milliseconds(10));
+    }
+
     order_result submit(std::uint64_t base, std::uint64_t number, std::string const& source)
     {
         return replica_.commit<steering_answer>(submission(base, number, source)).result;
--- a/tests/control/support/replica.hpp
+++ b/tests/control/support/replica.hpp
@@ -75,6 +75,23 @@
         collect();
     }
 
+    /// Tells the core that its disk is blank, as it is told first in a process.
+    void recover()
+    {
+        core_.handle(now_, disk_recovered{}, effects_);
+        collect();
+    }
+
+    /// Requests a planned stop.
+    void request_stop()
+    {
+        core_.handle(now_, stop_requested{}, effects_);
+        collect();
+    }
+
+    /// Returns whether a planned stop is complete.
+    bool has_stopped() const { return has_stopped_; }
+
     /// Advances the time and runs one tick of the core, in which the fake log applies its orders.
     void tick(span elapsed = milliseconds(10))
     {
@@ -129,11 +146,14 @@
     void collect()
     {
         for (auto const& it : effects_)
+        {
+            has_stopped_ = has_stopped_ || std::holds_alternative<stop_completed>(it);
             if (auto const* const answer = std::get_if<answer_operator>(&it))
             {
                 check_invariant(!answers_.contains(answer->id), "one answer per request");
                 answers_.emplace(answer->id, answer->body);
             }
+        }
         effects_.clear();
     }
 
@@ -144,6 +164,7 @@
     instant now_;
     effects effects_;
     std::uint64_t last_id_ = 0;
+    bool has_stopped_ = false;
     std::map<operator_request_id, any_message> answers_;
 };
 
