Let entries leave a control instance that stops as planned

What callers saw: after a planned stop of a control instance, the entries that reported to it heard of no change for up to 1.3 s, until a report counted as unanswered. Cause: the instance held their reports to its end. Change: a control instance that stops tells entries that it is no longer to be relied on, as one that hears too few others does; they report to another one. The fleet of that test now tells each control instance first what its disk held, as the interface asks.

--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -142,7 +142,7 @@
      .meaning =
          "Entries may rely on this instance from now on, or must leave it (`connected`): it hears "
          "`heard` of `of` control instances, itself included, and `synchronized` is whether its "
-         "table of targets holds every acknowledged leave.",
+         "table of targets holds every acknowledged leave. At a planned stop they must leave it.",
      .action = "If it stays unconnected while it hears most of the others, see "
                "`roster.synchronized`; otherwise check the connections between control instances "
                "and whether `of` counts some that are gone."}};
@@ -200,6 +200,8 @@
         dispatch(*this, table, message.from, message.body, ctx);
     }
 
+    void stopping(context&) override { stopping_ = true; }
+
     void tick(context& ctx) override
     {
         begin_input(ctx);
@@ -660,11 +662,12 @@
             learn_instance{.id = entry.id, .peer = entry.peer, .restarted = restarted});
     }
 
-    /// Returns whether entries may rely on this instance's answers: it hears the others and
-    /// missed no leave, unless no other instance can tell it what it missed.
+    /// Returns whether entries may rely on this instance's answers: it does not stop, hears the
+    /// others and missed no leave, unless no other instance can tell it what it missed.
     bool is_connected(instant now) const
     {
-        return is_majority_reachable(now) && (sync_.is_synchronized() || !controls_.any_intact());
+        return !stopping_ && is_majority_reachable(now) &&
+               (sync_.is_synchronized() || !controls_.any_intact());
     }
 
     bool has_update(messages::roster_poll const& poll, instant now)
@@ -762,6 +765,7 @@
     std::optional<instant> confirmed_at_; ///< Of the steering state, as of the last tick.
     bool was_current_ = false;            ///< As of the last tick.
     bool was_connected_ = false;          ///< As of the last tick.
+    bool stopping_ = false;               ///< A planned stop began.
     std::map<instance_id, entry_process> entry_processes_;
     std::map<instance_id, held_poll> polls_;
     std::vector<pending_leave> pending_leaves_;
--- a/tests/roster_fleet/roster_fleet.cpp
+++ b/tests/roster_fleet/roster_fleet.cpp
@@ -101,6 +101,9 @@
                                                                       .self = self,
                                                                       .seed = next_seed()});
     out->services().require<fake_log>().leads = n == 0;
+    control::effects first;
+    out->handle(now_, control::disk_recovered{}, first);
+    process(first);
     return out;
 }
 
@@ -126,6 +129,13 @@
     controls_.at(control) = make_control(control);
 }
 
+void roster_fleet::stop_control(std::size_t control)
+{
+    control::effects out;
+    controls_.at(control)->handle(now_, control::stop_requested{}, out);
+    process(out);
+}
+
 void roster_fleet::restart_entry(std::size_t entry)
 {
     entries_.at(entry) = make_entry(entry);
@@ -444,6 +454,12 @@
     return view(entry).share_of(customer);
 }
 
+std::optional<std::size_t> roster_fleet::control_of(std::size_t entry)
+{
+    auto const out = view(entry).control();
+    return out ? std::optional(index_of(*out)) : std::nullopt;
+}
+
 bool roster_fleet::is_refusing(std::size_t entry)
 {
     return view(entry).is_plan_outdated(now_);
--- a/tests/roster_fleet/roster_fleet.hpp
+++ b/tests/roster_fleet/roster_fleet.hpp
@@ -99,6 +99,8 @@
     /// Drops all messages from and to these entries.
     void disconnect(std::set<std::size_t> const& entries);
 
+    /// Requests a planned stop of a control instance, which runs on in this fleet.
+    void stop_control(std::size_t control);
     /// Starts an instance again, without any state of its earlier start.
     void restart_control(std::size_t control);
     void restart_entry(std::size_t entry);
@@ -113,6 +115,8 @@
     /// Returns the part of a customer's rate that an entry takes for its own, or nothing before it
     /// knows how many entries there are.
     std::optional<per_mille> share_of(std::size_t entry, customer_id const& customer);
+    /// Returns the control instance to which an entry reports, if there is one.
+    std::optional<std::size_t> control_of(std::size_t entry);
     /// Returns whether an entry refuses requests because its plan is outdated.
     bool is_refusing(std::size_t entry);
 
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(entries_serve_again_once_their_link_is_free);
     CPPUNIT_TEST(entries_do_not_rely_on_what_a_restarted_control_instance_missed);
     CPPUNIT_TEST(a_control_instance_that_was_suspended_learns_what_it_missed);
+    CPPUNIT_TEST(entries_leave_a_control_instance_that_stops_as_planned);
     CPPUNIT_TEST(an_old_announcement_to_a_restarted_control_instance_restores_no_target);
     CPPUNIT_TEST(a_partition_of_control_instances_ends_with_one_table_from_each);
     CPPUNIT_TEST(a_restart_of_all_control_instances_removes_no_target);
@@ -348,6 +349,23 @@
         }
     }
 
+    // Guards against entries that hear of no change for over a second after a planned stop, since
+    // their reports wait for an instance that is gone.
+    void entries_leave_a_control_instance_that_stops_as_planned()
+    {
+        start(small_total, 1);
+        for (std::size_t n = 0; n != fleet_->entries(); ++n)
+            CPPUNIT_ASSERT(fleet_->control_of(n).has_value());
+        fleet_->stop_control(1);
+        fleet_->run(milliseconds(400));
+        for (std::size_t n = 0; n != fleet_->entries(); ++n)
+        {
+            CPPUNIT_ASSERT(fleet_->control_of(n).has_value());
+            CPPUNIT_ASSERT(fleet_->control_of(n) != 1);
+            CPPUNIT_ASSERT(!fleet_->is_refusing(n));
+        }
+    }
+
     // Guards against a violation of DRAIN: a control instance that was suspended for longer than
     // the others repeat a leave went on telling entries that the target serves.
     void a_control_instance_that_was_suspended_learns_what_it_missed()
