--- a/plugins/control/replica/leading.cpp
+++ b/plugins/control/replica/leading.cpp
@@ -135,24 +135,30 @@
 void replica::send_next(instance_id receiver, progress& peer)
 {
     if (peer.next_index <= log_.base().index)
-        send_snapshot_piece(receiver, peer);
+        send_snapshot(receiver, peer);
     else
         send_entries(receiver, peer);
 }
 
 void replica::send_entries(instance_id receiver, progress& peer)
 {
-    auto const previous = index_before(peer.next_index);
-    messages::append_request out{.term = state_.term,
-                                 .to_disk = peer.disk,
-                                 .round = lease_.round(),
-                                 .previous = previous,
-                                 .previous_term = *log_.term_at(previous),
-                                 .committed = commit_index_};
-    out.entries = log_.slice(peer.next_index, static_cast<std::size_t>(config_.max_append_entries));
-    peer.in_flight = !out.entries.empty();
+    auto entries =
+        log_.slice(peer.next_index, static_cast<std::size_t>(config_.max_append_entries));
+    peer.in_flight = !entries.empty();
     // Sent without waiting for the own sync, which runs in parallel with the followers'.
-    ctx_->send(receiver, std::move(out));
+    send_append(receiver, peer, index_before(peer.next_index), std::move(entries));
+}
+
+void replica::send_append(instance_id receiver, progress const& peer, log_index previous,
+                          std::vector<log_entry> entries)
+{
+    ctx_->send(receiver, messages::append_request{.term = state_.term,
+                                                  .to_disk = peer.disk,
+                                                  .round = lease_.round(),
+                                                  .previous = previous,
+                                                  .previous_term = *log_.term_at(previous),
+                                                  .entries = std::move(entries),
+                                                  .committed = commit_index_});
 }
 
 progress* replica::find_peer(instance_id sender, disk_id disk)
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -34,6 +34,7 @@
     instant answers_until;            ///< Counts as answering until then, without a newer reply.
     instant syncs_until;              ///< Its disk counts as hanging then, without a newer match.
     std::uint32_t next_piece = 0;     ///< Position of the next snapshot piece to send.
+    messages::round_id piece_round;   ///< In which the newest piece was sent.
     bool in_flight = false;           ///< Entries or a piece were sent and not yet answered.
 };
 
@@ -178,6 +179,8 @@
     void send_to_idle_peers();
     void send_next(instance_id receiver, progress& peer);
     void send_entries(instance_id receiver, progress& peer);
+    void send_append(instance_id receiver, progress const& peer, log_index previous,
+                     std::vector<log_entry> entries);
     /// Returns whether a reply is for this leader's term and the tracked disk of the sender;
     /// counts it for the lease. Steps down on a higher term.
     bool accept_reply(instance_id sender, disk_id disk, term_id term, messages::round_id round);
@@ -244,6 +247,7 @@
 
     // snapshotting.cpp: taking, sending and installing snapshots.
     void take_snapshot_if_due();
+    void send_snapshot(instance_id receiver, progress& peer);
     void send_snapshot_piece(instance_id receiver, progress& peer);
     void handle_snapshot_piece(instance_id sender, messages::snapshot_piece const& piece,
                                context& ctx);
