--- a/include/mulberryrudder/control/replicated_log.hpp
+++ b/include/mulberryrudder/control/replicated_log.hpp
@@ -63,7 +63,7 @@
                                    std::vector<replacement> const& abandoned, instant now) = 0;
 
     /// Returns whether the newest membership is committed.
-    virtual bool is_settled() const = 0;
+    virtual bool is_membership_committed() const = 0;
 
     /// Hands the lead over to a voter that works and is not one of `excluded`, as soon as it holds
     /// all entries and these are committed; until then this replica accepts no command. Call it
--- a/plugins/control/replica/changing_members.cpp
+++ b/plugins/control/replica/changing_members.cpp
@@ -102,7 +102,7 @@
 
 void replica::advance_membership_change()
 {
-    if (!may_act(now()) || memberships_.newest_index() > commit_index_)
+    if (!may_act(now()) || !is_membership_committed())
         return;
     remove_departed_peers();
     auto next = next_membership_step();
@@ -113,8 +113,7 @@
 
 void replica::append_membership(group_membership next)
 {
-    check_invariant(memberships_.newest_index() <= commit_index_,
-                    "the previous membership is committed");
+    check_invariant(is_membership_committed(), "the previous membership is committed");
     append_command(any_message::of(messages::membership_changed{.members = std::move(next)}));
     report_peer_addresses();
     track_joining_peers();
@@ -140,8 +139,7 @@
                        .term = state_.term,
                        .committed = commit_index_,
                        .pending = members().pending,
-                       .settled = members().pending.empty() &&
-                                  memberships_.newest_index() <= commit_index_};
+                       .settled = members().pending.empty() && is_membership_committed()};
     for (auto const& it : members().voters)
     {
         bool const self = it.id == self_.self.id && is_leader();
@@ -175,7 +173,7 @@
     if (refusal != replace_refusal::none || complete)
         return answer_replace_request(id, refusal);
     add_pending_replacement({.leaving = req.leaving, .joining = req.joining, .peer = req.peer}, {});
-    if (memberships_.newest_index() <= commit_index_)
+    if (is_membership_committed())
         return answer_replace_request(id, refusal);
     replace_requests_[id] = memberships_.newest_index();
 }
@@ -212,8 +210,8 @@
                std::find(abandoned.begin(), abandoned.end(), it) != abandoned.end();
     };
     auto const& pending = members().pending;
-    bool const change_in_progress = memberships_.newest_index() > commit_index_ ||
-                                    !std::all_of(pending.begin(), pending.end(), is_given_up);
+    bool const change_in_progress =
+        !is_membership_committed() || !std::all_of(pending.begin(), pending.end(), is_given_up);
     if (ctx_ == nullptr || !is_leader() || !may_act(now) || change_in_progress)
         return false;
     add_pending_replacement(change, abandoned);
@@ -225,7 +223,7 @@
     if (!is_leader())
         return replace_refusal::not_leader;
     // Only one membership change at a time, so that consecutive majorities overlap.
-    if (!may_act(now()) || memberships_.newest_index() > commit_index_)
+    if (!may_act(now()) || !is_membership_committed())
         return replace_refusal::not_confirmed;
     auto const leaves = [&](replacement const& each) { return each.leaving == req.leaving; };
     auto const& pending = members().pending;
--- a/plugins/control/replica/leading.cpp
+++ b/plugins/control/replica/leading.cpp
@@ -285,7 +285,7 @@
     commit_up_to(by_majority);
     give_way_at_ = now() + config_.election_timeout * give_way_timeouts;
     bool const self_removed = members().find(self_.self.id) == nullptr;
-    if (is_leader() && self_removed && memberships_.newest_index() <= commit_index_)
+    if (is_leader() && self_removed && is_membership_committed())
         return step_down();
     announce_leadership_if_confirmed();
 }
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -75,7 +75,10 @@
     bool answers(instance_id id) const override;
     bool begin_replacement(replacement const& change, std::vector<replacement> const& abandoned,
                            instant now) override;
-    bool is_settled() const override { return memberships_.newest_index() <= commit_index_; }
+    bool is_membership_committed() const override
+    {
+        return memberships_.newest_index() <= commit_index_;
+    }
     bool hand_over_lead(std::set<instance_id> const& excluded, instant now) override;
 
 private:
--- a/plugins/control/replica/starting.cpp
+++ b/plugins/control/replica/starting.cpp
@@ -130,8 +130,7 @@
     }
     // A disk that the group has replaced still assumes that it has a vote.
     bool const disk_has_vote = members().counts(sender, req.disk);
-    if (may_act(now()) && req.votes && !disk_has_vote &&
-        memberships_.newest_index() <= commit_index_)
+    if (may_act(now()) && req.votes && !disk_has_vote && is_membership_committed())
         return start_standing::outdated;
     return start_standing::known;
 }
--- a/plugins/control/voters/voter_keeper.cpp
+++ b/plugins/control/voters/voter_keeper.cpp
@@ -229,7 +229,7 @@
     /// Returns whether an instance that stops leaves no vote behind that another one could take.
     bool may_leave(instance_id id, instant now)
     {
-        if (!group().is_settled())
+        if (!group().is_membership_committed())
             return false;
         if (!is_voter_or_joining(id))
             return true;
--- a/tests/control/voters/voter_keeper_test.cpp
+++ b/tests/control/voters/voter_keeper_test.cpp
@@ -63,7 +63,7 @@
         return true;
     }
 
-    bool is_settled() const override { return true; }
+    bool is_membership_committed() const override { return true; }
     bool hand_over_lead(std::set<instance_id> const&, instant) override { return false; }
 
     std::vector<instance_description> reachable;
