--- a/control/core.cpp
+++ b/control/core.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+/// Time after which a request without an answer is forgotten: its sender has given it up.
+constexpr seconds max_request_time{60};
 /// Time for the last answers and messages to leave the process.
 constexpr milliseconds sending_time{100};
 /// Time after which a planned stop is completed in any case: below the time after which the process
@@ -77,6 +79,8 @@
         it->tick(context_);
     // Erases the requests that were answered in this tick.
     flush(out);
+    std::erase_if(open_requests_,
+                  [now](auto const& it) { return it.second + max_request_time < now; });
     if (stop_limit_)
         complete_stop();
     flush(out);
