Tell the leader of a planned stop until the process ends

An instance that had the permission to stop, and still answered requests, ceased to tell that it stops; a second later it could be given a vote again, which its end then took away. voter_keeper_test::an_instance_tells_that_it_stops_until_its_process_ends failed before.

--- a/plugins/control/voters/voter_keeper.cpp
+++ b/plugins/control/voters/voter_keeper.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace mulberryrudder::control
@@ -156,7 +157,7 @@
 
     void tick(context& ctx) override
     {
-        if (stop_deadline_ && !may_stop_)
+        if (stop_deadline_)
             advance_stop(ctx);
         if (ctx.now < next_check_)
             return;
@@ -180,19 +181,21 @@
 private:
     voter_group& group() { return services_.require<voter_group>(); }
 
-    /// Hands the lead over, and asks the leader for the permission to stop.
+    /// Hands the lead over, and asks the leader for the permission to stop. Goes on after that, so
+    /// that this instance is given no vote before its process ends.
     void advance_stop(context& ctx)
     {
         auto const& log = services_.require<replicated_log>();
         if (ctx.now >= *stop_deadline_)
         {
-            may_stop_ = true;
-            return ctx.events.record(stop_event, {});
+            if (!std::exchange(may_stop_, true))
+                ctx.events.record(stop_event, {});
+            return;
         }
         if (log.may_act(ctx.now))
         {
             if (ctx.now >= handover_at_)
-                may_stop_ = !group().hand_over_lead(stopping_instances(ctx.now), ctx.now);
+                may_stop_ |= !group().hand_over_lead(stopping_instances(ctx.now), ctx.now);
             return;
         }
         auto const leader = log.leader();
@@ -202,7 +205,7 @@
             ctx.send(*leader, messages::stop_notice{});
         }
         // The leader sends nothing to an instance that neither has a vote nor is to get one.
-        may_stop_ = !leader && !is_voter_or_joining(self_.self.id);
+        may_stop_ |= !leader && !is_voter_or_joining(self_.self.id);
     }
 
     bool is_voter_or_joining(instance_id id)
@@ -223,7 +226,7 @@
 
     void handle_stop_permission(instance_id, messages::stop_permission const& permission, context&)
     {
-        may_stop_ = may_stop_ || (stop_deadline_ && permission.granted);
+        may_stop_ |= stop_deadline_ && permission.granted;
     }
 
     /// Returns whether an instance that stops leaves no vote behind that another one could take.
@@ -341,8 +344,10 @@
         { return std::any_of(members.pending.begin(), members.pending.end(), matches); };
         for (auto const& it : members.voters)
         {
+            if (!leaves(it.id))
+                continue;
             auto const* const joining = best_candidate(reachable, it.id, now);
-            if (joining == nullptr || !leaves(it.id))
+            if (joining == nullptr)
                 continue;
             replacement const change{
                 .leaving = it.id, .joining = joining->id, .peer = joining->peer};
--- a/tests/control/support/replica.hpp
+++ b/tests/control/support/replica.hpp
@@ -7,9 +7,12 @@
 #include <mulberryrudder/control/fleet_state_view.hpp>
 #include <mulberryrudder/core/invariant.hpp>
 
+#include <algorithm>
 #include <map>
 #include <stdexcept>
 #include <string>
+#include <typeindex>
+#include <vector>
 
 namespace mulberryrudder::control::testing
 {
@@ -89,6 +92,13 @@
         collect();
     }
 
+    /// Returns the number of messages of a type that were sent.
+    template <class T>
+    std::size_t sent() const
+    {
+        return static_cast<std::size_t>(std::count(sent_.begin(), sent_.end(), typeid(T)));
+    }
+
     /// Returns whether a planned stop is complete.
     bool has_stopped() const { return has_stopped_; }
 
@@ -147,6 +157,8 @@
     {
         for (auto const& it : effects_)
         {
+            if (auto const* const message = std::get_if<send_message>(&it))
+                sent_.emplace_back(message->message.body.type());
             has_stopped_ = has_stopped_ || std::holds_alternative<stop_completed>(it);
             if (auto const* const answer = std::get_if<answer_operator>(&it))
             {
@@ -165,6 +177,7 @@
     effects effects_;
     std::uint64_t last_id_ = 0;
     bool has_stopped_ = false;
+    std::vector<std::type_index> sent_; ///< Types of all messages that were sent.
     std::map<operator_request_id, any_message> answers_;
 };
 
--- a/tests/control/voters/voter_keeper_test.cpp
+++ b/tests/control/voters/voter_keeper_test.cpp
@@ -123,6 +123,7 @@
     CPPUNIT_TEST(a_voter_that_stops_gives_its_vote_to_an_instance_of_its_region);
     CPPUNIT_TEST(a_lost_voter_is_replaced_before_one_that_stops);
     CPPUNIT_TEST(an_instance_that_stops_takes_over_no_vote);
+    CPPUNIT_TEST(an_instance_tells_that_it_stops_until_its_process_ends);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -407,6 +408,22 @@
         CPPUNIT_ASSERT(group().begun_replacements.front().joining == instance_id(4));
     }
 
+    // Guards against a vote that is given to an instance that has the permission to stop, but still
+    // answers requests.
+    void an_instance_tells_that_it_stops_until_its_process_ends()
+    {
+        replica_->recover();
+        replica_->log().leads = false;
+        replica_->log().known_leader = instance_id(2);
+        replica_->request_stop();
+        run_for(milliseconds(300));
+        replica_->receive(instance_id(2), messages::stop_permission{.granted = true});
+        auto const before = replica_->sent<messages::stop_notice>();
+        CPPUNIT_ASSERT(before > 0);
+        run_for(milliseconds(300));
+        CPPUNIT_ASSERT(replica_->sent<messages::stop_notice>() > before);
+    }
+
 private:
     /// Runs for a while and lets each instance join that is chosen; returns these.
     std::set<instance_id> add_voters()
