Serve in a failure domain that is cut off together with its control instance

Callers of an entry that doubted its plan were refused for as long as its failure domain was cut off, if the domain holds a control instance: its answers, which can confirm nothing, counted as a word of control and kept the doubt up. An entry that had just started let no callers in. An entry without a doubt serves in the same place.

Answers of control instances that hear too few of the others now count as a word of control for 5 s only; the first answer of one that hears most others brings the doubt back. Tests: three cases of entry_roster_tests, which fail without the change.

--- a/plugins/entry/roster/plan_currency.cpp
+++ b/plugins/entry/roster/plan_currency.cpp
@@ -8,7 +8,8 @@
 namespace
 {
 
-/// Time without an answer of any control instance after which this instance is cut off.
+/// Time without an answer of a control instance that hears most others after which this instance is
+/// cut off.
 constexpr seconds max_silence{5};
 /// A longer time between two ticks means that the process was not running.
 constexpr seconds max_tick_gap{1};
@@ -29,7 +30,11 @@
 
 void plan_currency::record(answer const& arrived, instant now)
 {
-    heard_until_ = now + max_silence;
+    if (arrived.control_apart)
+        apart_since_ = apart_since_.value_or(now);
+    else
+        apart_since_.reset();
+    heard_until_ = apart_since_.value_or(now) + max_silence;
     auto const confirmed_at = arrived.confirmed_at();
     if (arrived.round_trip(now) > limits_.max_round_trip)
         is_delayed_ = true;
@@ -50,6 +55,7 @@
     {
         is_delayed_ = true;
         // An answer may wait for this process.
+        apart_since_.reset();
         heard_until_ = now + max_silence;
     }
     last_tick_ = now;
@@ -71,7 +77,12 @@
 {
     if (confirmed_at_ && now <= *confirmed_at_ + limits_.max_age)
         return false;
-    return (awaits_leader() && !is_cut_off(now)) || (confirmed_at_ && is_slow(now));
+    return awaits_leader(now) || (confirmed_at_ && is_slow(now));
+}
+
+bool plan_currency::awaits_leader(instant now) const
+{
+    return doubts_restart() && !is_cut_off(now);
 }
 
 bool plan_currency::was_paused(instant now) const
--- a/plugins/entry/roster/plan_currency.hpp
+++ b/plugins/entry/roster/plan_currency.hpp
@@ -41,6 +41,8 @@
         /// The control instance hears most others, and none that it hears has been confirmed since
         /// its start: what they hold may lack the newest acknowledged orders.
         bool control_restarted = false;
+        /// The control instance hears too few of the others, so that it can confirm nothing.
+        bool control_apart = false;
 
         /// Returns the time for which the report and the answer were on their way.
         span round_trip(instant now) const;
@@ -64,11 +66,15 @@
 
     /// Returns whether control instances answered that they have restarted, and the state was not
     /// confirmed as of a later time.
-    bool awaits_leader() const { return restart_heard_at_.has_value(); }
+    bool doubts_restart() const { return restart_heard_at_.has_value(); }
+
+    /// As doubts_restart(), unless this instance is cut off.
+    bool awaits_leader(instant now) const;
 
     /// Returns whether requests must not be sent by the state: it is too old or was never
-    /// confirmed, it is in doubt, and control is heard. Without a word from control this instance
-    /// is cut off, and goes on with the state that it holds.
+    /// confirmed, it is in doubt, and control is heard. Without a word from control, or of control
+    /// instances only that hear too few of the others, this instance is cut off after a while, and
+    /// goes on with the state that it holds.
     bool is_outdated(instant now) const;
 
 private:
@@ -79,6 +85,7 @@
     std::optional<instant> confirmed_at_;
     bool is_delayed_ = false;                 ///< In doubt by a late answer or a pause.
     std::optional<instant> restart_heard_at_; ///< In doubt by a restart of control since then.
+    std::optional<instant> apart_since_;      ///< Since when only such instances answer.
     instant heard_until_; ///< Cut off from control then, without a further answer.
     std::optional<instant> last_tick_;
 };
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -284,7 +284,8 @@
                                      .held = update.held_for,
                                      .confirmed_age = update.confirmed_age,
                                      .control_restarted = update.connected && !update.current &&
-                                                          !update.confirmed_age};
+                                                          !update.confirmed_age,
+                                     .control_apart = !update.connected};
         pending_reports_.erase(pending);
         std::erase_if(departures_, [&](departure const& it)
                       { return it.first_report && *it.first_report <= update.poll; });
@@ -300,12 +301,12 @@
         if (generation_of(update) > steering_->generation)
             answer.confirmed_age.reset();
         ctx.counters.observe(round_trips, answer.round_trip(ctx.now));
-        bool const awaited_leader = currency_.awaits_leader();
+        bool const was_in_doubt = currency_.doubts_restart();
         currency_.record(answer, ctx.now);
-        if (currency_.awaits_leader() != awaited_leader)
+        if (currency_.doubts_restart() != was_in_doubt)
             record_doubt_change(sender, update, ctx);
         record_outdated_change(ctx);
-        if (currency_.awaits_leader())
+        if (currency_.awaits_leader(ctx.now))
             await_confirmation(ctx.now);
         // A late answer tells what held when it was sent.
         bool const confirms = update.current && is_recent(answer, ctx.now);
@@ -351,7 +352,7 @@
     {
         auto const age_ms = update.confirmed_age ? update.confirmed_age->count() : -1;
         ctx.events.record(plan_doubted_event,
-                          {{"doubted", currency_.awaits_leader() ? "true" : "false"},
+                          {{"doubted", currency_.doubts_restart() ? "true" : "false"},
                            {"control", std::to_string(sender.value())},
                            {"connected", update.connected ? "true" : "false"},
                            {"confirmed_age_ms", std::to_string(age_ms)}});
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -60,6 +60,9 @@
     CPPUNIT_TEST(a_plan_stays_outdated_if_an_instance_was_confirmed_before_the_restart);
     CPPUNIT_TEST(a_plan_is_outdated_by_its_last_confirmation_once_control_restarts);
     CPPUNIT_TEST(an_instance_that_doubts_its_plan_serves_while_no_control_is_heard);
+    CPPUNIT_TEST(an_instance_that_was_paused_serves_while_it_is_cut_off_with_its_control_instance);
+    CPPUNIT_TEST(an_instance_that_heard_a_restart_serves_while_it_is_cut_off_with_control);
+    CPPUNIT_TEST(callers_are_accepted_while_control_is_cut_off_after_its_restart);
     CPPUNIT_TEST(reports_are_answered_at_once_while_control_is_slow);
     CPPUNIT_TEST(the_time_for_which_control_held_a_report_is_not_part_of_the_plans_age);
     CPPUNIT_TEST(a_difference_is_applied_to_the_state_that_is_held);
@@ -633,6 +636,59 @@
         CPPUNIT_ASSERT(view().is_plan_outdated(now_));
     }
 
+    // Guards against an outage of a failure domain that is cut off together with a control
+    // instance: its answers, which can confirm nothing, kept up a doubt for as long as the domain
+    // was cut off.
+    void an_instance_that_was_paused_serves_while_it_is_cut_off_with_its_control_instance()
+    {
+        receive_confirmed_plan();
+        tick();
+        tick(seconds(4));
+        for (int n = 0; n != 60; ++n)
+        {
+            answer({.boot = boot_id(9), .connected = false, .current = false});
+            tick(milliseconds(100));
+            if (n < 45)
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(n), view().is_plan_outdated(now_));
+        }
+        CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
+        answer({.boot = boot_id(9), .current = false});
+        CPPUNIT_ASSERT_MESSAGE("the doubt is back", view().is_plan_outdated(now_));
+    }
+
+    // Guards against the same after a restart of control.
+    void an_instance_that_heard_a_restart_serves_while_it_is_cut_off_with_control()
+    {
+        receive_confirmed_plan();
+        for (int n = 0; n != 90; ++n)
+        {
+            answer({.boot = boot_id(10), .connected = n < 30, .current = false});
+            tick(milliseconds(100));
+            if (n >= 20 && n < 75)
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(n), view().is_plan_outdated(now_));
+        }
+        CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
+        answer({.boot = boot_id(10), .current = false});
+        CPPUNIT_ASSERT_MESSAGE("the doubt is back", view().is_plan_outdated(now_));
+    }
+
+    // Guards against an entry that never serves: it had just started, and heard of a restart of
+    // control before its failure domain was cut off.
+    void callers_are_accepted_while_control_is_cut_off_after_its_restart()
+    {
+        tick();
+        answer({.current = false, .steering = state(4, true)});
+        for (int n = 0; n != 85; ++n)
+        {
+            tick(milliseconds(100));
+            answer({.connected = false, .current = false});
+            if (n < 45)
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(n), !accepts_callers_);
+        }
+        CPPUNIT_ASSERT(accepts_callers_);
+        CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
+    }
+
     // Guards against needless refusals: control holds a report for longer than an answer takes on
     // a full link, and the plan counts as older by that time.
     void reports_are_answered_at_once_while_control_is_slow()
