Let a leader that stops wait for voters that it does not hear for a moment

An order that was acknowledged could not be read back: a leader that was told to stop while it heard no other voter for three heartbeats, though its lease still held, ended at once with its vote and the lead, and a disk lost after that took the majority of three voters. Cause: hand_over_lead() answered that there is no voter to lead if none was heard at that moment. Test: a_leader_that_hears_nobody_for_a_moment_stops_without_leaving_a_vote_behind, which fails without the change.

--- a/include/mulberryrudder/control/replicated_log.hpp
+++ b/include/mulberryrudder/control/replicated_log.hpp
@@ -67,8 +67,8 @@
 
     /// Hands the lead over to a voter that works and is not one of `excluded`, as soon as it holds
     /// all entries and these are committed; until then this replica accepts no command. Call it
-    /// again with each tick until this replica may not act. Returns false if there is no such
-    /// voter.
+    /// again with each tick until this replica may not act. Returns false if there is no voter but
+    /// this replica and those in `excluded`.
     virtual bool hand_over_lead(std::set<instance_id> const& excluded, instant now) = 0;
 };
 
--- a/plugins/control/replica/leading.cpp
+++ b/plugins/control/replica/leading.cpp
@@ -66,10 +66,15 @@
     if (ctx_ == nullptr || !may_act(now))
         return false;
     hands_over_ = false;
+    bool may_retry = false;
     bool const is_committed = commit_index_ == log_.last().index;
     for (auto const& it : members().voters)
     {
-        if (it.id == self_.self.id || excluded.contains(it.id) || !is_working(it))
+        if (it.id == self_.self.id || excluded.contains(it.id))
+            continue;
+        // One that is not heard now may be heard again while the lease holds.
+        may_retry = true;
+        if (!is_working(it))
             continue;
         hands_over_ = true;
         if (!is_committed || peers_.at(it.id).match_index != log_.last().index)
@@ -82,7 +87,7 @@
         ctx_->send(it.id, out);
         return true;
     }
-    return hands_over_;
+    return may_retry;
 }
 
 bool replica::is_voter_or_joining(instance_id id) const
--- a/tests/control/voters/planned_stop_test.cpp
+++ b/tests/control/voters/planned_stop_test.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(instances_that_are_stopped_and_started_in_turn_leave_a_leader);
     CPPUNIT_TEST(two_planned_stops_at_once_leave_a_leader);
     CPPUNIT_TEST(the_leader_hands_over_before_its_lease_could_end);
+    CPPUNIT_TEST(a_leader_that_hears_nobody_for_a_moment_stops_without_leaving_a_vote_behind);
     CPPUNIT_TEST(a_planned_stop_does_not_wait_for_a_successor_that_does_not_exist);
     CPPUNIT_TEST(a_planned_stop_ends_without_a_leader);
     CPPUNIT_TEST(planned_stops_of_all_instances_at_once_end);
@@ -164,6 +165,27 @@
         }
     }
 
+    // Guards against CONFIG: a leader that heard no voter for three heartbeats, while its lease
+    // still held, passed for one without another voter, and stopped with its vote and the lead.
+    void a_leader_that_hears_nobody_for_a_moment_stops_without_leaving_a_vote_behind()
+    {
+        for (auto const outage : {milliseconds(500), milliseconds(650), milliseconds(800)})
+        {
+            start_group(4);
+            auto const leader = group_->acting_leader();
+            group_->isolate(leader);
+            group_->run_for(outage);
+            group_->request_stop(leader);
+            group_->run_for(milliseconds(100));
+            group_->heal();
+            CPPUNIT_ASSERT(
+                group_->run_until([this, leader] { return !group_->is_up(leader); }, grace));
+            auto const blank = leader == 1 ? 2U : 1U;
+            lose_power_and_disk(leader, blank);
+            expect_recovery(leader, blank);
+        }
+    }
+
     void a_planned_stop_does_not_wait_for_a_successor_that_does_not_exist()
     {
         start_group(3);
