Count a rollout's time since its order, whoever leads

Operators waited past the deadline for a good version: each new leader counted a rollout's time from the beginning of its own term, so a rollout of ten seconds took up to nine more after a change of the leader, such as a planned hand-over. Cause: only the leader kept the time, and forgot it when it ceased to lead. Now each instance keeps the time since it learned of the order; the outcomes are still summed by the leader alone. Test: a_rollout_ends_before_its_deadline_although_the_leader_changes, which fails without the change.

--- a/plugins/control/rollouts/rollouts.cpp
+++ b/plugins/control/rollouts/rollouts.cpp
@@ -95,10 +95,10 @@
 /// Time between two reports that a version is suspected.
 constexpr seconds suspected_interval{2};
 
-/// Runs the rollouts while this instance leads. A new version gets a small share of the
-/// requests first and a larger one in a second stage, then all requests. It is rolled back
-/// immediately if it is clearly worse than the old version, and instead of getting all
-/// requests if it may be.
+/// Runs the rollouts while this instance leads, by the time since it learned of them. A new version
+/// gets a small share of the requests first and a larger one in a second stage, then all requests.
+/// It is rolled back immediately if it is clearly worse than the old version, and instead of
+/// getting all requests if it may be.
 ///
 /// Thread safety: the decision core's thread.
 class rollouts final : public component
@@ -115,25 +115,33 @@
     {
     }
 
-    void following(context&) override { running_.clear(); }
+    void following(context&) override
+    {
+        for (auto& [service, rollout] : running_)
+            rollout.outcomes = {};
+    }
 
     void tick(context& ctx) override
     {
         if (ctx.now < check_due_)
             return;
         check_due_ = ctx.now + config_.check_interval;
-        auto& log = services_.require<replicated_log>();
-        if (!log.may_act(ctx.now))
-            return;
         auto const state = services_.require<steering_view>().steering();
-        propose_base_versions(*state, log);
+        // Also while another instance leads, since this one may lead before the rollout ends.
         for (auto const& [service, versions] : state->versions)
         {
             if (versions.phase == rollout_phase::running)
-                evaluate(service, versions, log, ctx);
+                progress_of(service, versions, ctx.now);
             else
                 running_.erase(service);
         }
+        auto& log = services_.require<replicated_log>();
+        if (!log.may_act(ctx.now))
+            return;
+        propose_base_versions(*state, log);
+        for (auto const& [service, versions] : state->versions)
+            if (versions.phase == rollout_phase::running)
+                evaluate(service, versions, log, ctx);
     }
 
 private:
--- a/tests/control/steering/rollouts_test.cpp
+++ b/tests/control/steering/rollouts_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(a_version_that_gets_no_answers_does_not_succeed);
     CPPUNIT_TEST(a_suspected_version_does_not_succeed);
     CPPUNIT_TEST(a_rollout_that_replaces_a_running_one_starts_anew);
+    CPPUNIT_TEST(a_rollout_ends_before_its_deadline_although_the_leader_changes);
     CPPUNIT_TEST(an_earlier_fault_of_old_targets_does_not_delay_a_rollback);
     CPPUNIT_TEST_SUITE_END();
 
@@ -88,6 +89,19 @@
         CPPUNIT_ASSERT(versions().base == v2);
     }
 
+    // Guards against a missed deadline of a rollout: a new leader counted its time from the
+    // beginning of its own term, also after a planned hand-over of the lead.
+    void a_rollout_ends_before_its_deadline_although_the_leader_changes()
+    {
+        start_rollout_to_v2();
+        replica_.log().leads = false;
+        replica_.log().step_down = true;
+        run(seconds(5), 0);
+        replica_.log().takes_the_lead = true;
+        run(seconds(5), 0);
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::succeeded);
+    }
+
     void a_good_version_gets_a_small_share_until_the_second_stage()
     {
         start_rollout_to_v2();
