Test entries and control together while nobody leads after a restart

The fleet on virtual time can now lose power: all control instances stop right after the acknowledgement of an order that no entry has heard of, start again within 0.6 s with the state before it, and nobody leads for 12 s. From 3 s after the first start on no entry may act by the older plan; 2 s after there is a leader all of them act by the newest one.

--- a/tests/roster_fleet/roster_fleet.cpp
+++ b/tests/roster_fleet/roster_fleet.cpp
@@ -83,12 +83,12 @@
     : config_(config), random_(config.seed), link_free_at_(config.entries)
 {
     for (std::size_t n = 0; n != config.controls; ++n)
-        controls_.push_back(make_control(n));
+        controls_.push_back(make_control(n, n == 0));
     for (std::size_t n = 0; n != config.entries; ++n)
         entries_.push_back(make_entry(n));
 }
 
-std::unique_ptr<control::core> roster_fleet::make_control(std::size_t n)
+std::unique_ptr<control::core> roster_fleet::make_control(std::size_t n, bool leads)
 {
     control::identity self;
     self.self = describe(control_id(n), n, n);
@@ -100,7 +100,7 @@
                                                                       .events = events_,
                                                                       .self = self,
                                                                       .seed = next_seed()});
-    out->services().require<fake_log>().leads = n == 0;
+    out->services().require<fake_log>().leads = leads;
     control::effects first;
     out->handle(now_, control::disk_recovered{}, first);
     process(first);
@@ -126,7 +126,28 @@
 
 void roster_fleet::restart_control(std::size_t control)
 {
-    controls_.at(control) = make_control(control);
+    controls_.at(control) = make_control(control, control == 0);
+}
+
+void roster_fleet::restart_follower(std::size_t control, std::size_t held)
+{
+    controls_.at(control) = make_control(control, false);
+    apply_committed(control, held);
+}
+
+void roster_fleet::lead(std::size_t control)
+{
+    apply_committed(control, committed_.size());
+    run(step);
+    controls_.at(control)->services().require<fake_log>().takes_the_lead = true;
+}
+
+void roster_fleet::apply_committed(std::size_t control, std::size_t count)
+{
+    auto& log = controls_.at(control)->services().require<fake_log>();
+    for (std::size_t n = 0; n != count; ++n)
+        if (committed_.at(n).index > log.last_applied)
+            log.committed.push_back(committed_.at(n));
 }
 
 void roster_fleet::stop_control(std::size_t control)
@@ -165,6 +186,12 @@
     disconnected_ = entries;
 }
 
+void roster_fleet::confine(std::set<std::size_t> const& entries, std::size_t control)
+{
+    confined_ = entries;
+    only_control_ = control;
+}
+
 control::operator_request_id roster_fleet::deliver_old_announcement(std::size_t control, int target)
 {
     return request(control,
@@ -235,13 +262,17 @@
 {
     auto const isolated = [&](instance_id id)
     { return !is_entry(id) && isolated_.contains(index_of(id)); };
+    auto const is_out_of_reach = [&](instance_id entry, instance_id control)
+    { return confined_.contains(index_of(entry)) && index_of(control) != only_control_; };
     auto const disconnected = [&](instance_id id)
     { return is_entry(id) && disconnected_.contains(index_of(id)); };
     if (isolated(message.from) || isolated(message.to) || disconnected(message.from) ||
         disconnected(message.to))
         return true;
-    if (is_entry(message.from) || is_entry(message.to))
-        return false;
+    if (is_entry(message.from))
+        return is_out_of_reach(message.from, message.to);
+    if (is_entry(message.to))
+        return is_out_of_reach(message.to, message.from);
     return muted_.contains(index_of(message.from)) ||
            (cut_senders_.contains(index_of(message.from)) &&
             cut_receivers_.contains(index_of(message.to))) ||
@@ -401,6 +432,7 @@
 {
     auto& log = controls_.front()->services().require<fake_log>();
     auto const proposed = std::exchange(log.proposed, {});
+    committed_.insert(committed_.end(), proposed.begin(), proposed.end());
     for (auto const n : replicas)
         for (auto const& it : proposed)
             controls_.at(n)->services().require<fake_log>().committed.push_back(it);
@@ -467,7 +499,13 @@
 
 generation_id roster_fleet::generation(std::size_t entry)
 {
-    return view(entry).steering()->generation;
+    auto const& state = view(entry).steering();
+    return state ? state->generation : generation_id();
+}
+
+bool roster_fleet::acts_by_plan(std::size_t entry)
+{
+    return view(entry).steering() && !is_refusing(entry);
 }
 
 } // namespace mulberryrudder::testing
--- a/tests/roster_fleet/roster_fleet.hpp
+++ b/tests/roster_fleet/roster_fleet.hpp
@@ -2,6 +2,7 @@
 #define MULBERRYRUDDER_TESTS_ROSTER_FLEET_ROSTER_FLEET_HPP
 
 #include <mulberryrudder/control/core.hpp>
+#include <mulberryrudder/control/replicated_log.hpp>
 #include <mulberryrudder/control/roster.hpp>
 #include <mulberryrudder/control/steering.hpp>
 #include <mulberryrudder/core/units.hpp>
@@ -98,12 +99,21 @@
     void fill_entry_links(per_mille growth, milliseconds max_wait);
     /// Drops all messages from and to these entries.
     void disconnect(std::set<std::size_t> const& entries);
+    /// Drops all messages between these entries and all control instances but one. An empty set
+    /// ends it.
+    void confine(std::set<std::size_t> const& entries, std::size_t control);
 
     /// Requests a planned stop of a control instance, which runs on in this fleet.
     void stop_control(std::size_t control);
     /// Starts an instance again, without any state of its earlier start.
     void restart_control(std::size_t control);
     void restart_entry(std::size_t entry);
+    /// Starts a control instance again that does not lead, with the state after the first `held`
+    /// commands that were committed, as of its last snapshot.
+    void restart_follower(std::size_t control, std::size_t held);
+    /// Lets a control instance lead, with all commands that were ever committed. Precondition:
+    /// nobody leads, and it has run since its start.
+    void lead(std::size_t control);
 
     /// Delivers an announcement that a target sent before its newest one.
     control::operator_request_id deliver_old_announcement(std::size_t control, int target);
@@ -111,7 +121,10 @@
     /// Returns how many targets are serving in the view of an entry.
     std::size_t serving_count(std::size_t entry);
     bool is_serving(std::size_t entry, int target);
+    /// Returns the generation of the state that an entry acts by; the lowest without a plan.
     generation_id generation(std::size_t entry);
+    /// Returns whether an entry acts by a plan: it has one, and does not refuse requests.
+    bool acts_by_plan(std::size_t entry);
     /// Returns the part of a customer's rate that an entry takes for its own, or nothing before it
     /// knows how many entries there are.
     std::optional<per_mille> share_of(std::size_t entry, customer_id const& customer);
@@ -150,7 +163,10 @@
         messages::target_standing standing = messages::target_standing::serving;
     };
 
-    std::unique_ptr<control::core> make_control(std::size_t n);
+    std::unique_ptr<control::core> make_control(std::size_t n, bool leads);
+    /// Lets a control instance apply the first `count` commands that were committed, but for those
+    /// that it has applied.
+    void apply_committed(std::size_t control, std::size_t count);
     std::unique_ptr<entry::core> make_entry(std::size_t n);
 
     std::uint64_t next_seed();
@@ -192,7 +208,10 @@
     std::set<std::size_t> isolated_;
     std::set<std::size_t> frozen_;
     std::set<std::size_t> disconnected_;
-    std::map<int, announcer> targets_; ///< Those that announce themselves.
+    std::set<std::size_t> confined_; ///< Entries that reach `only_control_` alone.
+    std::size_t only_control_ = 0;
+    std::vector<control::log_entry> committed_; ///< By any leader, in order.
+    std::map<int, announcer> targets_;          ///< Those that announce themselves.
     std::map<control::operator_request_id, any_message> answers_;
     byte_count sent_to_entries_{0};
     int tables_sent_ = 0;
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -41,6 +41,22 @@
 /// Limit of the time after which the loss of control instances excuses nothing any more.
 constexpr milliseconds contact{3000};
 
+/// Time within which all control instances start after a loss of power.
+constexpr milliseconds start_spread{600};
+/// Time after the first start of a control instance from which on entries must not act by a plan
+/// that may be older than an acknowledged one.
+constexpr milliseconds doubt_limit{3000};
+/// Time after the first start of a control instance at which one leads: after each of them has
+/// waited for the tables of the others.
+constexpr milliseconds late_lead{12'000};
+/// Time without a word of connected control instances after which an entry is cut off.
+constexpr seconds max_silence{5};
+/// Time for which control holds a report without news, so that the last word before a cut may be as
+/// old.
+constexpr milliseconds max_hold{700};
+/// Time after which all entries act by the newest plan once there is a leader.
+constexpr milliseconds service_limit{2000};
+
 class roster_fleet_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(roster_fleet_test);
@@ -70,6 +86,10 @@
     CPPUNIT_TEST(a_look_up_names_a_limited_number_of_entries);
     CPPUNIT_TEST(entries_learn_of_a_departure_that_one_of_them_reports);
     CPPUNIT_TEST(entries_that_start_at_once_do_not_each_take_the_whole_rate);
+    CPPUNIT_TEST(no_entry_acts_by_an_older_plan_until_a_leader_confirms_the_newest);
+    CPPUNIT_TEST(an_entry_that_is_cut_off_for_a_while_acts_by_no_older_plan);
+    CPPUNIT_TEST(an_entry_that_is_cut_off_with_its_control_instance_serves_until_control_is_heard);
+    CPPUNIT_TEST(an_entry_that_starts_while_nobody_leads_acts_by_no_older_plan);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -531,7 +551,137 @@
         }
     }
 
+    // Guards against a violation of CONFIG: after a restart of all control instances, entries acted
+    // by an older plan before there was a leader, and again from the moment on at which most
+    // control instances were not connected.
+    void no_entry_acts_by_an_older_plan_until_a_leader_confirms_the_newest()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            lose_power(seed);
+            run_without_an_older_plan(late_lead);
+            expect_service_by(seed);
+        }
+    }
+
+    // Guards against a violation of CONFIG: an entry that lost all control instances for a while
+    // forgot that they had restarted.
+    void an_entry_that_is_cut_off_for_a_while_acts_by_no_older_plan()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            lose_power(seed);
+            auto const begin = doubt_limit + milliseconds(500) * static_cast<int>(seed);
+            run_without_an_older_plan(begin);
+            fleet_->disconnect({2, 7, 13});
+            run_without_an_older_plan(begin + seconds(2));
+            fleet_->disconnect({});
+            run_without_an_older_plan(late_lead);
+            expect_service_by(seed);
+        }
+    }
+
+    // Guards against an outage of a failure domain that is cut off together with its control
+    // instance, which can confirm nothing; and against a violation of CONFIG once control is heard
+    // again, since nothing was confirmed meanwhile.
+    void an_entry_that_is_cut_off_with_its_control_instance_serves_until_control_is_heard()
+    {
+        std::set<std::size_t> const confined{2, 4, 13};
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            lose_power(seed);
+            auto const begin = doubt_limit + milliseconds(200) * static_cast<int>(seed);
+            run_without_an_older_plan(begin);
+            fleet_->partition({4});
+            fleet_->confine(confined, 4);
+            run_without_an_older_plan(begin + max_silence - max_hold);
+            while (fleet_->now() < first_start_ + late_lead - milliseconds(1500))
+            {
+                fleet_->run(milliseconds(10));
+                CPPUNIT_ASSERT_EQUAL(0, entries_serving_before(generation_id(2), confined));
+            }
+            for (auto const entry : confined)
+                CPPUNIT_ASSERT(fleet_->acts_by_plan(entry));
+            fleet_->partition({});
+            fleet_->confine({}, 4);
+            fleet_->run(seconds(1));
+            run_without_an_older_plan(late_lead);
+            expect_service_by(seed);
+        }
+    }
+
+    // Guards against a violation of CONFIG: an entry that started while nobody led acted by the
+    // plan that the restarted control instances held, without a confirmation.
+    void an_entry_that_starts_while_nobody_leads_acts_by_no_older_plan()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            lose_power(seed);
+            auto const begin = seconds(1) + milliseconds(1000) * static_cast<int>(seed);
+            run_without_an_older_plan(begin);
+            for (std::size_t const entry : {2U, 7U, 13U})
+                fleet_->restart_entry(entry);
+            run_without_an_older_plan(late_lead);
+            expect_service_by(seed);
+        }
+    }
+
 private:
+    /// Lets all control instances lose power right after the acknowledgement of an evacuation of
+    /// which no entry has heard, and start again one after the other. Nobody leads, and all of them
+    /// hold the state before the evacuation.
+    void lose_power(std::uint64_t seed)
+    {
+        start(small_total, seed);
+        std::set<std::size_t> entries;
+        for (std::size_t n = 0; n != fleet_->entries(); ++n)
+            entries.insert(n);
+        fleet_->disconnect(entries);
+        acknowledge_evacuation();
+        std::vector<std::size_t> order{0, 1, 2, 3, 4, 5, 6, 7, 8};
+        std::set<std::size_t> down(order.begin(), order.end());
+        fleet_->freeze(down);
+        fleet_->disconnect({});
+        fleet_->run(milliseconds(300) * static_cast<int>(seed));
+        random_source random(seed);
+        std::shuffle(order.begin(), order.end(), random);
+        first_start_ = fleet_->now();
+        for (auto const control : order)
+        {
+            fleet_->restart_follower(control, 1);
+            down.erase(control);
+            fleet_->freeze(down);
+            fleet_->run(start_spread / order.size());
+        }
+    }
+
+    /// Runs until a time since the first start of a control instance. From `doubt_limit` on no
+    /// entry may act by the plan before the evacuation.
+    void run_without_an_older_plan(span until)
+    {
+        while (fleet_->now() < first_start_ + until)
+        {
+            fleet_->run(milliseconds(10));
+            if (fleet_->now() < first_start_ + doubt_limit)
+                continue;
+            auto const ms =
+                std::chrono::duration_cast<milliseconds>(fleet_->now() - first_start_).count();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("entries that act by an older plan after " +
+                                             std::to_string(ms) + " ms",
+                                         0, entries_serving_before(generation_id(2)));
+        }
+    }
+
+    /// Lets a control instance lead that holds the evacuation, and expects that all entries act by
+    /// it soon.
+    void expect_service_by(std::uint64_t leader)
+    {
+        fleet_->lead(leader);
+        run_without_an_older_plan(fleet_->now() + service_limit - first_start_);
+        for (std::size_t n = 0; n != fleet_->entries(); ++n)
+            CPPUNIT_ASSERT(fleet_->acts_by_plan(n) && fleet_->generation(n) == generation_id(2));
+    }
+
     /// Returns the sum of the parts of a customer's rate of all entries that know theirs.
     static per_mille known_shares(roster_fleet& fleet)
     {
@@ -626,11 +776,12 @@
         return out;
     }
 
-    int entries_serving_before(generation_id generation)
+    int entries_serving_before(generation_id generation, std::set<std::size_t> const& except = {})
     {
         int out = 0;
         for (std::size_t n = 0; n != fleet_->entries(); ++n)
-            out += fleet_->generation(n) < generation && !fleet_->is_refusing(n);
+            out += !except.contains(n) && fleet_->generation(n) < generation &&
+                   fleet_->acts_by_plan(n);
         return out;
     }
 
@@ -643,6 +794,7 @@
     }
 
     std::unique_ptr<roster_fleet> fleet_;
+    instant first_start_; ///< Of a control instance after the last loss of power.
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(roster_fleet_test);
