Tell all control instances of a planned stop

An instance without a vote that knew no leader stopped without a word, so that the leader still made it the successor of the next voter that stopped; the dead successor blocked every other change for voters/join_limit. And an instance whose vote had passed on while it was down took itself for a voter after its restart, and had no leader to ask. Cause: the notice went to the leader only, as the instance knew it, and the leader tells instances without a vote nothing. Now it goes to all instances that are heard, and each remembers it in case that it leads next.

--- a/include/mulberryrudder/messages/replica.hpp
+++ b/include/mulberryrudder/messages/replica.hpp
@@ -64,8 +64,8 @@
     control::disk_id to_disk; ///< The receiver ignores the message on another disk.
 };
 
-/// Tells the leader that the sender stops as planned and its vote is to go to another instance.
-/// Repeated until a stop_permission arrives.
+/// Tells all control instances that the sender stops as planned, and its vote is to go to another
+/// instance. Repeated until a stop_permission of the leader arrives.
 struct stop_notice
 {
 };
--- a/plugins/control/voters/voter_keeper.cpp
+++ b/plugins/control/voters/voter_keeper.cpp
@@ -140,7 +140,6 @@
         avoided_until_.clear();
         spread_at_.reset();
         next_check_ = ctx.now + first_check_delay;
-        stopping_until_.clear();
         handover_at_ = ctx.now + notice_collection_time;
     }
 
@@ -199,15 +198,28 @@
             return;
         }
         auto const leader = log.leader();
-        if (leader && ctx.now >= next_notice_)
+        if (ctx.now >= next_notice_)
         {
             next_notice_ = ctx.now + notice_interval;
-            ctx.send(*leader, messages::stop_notice{});
+            send_stop_notices(leader, ctx);
         }
         // The leader sends nothing to an instance that neither has a vote nor is to get one.
         may_stop_ |= !leader && !is_voter_or_joining(self_.self.id);
     }
 
+    /// Tells all instances that this one stops. The leader need not be known here: it sends nothing
+    /// to an instance that has no vote any more.
+    void send_stop_notices(std::optional<instance_id> leader, context& ctx)
+    {
+        std::set<instance_id> receivers;
+        if (leader && leader != self_.self.id)
+            receivers.insert(*leader);
+        for (auto const& it : reachable_instances(ctx.now))
+            receivers.insert(it.id);
+        for (auto const id : receivers)
+            ctx.send(id, messages::stop_notice{});
+    }
+
     bool is_voter_or_joining(instance_id id)
     {
         auto const& members = group().membership();
@@ -218,9 +230,10 @@
 
     void handle_stop_notice(instance_id sender, messages::stop_notice const&, context& ctx)
     {
+        // Also while another instance leads, since this one may lead before the sender has stopped.
+        stopping_until_[sender] = ctx.now + notice_lifetime;
         if (!services_.require<replicated_log>().may_act(ctx.now))
             return;
-        stopping_until_[sender] = ctx.now + notice_lifetime;
         ctx.send(sender, messages::stop_permission{.granted = may_leave(sender, ctx.now)});
     }
 
@@ -489,7 +502,7 @@
     std::optional<instant> spread_at_; ///< When the voters are spread, if the need lasts.
     std::map<instance_id, instant> silent_since_;   ///< Voters and instances that are to join.
     std::map<instance_id, instant> avoided_until_;  ///< They did not join when they were to.
-    std::map<instance_id, instant> stopping_until_; ///< They told this leader that they stop.
+    std::map<instance_id, instant> stopping_until_; ///< They told that they stop.
     std::optional<instant> stop_deadline_;          ///< Of the planned stop of this instance.
     bool may_stop_ = false;                         ///< The planned stop leaves no vote behind.
     instant next_notice_;
--- a/tests/control/voters/planned_stop_test.cpp
+++ b/tests/control/voters/planned_stop_test.cpp
@@ -72,6 +72,8 @@
     CPPUNIT_TEST(the_leader_hands_over_before_its_lease_could_end);
     CPPUNIT_TEST(a_leader_that_hears_nobody_for_a_moment_stops_without_leaving_a_vote_behind);
     CPPUNIT_TEST(a_planned_stop_waits_for_a_successor_that_is_silent_for_a_moment);
+    CPPUNIT_TEST(an_instance_that_lost_its_vote_while_it_was_down_stops_at_once);
+    CPPUNIT_TEST(a_vote_goes_to_no_instance_that_stopped_as_planned);
     CPPUNIT_TEST(a_planned_stop_does_not_wait_for_a_successor_that_does_not_exist);
     CPPUNIT_TEST(a_planned_stop_ends_without_a_leader);
     CPPUNIT_TEST(planned_stops_of_all_instances_at_once_end);
@@ -199,6 +201,44 @@
         expect_recovery(1, 2);
     }
 
+    // Guards against a stop that takes its whole time, and a warning of a lost vote: an instance
+    // whose vote had passed on took itself for a voter after its restart, and knew no leader to
+    // ask.
+    void an_instance_that_lost_its_vote_while_it_was_down_stops_at_once()
+    {
+        for (std::uint32_t id = 1; id <= seeds; ++id)
+        {
+            start_group(4);
+            // The others are told of the last change, which takes its vote, before it has synced
+            // the one before.
+            group_->at(id).sync_delay = milliseconds(150);
+            stop(id);
+            group_->start(id);
+            group_->run_for(seconds(3));
+            expect_prompt_stop(id);
+        }
+    }
+
+    // Guards against votes that are left behind: an instance without a vote stopped without a word,
+    // and was still to take over that of the next one.
+    void a_vote_goes_to_no_instance_that_stopped_as_planned()
+    {
+        for (std::uint32_t stopped = 1; stopped <= 7; ++stopped)
+        {
+            start_group(7);
+            if (is_voter(stopped))
+                continue;
+            // The new process has heard of no leader.
+            group_->kill(stopped);
+            group_->start(stopped);
+            group_->run_for(milliseconds(300));
+            expect_prompt_stop(stopped);
+            expect_prompt_stop(1);
+            group_->run_for(milliseconds(100));
+            CPPUNIT_ASSERT(!is_voter(1) && !is_voter(stopped));
+        }
+    }
+
     void a_planned_stop_does_not_wait_for_a_successor_that_does_not_exist()
     {
         start_group(3);
@@ -282,6 +322,25 @@
         CPPUNIT_ASSERT(group_->run_until([this, id] { return !group_->is_up(id); }, grace));
     }
 
+    /// Stops an instance as planned, and expects that it ends with a permission and in time.
+    void expect_prompt_stop(std::uint32_t id)
+    {
+        group_->request_stop(id);
+        auto const has_ended = [this, id] { return !group_->is_up(id); };
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(id), group_->run_until(has_ended, seconds(2)));
+        auto const& events = group_->at(id).events.names;
+        CPPUNIT_ASSERT(std::find(events.begin(), events.end(), "voters.stop_unfinished") ==
+                       events.end());
+    }
+
+    /// Returns whether an instance has a vote. Precondition: there is a leader.
+    bool is_voter(std::uint32_t id)
+    {
+        auto const& leader = group_->at(group_->acting_leader());
+        auto const& group = leader.decision_core->services().require<voter_group>();
+        return group.membership().find(instance_id(id)) != nullptr;
+    }
+
     /// Kills all instances at once, and starts all but one again, one of them with a blank disk.
     void lose_power_and_disk(std::uint32_t removed, std::uint32_t blank)
     {
