Remember a planned stop for longer than the instance counts as heard

A planned stop took its whole four seconds and left its vote behind if another instance had ended as planned about a second before: that one counted as stopping for 1 s after its last notice, and as reachable for 1 s after its last message, which comes later, so that it was made the successor. Now the notice counts for longer. Test: an_instance_that_stopped_takes_over_no_vote_while_it_counts_as_reachable, which fails without the change.

--- a/plugins/control/voters/voter_keeper.cpp
+++ b/plugins/control/voters/voter_keeper.cpp
@@ -106,8 +106,6 @@
 
 /// Time between two notices of an instance that stops.
 constexpr milliseconds notice_interval{100};
-/// Time after its last notice for which an instance counts as stopping.
-constexpr milliseconds notice_lifetime{1000};
 /// Time from the beginning of a leadership within which other instances that stop tell so.
 constexpr milliseconds notice_collection_time{300};
 /// Time for which a region must be able to take a voter before the voters are spread again: below
@@ -120,6 +118,9 @@
 constexpr milliseconds first_check_delay{600};
 /// Time within which an instance must have been heard to become a voter: a few exchange intervals.
 constexpr milliseconds candidate_silence{1000};
+/// Time after its last notice for which an instance counts as stopping: longer than it counts as
+/// heard, since its last message may come some exchange intervals after its last notice.
+constexpr milliseconds notice_lifetime = candidate_silence + milliseconds(500);
 
 /// Maintains the voters of the control group while this instance leads: adds voters up to the
 /// required number and replaces a voter that stays silent. New voters are reachable instances
--- a/plugins/entry/roster/plan_currency.cpp
+++ b/plugins/entry/roster/plan_currency.cpp
@@ -30,11 +30,8 @@
 
 void plan_currency::record(answer const& arrived, instant now)
 {
-    if (arrived.control_apart)
-        apart_since_ = apart_since_.value_or(now);
-    else
-        apart_since_.reset();
-    heard_until_ = apart_since_.value_or(now) + max_silence;
+    if (!arrived.control_apart)
+        heard_until_ = now + max_silence;
     auto const confirmed_at = arrived.confirmed_at();
     if (arrived.round_trip(now) > limits_.max_round_trip)
         is_delayed_ = true;
@@ -55,7 +52,6 @@
     {
         is_delayed_ = true;
         // An answer may wait for this process.
-        apart_since_.reset();
         heard_until_ = now + max_silence;
     }
     last_tick_ = now;
--- a/plugins/entry/roster/plan_currency.hpp
+++ b/plugins/entry/roster/plan_currency.hpp
@@ -85,7 +85,6 @@
     std::optional<instant> confirmed_at_;
     bool is_delayed_ = false;                 ///< In doubt by a late answer or a pause.
     std::optional<instant> restart_heard_at_; ///< In doubt by a restart of control since then.
-    std::optional<instant> apart_since_;      ///< Since when only such instances answer.
     instant heard_until_; ///< Cut off from control then, without a further answer.
     std::optional<instant> last_tick_;
 };
--- a/tests/control/voters/voter_keeper_test.cpp
+++ b/tests/control/voters/voter_keeper_test.cpp
@@ -124,6 +124,7 @@
     CPPUNIT_TEST(a_lost_voter_is_replaced_before_one_that_stops);
     CPPUNIT_TEST(an_instance_that_stops_takes_over_no_vote);
     CPPUNIT_TEST(an_instance_tells_that_it_stops_until_its_process_ends);
+    CPPUNIT_TEST(an_instance_that_stopped_takes_over_no_vote_while_it_counts_as_reachable);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -424,6 +425,19 @@
         CPPUNIT_ASSERT(replica_->sent<messages::stop_notice>() > before);
     }
 
+    // Guards against a vote that goes to a process that has ended: its last message came after its
+    // last notice, so that it counted as reachable for longer than as stopping.
+    void an_instance_that_stopped_takes_over_no_vote_while_it_counts_as_reachable()
+    {
+        run_for(seconds(1));
+        replica_->receive(instance_id(5), messages::stop_notice{});
+        run_for(milliseconds(1200));
+        replica_->receive(instance_id(3), messages::stop_notice{});
+        run_for(milliseconds(200));
+        CPPUNIT_ASSERT(!group().begun_replacements.empty());
+        CPPUNIT_ASSERT(group().begun_replacements.front().joining == instance_id(4));
+    }
+
 private:
     /// Runs for a while and lets each instance join that is chosen; returns these.
     std::set<instance_id> add_voters()
--- a/tests/entry/plan_stages/roster_stage_test.cpp
+++ b/tests/entry/plan_stages/roster_stage_test.cpp
@@ -619,7 +619,8 @@
     }
 
     // Guards against an outage of a failure domain that is cut off while control restarts. The
-    // first word of control brings the doubt back, since nothing was confirmed meanwhile.
+    // first word of control that hears most others brings the doubt back, since nothing was
+    // confirmed meanwhile; one that is cut off itself can confirm nothing.
     void an_instance_that_doubts_its_plan_serves_while_no_control_is_heard()
     {
         receive_confirmed_plan();
@@ -633,6 +634,9 @@
             tick(milliseconds(100));
         CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
         answer({.boot = boot_id(10), .connected = false, .current = false});
+        CPPUNIT_ASSERT(!view().is_plan_outdated(now_));
+        tick(milliseconds(200));
+        answer({.boot = boot_id(9), .current = false, .confirmed_age = milliseconds(9000)});
         CPPUNIT_ASSERT(view().is_plan_outdated(now_));
     }
 
