Take only control instances that hear most others for a word of control

What callers saw: an entry in doubt that was cut off together with a control instance served after five seconds without an answer, refused again for five seconds with each rare answer of that instance, and acted by an older plan for over a second after control was heard again. Evidence: an_entry_that_is_cut_off_with_its_control_instance_serves_until_control_is_heard of roster_fleet_tests, with real control instances, failed before. Change: answers and replies to probes of instances that hear most others are a word of control, others are not.

--- a/plugins/entry/roster/plan_currency.cpp
+++ b/plugins/entry/roster/plan_currency.cpp
@@ -31,7 +31,7 @@
 void plan_currency::record(answer const& arrived, instant now)
 {
     if (!arrived.control_apart)
-        heard_until_ = now + max_silence;
+        record_heard(now);
     auto const confirmed_at = arrived.confirmed_at();
     if (arrived.round_trip(now) > limits_.max_round_trip)
         is_delayed_ = true;
@@ -46,13 +46,18 @@
         confirmed_at_ = std::max(confirmed_at_.value_or(*confirmed_at), *confirmed_at);
 }
 
+void plan_currency::record_heard(instant now)
+{
+    heard_until_ = now + max_silence;
+}
+
 void plan_currency::tick(instant now)
 {
     if (was_paused(now))
     {
         is_delayed_ = true;
         // An answer may wait for this process.
-        heard_until_ = now + max_silence;
+        record_heard(now);
     }
     last_tick_ = now;
 }
--- a/plugins/entry/roster/plan_currency.hpp
+++ b/plugins/entry/roster/plan_currency.hpp
@@ -53,6 +53,10 @@
     /// Records that an answer arrived, after its contents were applied.
     void record(answer const& arrived, instant now);
 
+    /// Records a message of a control instance that hears most others: this instance is not cut
+    /// off.
+    void record_heard(instant now);
+
     /// Takes note that this process runs. Precondition: called at least every few hundred
     /// milliseconds while it does, so that a longer time in between is a pause.
     void tick(instant now);
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -385,6 +385,8 @@
     void handle_probe_reply(instance_id sender, messages::roster_probe_reply const& reply,
                             context& ctx)
     {
+        if (reply.connected)
+            currency_.record_heard(ctx.now);
         bool const is_reliable = reply.connected && reply.current;
         bool const is_newer = reply.generation > steering_->generation;
         bool const is_attached = sender == current_control_;
