Compare versions at the times at which the old one serves

What callers saw: a bad version kept its requests for longer than 5 s after its 50th bad answer, though the old version's targets had recovered. Cause: versions were compared by totals since the rollout began. The old version's failures raised the expected part for all of the new one's answers, also for those given long after or before them. Why the fix works: the totals are kept as samples in the course of time. A second comparison leaves out, for both versions, the outcomes near which the old version failed, for each kind of outcome on its own. What remains cannot be hidden by failures at other times. The comparison of the totals stays, so nothing is rolled back later than before. Since the remaining times are selected by few failures of the old version, the environment is taken to fail at least as many as the selection admits, and the excess must be beyond chance. Where the old version's answers are few, a time is assessed with those around it. Totals that fall add nothing.

--- a/plugins/control/rollouts/rollout_comparison.cpp
+++ b/plugins/control/rollouts/rollout_comparison.cpp
@@ -1,5 +1,7 @@
 #include "rollout_comparison.hpp"
 
+#include "outcome_history.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -15,12 +17,13 @@
 {
     std::uint64_t outcome_counts::*count;
     per_mille comparison_limits::*max_excess;
+    bool is_bad; ///< Part of outcome_counts::bad().
 };
 
 constexpr std::array criteria{
-    criterion{&outcome_counts::failed, &comparison_limits::max_failed_excess},
-    criterion{&outcome_counts::broken, &comparison_limits::max_broken_excess},
-    criterion{&outcome_counts::late, &comparison_limits::max_late_excess}};
+    criterion{&outcome_counts::failed, &comparison_limits::max_failed_excess, true},
+    criterion{&outcome_counts::broken, &comparison_limits::max_broken_excess, true},
+    criterion{&outcome_counts::late, &comparison_limits::max_late_excess, false}};
 
 /// Standard errors by which an excess must surpass its limit, so that it is not chance.
 constexpr double significance = 3;
@@ -52,6 +55,20 @@
     return observed - expected - standard_errors * error > limit * (1 - expected);
 }
 
+/// Returns whether one kind of bad outcome is several times as frequent in the new version as
+/// in the old one, beyond chance. Timeouts do not count: caches of a new version are cold.
+bool clearly_exceeds_factor(criterion const& kind, outcome_counts const& new_counts,
+                            outcome_counts const& old_counts, comparison_limits const& limits)
+{
+    if (!kind.is_bad || new_counts.answered == 0)
+        return false;
+    auto const expected = fraction(old_counts.*kind.count, old_counts.answered);
+    auto const observed = fraction(new_counts.*kind.count, new_counts.answered);
+    auto const error =
+        std::sqrt(expected * (1 - expected) / static_cast<double>(new_counts.answered));
+    return observed - significance * error > static_cast<double>(limits.min_bad_factor) * expected;
+}
+
 /// Returns whether the new version fails several times as often as the old one.
 bool exceeds_factor(outcome_counts const& new_counts, outcome_counts const& old_counts,
                     comparison_limits const& limits)
@@ -91,6 +108,24 @@
     return result;
 }
 
+bool is_worse_while_old_serves(outcome_history const& history, comparison_limits const& limits)
+{
+    auto const is_worse = [&](criterion const& it)
+    {
+        auto const max_part = limits.max_failed_excess;
+        auto [new_counts, old_counts] = history.undisturbed(it.count, max_part);
+        // The old version's failures were few where these outcomes were selected, so their
+        // part is a bound that the environment may reach.
+        old_counts.*it.count = std::max(
+            old_counts.*it.count,
+            (old_counts.answered * static_cast<std::uint64_t>(max_part.count()) + 999) / 1000);
+        return static_cast<std::int64_t>(new_counts.*it.count) >= limits.min_bad.count() &&
+               (exceeds(it, new_counts, old_counts, limits, significance) ||
+                clearly_exceeds_factor(it, new_counts, old_counts, limits));
+    };
+    return std::any_of(criteria.begin(), criteria.end(), is_worse);
+}
+
 bool has_evidence(outcome_counts const& new_counts, outcome_counts const& old_counts,
                   comparison_limits const& limits)
 {
--- a/plugins/control/rollouts/rollout_comparison.hpp
+++ b/plugins/control/rollouts/rollout_comparison.hpp
@@ -51,6 +51,16 @@
                                     outcome_counts const& old_counts,
                                     comparison_limits const& limits);
 
+class outcome_history;
+
+/// Returns whether the new version is clearly worse at the times at which the old one serves.
+/// Failures of the old version count as those of the environment only near their own time, and
+/// so hide no failures of the new one at other times. While both fail, compare_versions() shows
+/// an excess.
+///
+/// Thread safety: none of its own; reads its arguments only.
+bool is_worse_while_old_serves(outcome_history const& history, comparison_limits const& limits);
+
 /// Returns whether the new version gave enough answers to be compared with the old one: the
 /// minimum, or a tenth of the old one's answers where requests are rare.
 bool has_evidence(outcome_counts const& new_counts, outcome_counts const& old_counts,
--- a/plugins/control/rollouts/rollouts.cpp
+++ b/plugins/control/rollouts/rollouts.cpp
@@ -1,3 +1,4 @@
+#include "outcome_history.hpp"
 #include "outcome_totals.hpp"
 #include "rollout_comparison.hpp"
 
@@ -152,6 +153,7 @@
         instant next_suspected_report;
         version_id version;
         outcome_totals outcomes;
+        outcome_history history;
     };
 
     void propose_base_versions(steering_state const& state, replicated_log& log)
@@ -181,7 +183,8 @@
                        now + versions.duration * config_.completion_time.count() / 1000,
                    .next_suspected_report = {},
                    .version = versions.next,
-                   .outcomes = {}};
+                   .outcomes = {},
+                   .history = {}};
         return rollout;
     }
 
@@ -193,7 +196,10 @@
             rollout.outcomes.update(it, service, versions.next);
         auto const new_counts = rollout.outcomes.of(versions.next);
         auto const old_counts = rollout.outcomes.of(versions.base);
-        auto const result = compare_versions(new_counts, old_counts, limits_);
+        rollout.history.append(ctx.now, {.new_version = new_counts, .old_version = old_counts});
+        auto const result = is_worse_while_old_serves(rollout.history, limits_)
+                                ? rollout_comparison::worse
+                                : compare_versions(new_counts, old_counts, limits_);
         bool const is_complete = ctx.now >= rollout.completion_time;
         step_rollout step{.service = service, .version = versions.next, .share = versions.share};
         if (result == rollout_comparison::worse ||
--- a/tests/control/steering/rollouts_test.cpp
+++ b/tests/control/steering/rollouts_test.cpp
@@ -66,6 +66,12 @@
     CPPUNIT_TEST(a_rollout_that_replaces_a_running_one_starts_anew);
     CPPUNIT_TEST(a_rollout_ends_before_its_deadline_although_the_leader_changes);
     CPPUNIT_TEST(an_earlier_fault_of_old_targets_does_not_delay_a_rollback);
+    CPPUNIT_TEST(failures_of_old_targets_that_ended_long_before_hide_none_of_the_new_version);
+    CPPUNIT_TEST(a_fault_that_goes_on_at_both_versions_causes_no_rollback_after_a_good_time);
+    CPPUNIT_TEST(a_fault_of_old_targets_that_begins_later_hides_no_earlier_failures);
+    CPPUNIT_TEST(a_version_with_few_answers_is_rolled_back_after_a_fault_of_old_targets);
+    CPPUNIT_TEST(a_fault_that_ends_later_at_the_new_version_causes_no_rollback);
+    CPPUNIT_TEST(a_few_failures_after_a_fault_of_both_versions_cause_no_rollback);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -233,12 +239,85 @@
         CPPUNIT_ASSERT(versions().phase == rollout_phase::rolled_back);
     }
 
+    // Guards against EXPOSURE: failures of the old version's targets hid those of a new version
+    // that began to fail seconds after they had ended.
+    void failures_of_old_targets_that_ended_long_before_hide_none_of_the_new_version()
+    {
+        start_rollout_to_v2();
+        run(seconds(3), {.answered = 10}, {.answered = 10, .failed = 9});
+        run(seconds(3), {.answered = 10}, {.answered = 10});
+        run(milliseconds(2500), {.answered = 10, .failed = 3}, {.answered = 10});
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::rolled_back);
+    }
+
+    // Guards against the rollback of a good version for a fault that it shares with the old one,
+    // by the share of its failures among all its answers.
+    void a_fault_that_goes_on_at_both_versions_causes_no_rollback_after_a_good_time()
+    {
+        start_rollout_to_v2();
+        run(seconds(3), {.answered = 10}, {.answered = 10});
+        run(seconds(5), {.answered = 10, .failed = 4}, {.answered = 10, .failed = 4});
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::running);
+        run(seconds(3), {.answered = 10, .failed = 4}, {.answered = 10, .failed = 4});
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::succeeded);
+    }
+
+    // Guards against EXPOSURE: failures of the new version, too few to roll it back, lost their
+    // weight by a fault of the old one's targets that began after them.
+    void a_fault_of_old_targets_that_begins_later_hides_no_earlier_failures()
+    {
+        start_rollout_to_v2();
+        run(milliseconds(500), {.answered = 2, .failed = 1}, {.answered = 10});
+        run(seconds(1), {.answered = 2}, {.answered = 10});
+        run(seconds(3), {.answered = 2, .failed = 1}, {.answered = 10, .failed = 9});
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::running);
+        run(milliseconds(1200), {.answered = 2, .failed = 1}, {.answered = 10});
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::rolled_back);
+    }
+
+    // Guards against EXPOSURE where requests are rare: a comparison of short times has too few
+    // answers of a version to be clear.
+    void a_version_with_few_answers_is_rolled_back_after_a_fault_of_old_targets()
+    {
+        start_rollout_to_v2(seconds(30));
+        for (int n = 0; n != 12; ++n)
+            run_sparse({.answered = 3, .failed = 2}, {.answered = 6, .failed = 5});
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::running);
+        for (int n = 0; n != 7; ++n)
+            run_sparse({.answered = 3, .failed = 2}, {.answered = 6});
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::rolled_back);
+    }
+
+    // Guards against the rollback of a good version, one of whose targets recovers later than
+    // the old version's targets.
+    void a_fault_that_ends_later_at_the_new_version_causes_no_rollback()
+    {
+        start_rollout_to_v2();
+        run(seconds(3), {.answered = 10, .broken = 4}, {.answered = 10, .broken = 4});
+        run(milliseconds(500), {.answered = 10, .broken = 4}, {.answered = 10});
+        run(seconds(7), {.answered = 10}, {.answered = 10});
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::succeeded);
+    }
+
+    // Guards against the rollback of a good version by chance: a few of its failures in a short
+    // time weigh no more than before the fault.
+    void a_few_failures_after_a_fault_of_both_versions_cause_no_rollback()
+    {
+        start_rollout_to_v2();
+        run(seconds(2), {.answered = 10}, {.answered = 10});
+        run(seconds(2), {.answered = 10, .failed = 5}, {.answered = 10, .failed = 5});
+        run(seconds(2), {.answered = 10}, {.answered = 10});
+        run(milliseconds(100), {.answered = 10, .failed = 8}, {.answered = 10});
+        run(seconds(5), {.answered = 10}, {.answered = 10});
+        CPPUNIT_ASSERT(versions().phase == rollout_phase::succeeded);
+    }
+
 private:
-    void start_rollout_to_v2()
+    void start_rollout_to_v2(milliseconds duration = seconds(10))
     {
         // Entries count outcomes only while a rollout runs.
         replica_.service<fake_roster>().notice.outcomes.clear();
-        replica_.commit<steering_answer>(rollout_order{desk, v2, seconds(10)});
+        replica_.commit<steering_answer>(rollout_order{desk, v2, duration});
     }
 
     /// Advances time. Every 100 ms, 10 answers of each version are reported; `bad` and `late`
@@ -250,6 +329,14 @@
             {.answered = 10, .failed = bad_old});
     }
 
+    /// Advances time by a second. These outcomes are reported once.
+    void run_sparse(messages::version_outcomes const& new_outcomes,
+                    messages::version_outcomes const& old_outcomes)
+    {
+        run(milliseconds(100), new_outcomes, old_outcomes);
+        run(milliseconds(900), messages::version_outcomes{}, messages::version_outcomes{});
+    }
+
     /// Advances time. Every 100 ms, these outcomes are reported.
     void run(span duration, messages::version_outcomes new_outcomes,
              messages::version_outcomes old_outcomes)
