--- a/plugins/control/rollouts/rollouts.cpp
+++ b/plugins/control/rollouts/rollouts.cpp
@@ -119,7 +119,10 @@
     void following(context&) override
     {
         for (auto& [service, rollout] : running_)
+        {
             rollout.outcomes = {};
+            rollout.history = {};
+        }
     }
 
     void tick(context& ctx) override
