--- a/tests/process/planned_removals.sh
+++ b/tests/process/planned_removals.sh
@@ -12,23 +12,7 @@
 root=$(cd "$(dirname "$0")/../.." && pwd)
 source "$root/tests/process/platform_daemons.sh"
 
-grace=6 # Seconds from a planned stop to the end of the process.
 declare -A address_of domain_of
-stop_as_planned() { # NAME...   All at once.
-  local name status end=$((SECONDS + grace))
-  for name in "$@"; do kill -TERM "${pid_of[$name]}"; done
-  for name in "$@"; do
-    while kill -0 "${pid_of[$name]}" 2> /dev/null && [ "$SECONDS" -le "$end" ]; do sleep 0.05; done
-    if kill -0 "${pid_of[$name]}" 2> /dev/null; then
-      fail "$name runs on after a planned stop"
-      kill -KILL "${pid_of[$name]}"
-    fi
-    status=0
-    wait "${pid_of[$name]}" || status=$?
-    [ "$status" = 0 ] || fail "$name ended with status $status after a planned stop"
-    unset "pid_of[$name]"
-  done
-}
 start_control() { # NAME
   start control "$1" "${address_of[$1]}" "${domain_of[$1]}" false
 }
@@ -72,7 +56,7 @@
 
 echo "- control-1 has a successor and is stopped as planned"
 start_successor 1
-stop_as_planned control-1
+terminate control-1
 without_address "$net.11"
 put "$ack_timeout"
 lose_power_and_disk control-2
@@ -88,7 +72,7 @@
 
 echo "- control instances are stopped and started in turn"
 for name in $(control_names | sort); do
-  stop_as_planned "$name"
+  terminate "$name"
   put "$ack_timeout"
   start_control "$name"
 done
@@ -96,7 +80,7 @@
 
 echo "- all control instances are stopped at once"
 mapfile -t names < <(control_names)
-stop_as_planned "${names[@]}"
+terminate "${names[@]}"
 for name in "${names[@]}"; do start_control "$name"; done
 expect_read_back "$recovery"
 put "$ack_timeout"
--- a/tests/process/platform_daemons.sh
+++ b/tests/process/platform_daemons.sh
@@ -17,7 +17,7 @@
 trap cleanup EXIT
 
 # Bounds of the platform, in seconds.
-catch_up=4 contact=3 ack_timeout=4 config_apply=2.5 recovery=15
+catch_up=4 contact=3 ack_timeout=4 config_apply=2.5 recovery=15 grace_period=6
 region_of() { echo "${1%-*}"; }
 domains=(marmara-a ege-a upper-a marmara-b ege-b upper-b)
 seeds=("$net.11:8667" "$net.12:8667" "$net.13:8667")
@@ -53,6 +53,21 @@
     unset "pid_of[$name]"
   done
 }
+terminate() { # NAME...   Planned stops of all at once, which must end in time.
+  local name status end=$((SECONDS + grace_period))
+  for name in "$@"; do kill -TERM "${pid_of[$name]}"; done
+  for name in "$@"; do
+    while kill -0 "${pid_of[$name]}" 2> /dev/null && [ "$SECONDS" -le "$end" ]; do sleep 0.05; done
+    if kill -0 "${pid_of[$name]}" 2> /dev/null; then
+      fail "$name runs on after a planned stop"
+      kill -KILL "${pid_of[$name]}"
+    fi
+    status=0
+    wait "${pid_of[$name]}" || status=$?
+    [ "$status" = 0 ] || fail "$name ended with status $status after a planned stop"
+    unset "pid_of[$name]"
+  done
+}
 plan() { # NUMBER   Each plan has the routes of all before it and one more.
   jq -nc --argjson n "$1" '{Version: "r\($n)", Tenants: [],
     Routes: [range(1; $n + 1) | {Name: "r-\(.)", Hostname: "desk.example", PathPrefix: "/p\(.)/",
--- a/tests/process/removal_soak.sh
+++ b/tests/process/removal_soak.sh
@@ -16,7 +16,6 @@
 source "$root/tests/process/platform_daemons.sh"
 source "$root/tests/process/random_draws.sh"
 
-grace=6 # Seconds from a planned stop to the end of the process.
 begin=${EPOCHREALTIME/[.,]/}
 step() { printf '%8.3f  %s\n' "$(((${EPOCHREALTIME/[.,]/} - begin) / 1000))e-3" "$*"; }
 pause_for() { sleep "$(($1 / 1000)).$(printf '%03d' $(($1 % 1000)))"; }
@@ -40,20 +39,8 @@
     sleep 0.05
   done
 }
-stop_as_planned() { # NAME...   All at once.
-  local name status end=$((SECONDS + grace))
-  for name in "$@"; do kill -TERM "${pid_of[$name]}"; done
-  for name in "$@"; do
-    while kill -0 "${pid_of[$name]}" 2> /dev/null && [ "$SECONDS" -le "$end" ]; do sleep 0.05; done
-    if kill -0 "${pid_of[$name]}" 2> /dev/null; then
-      fail "$name runs on after a planned stop"
-      kill -KILL "${pid_of[$name]}"
-    fi
-    status=0
-    wait "${pid_of[$name]}" || status=$?
-    [ "$status" = 0 ] || fail "$name ended with status $status after a planned stop"
-    unset "pid_of[$name]"
-  done
+terminate_and_update() { # NAME...
+  terminate "$@"
   update_addresses
 }
 # Sends requests on the first plan's route over one connection for as long as it is open.
@@ -111,20 +98,20 @@
       start_control "$successor"
       sleep "$catch_up"
       put "$ack_timeout"
-      if [ "$how" = stop ]; then stop_as_planned "$gone"; else crash "$gone"; fi
+      if [ "$how" = stop ]; then terminate_and_update "$gone"; else crash "$gone"; fi
       update_addresses
       ;;
     turns)
       for ((n = 0; n < turns; n++)); do
         await_start "${order[n]}"
-        stop_as_planned "${order[n]}"
+        terminate_and_update "${order[n]}"
         put "$ack_timeout"
         start_control "${order[n]}"
         draw_of 0 100 500; pause_for "$drawn"
       done
       ;;
     pair)
-      stop_as_planned "${order[0]}" "${order[2]}"
+      terminate_and_update "${order[0]}" "${order[2]}"
       put "$ack_timeout"
       start_control "${order[0]}"
       start_control "${order[2]}"
