Correct two comments

The notice of a planned stop is repeated until the process ends. Checked by the formatter, voters_tests and entry_roster_tests; comments alone changed.

--- a/include/mulberryrudder/messages/replica.hpp
+++ b/include/mulberryrudder/messages/replica.hpp
@@ -65,7 +65,7 @@
 };
 
 /// Tells all control instances that the sender stops as planned, and its vote is to go to another
-/// instance. Repeated until a stop_permission of the leader arrives.
+/// instance. Repeated until the sender's process ends.
 struct stop_notice
 {
 };
--- a/plugins/entry/roster/plan_currency.hpp
+++ b/plugins/entry/roster/plan_currency.hpp
@@ -76,9 +76,9 @@
     bool awaits_leader(instant now) const;
 
     /// Returns whether requests must not be sent by the state: it is too old or was never
-    /// confirmed, it is in doubt, and control is heard. Without a word from control, or of control
-    /// instances only that hear too few of the others, this instance is cut off after a while, and
-    /// goes on with the state that it holds.
+    /// confirmed, it is in doubt, and control is heard. Without a word from a control instance that
+    /// hears most others, this instance is cut off after a while, and goes on with the state that
+    /// it holds.
     bool is_outdated(instant now) const;
 
 private:
