--- a/plugins/entry/quota/quota_stage.cpp
+++ b/plugins/entry/quota/quota_stage.cpp
@@ -6,7 +6,9 @@
 #include <mulberryrudder/entry/stage.hpp>
 
 #include <array>
+#include <cstdint>
 #include <set>
+#include <string_view>
 #include <unordered_map>
 
 namespace mulberryrudder::entry
@@ -72,6 +74,19 @@
 /// Returns of refused callers are spread over this part of the time until a token.
 constexpr milliseconds return_spread{400};
 
+/// Why an instance decides by its own part of a rate.
+enum class own_decision : std::uint8_t
+{
+    part_suffices,   ///< The part is large enough to be of use.
+    control_unknown, ///< No control instance answers this instance's reports.
+    control_silent,  ///< Control did not answer a question a moment ago.
+    no_answer,       ///< Control did not answer this request's question in time.
+    no_leader        ///< Control answered that nobody could decide.
+};
+
+constexpr std::array<std::string_view, 5> own_decision_names{
+    "part_suffices", "control_unknown", "control_silent", "no_answer", "no_leader"};
+
 kernel::counter_kind const asked_counter{"quota.asked",
                                          "Questions to control whether to admit requests."};
 kernel::counter_kind const unanswered_counter{
@@ -103,8 +118,12 @@
         reshape(it, *what.payer, with);
         bool const is_part_small =
             it.bucket.burst().count() < config_.ask_below.count() * request_cost.count();
-        if (!is_part_small || !is_control_askable(with.now))
-            return admit_by_own_part(what, with);
+        if (!is_part_small)
+            return admit_by_own_part(what, own_decision::part_suffices, with);
+        if (!services_.require<plan_view>().control())
+            return admit_by_own_part(what, own_decision::control_unknown, with);
+        if (!is_control_askable(with.now))
+            return admit_by_own_part(what, own_decision::control_silent, with);
         questions_.add(what.payer->id, what.id);
         ask(with);
         return wait{};
@@ -139,7 +158,7 @@
             return;
         auto const control = services_.require<plan_view>().control();
         if (!control)
-            return decide_alone(questions_.give_up(), with);
+            return decide_alone(questions_.give_up(), own_decision::control_unknown, with);
         last_question_ = next_message_number(last_question_, with.random);
         with.counters.add(asked_counter);
         with.send(*control,
@@ -162,7 +181,7 @@
                 apply(it, found->second, with);
                 asked->erase(found);
             }
-        decide_alone(*asked, with);
+        decide_alone(*asked, own_decision::no_leader, with);
         ask(with);
     }
 
@@ -219,11 +238,12 @@
         with.counters.add(unanswered_counter);
         silent_control_ = questions_.recipient();
         ask_again_at_ = with.now + config_.retry_interval;
-        decide_alone(questions_.give_up(), with);
+        decide_alone(questions_.give_up(), own_decision::no_answer, with);
         return true;
     }
 
-    void decide_alone(admission_questions::request_lists const& lists, context& with)
+    void decide_alone(admission_questions::request_lists const& lists, own_decision cause,
+                      context& with)
     {
         for (auto const& [customer, ids] : lists)
             for (auto const id : ids)
@@ -231,7 +251,7 @@
                 auto* const what = with.flow.find(id);
                 if (what == nullptr)
                     continue;
-                auto const decided = admit_by_own_part(*what, with);
+                auto const decided = admit_by_own_part(*what, cause, with);
                 if (auto const* const refusal = std::get_if<stop>(&decided))
                     with.flow.finish(id, refusal->what);
                 else
@@ -239,7 +259,7 @@
             }
     }
 
-    step admit_by_own_part(request& what, context& with)
+    step admit_by_own_part(request& what, own_decision cause, context& with)
     {
         auto& it = accounts_[what.payer->id];
         reshape(it, *what.payer, with);
@@ -247,7 +267,9 @@
             return proceed{};
         what.why = "rate=" + std::to_string(it.bucket.rate().count()) +
                    " burst=" + std::to_string(it.bucket.burst().count()) + " share=" +
-                   std::to_string(services_.require<plan_view>().share_of(what.payer->id).count());
+                   std::to_string(services_.require<plan_view>().share_of(what.payer->id).count()) +
+                   " because=" +
+                   std::string(own_decision_names.at(static_cast<std::size_t>(cause)));
         return refuse(over_quota, time_until_token(it, with));
     }
 
