--- a/tests/quota_fleet/quota_fleet_test.cpp
+++ b/tests/quota_fleet/quota_fleet_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <functional>
 #include <numeric>
 #include <string>
 
@@ -16,6 +17,10 @@
 constexpr std::int64_t rates[] = {3, 9, 30, 240};
 /// Beside these, one of which each entry's part is too large to ask the leader.
 constexpr std::int64_t rates_and_largest[] = {3, 9, 30, 66, 240, 1200};
+/// Most customers have such rates; a smaller one sends too few requests for a count of its own.
+constexpr std::int64_t rates_of_most[] = {9, 30, 66, 240};
+/// Enough for 500 requests of the smallest of these.
+constexpr std::uint64_t seeds_of_refusals = 15;
 constexpr std::size_t entries = 182;
 /// What customers usually send, in thousandths of their rate.
 constexpr per_mille usual_load{630};
@@ -50,6 +55,9 @@
     CPPUNIT_TEST(entries_that_do_not_know_each_other_stay_within_the_tolerated_rate);
     CPPUNIT_TEST(a_repeated_start_of_half_of_the_entries_stays_within_the_tolerated_rate);
     CPPUNIT_TEST(a_customer_below_its_rate_is_seldom_refused_around_a_start_of_all);
+    CPPUNIT_TEST(a_customer_below_its_rate_is_seldom_refused_while_control_has_no_leader);
+    CPPUNIT_TEST(a_customer_below_its_rate_is_seldom_refused_while_its_leader_is_silent);
+    CPPUNIT_TEST(a_customer_below_its_rate_is_seldom_refused_after_an_answer_was_lost);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -262,7 +270,77 @@
         }
     }
 
+    // Guards against SHORT: while no leader answered, the rates were split over 182 entries, and
+    // most requests of customers below their rates were refused.
+    void a_customer_below_its_rate_is_seldom_refused_while_control_has_no_leader()
+    {
+        for (auto const rate : rates_of_most)
+            check_refusals(rate,
+                           [](quota_fleet& fleet)
+                           {
+                               fleet.remove_leader();
+                               fleet.run(seconds(6), usual_load);
+                           });
+    }
+
+    // Guards against SHORT: until control knows that its leader is lost, questions to it went
+    // unanswered, and entries did not ask again for a second.
+    void a_customer_below_its_rate_is_seldom_refused_while_its_leader_is_silent()
+    {
+        for (auto const rate : rates_of_most)
+            check_refusals(rate,
+                           [](quota_fleet& fleet)
+                           {
+                               fleet.attach_entries({1, 2, 3, 4, 5, 6, 7, 8});
+                               fleet.isolate({0});
+                               fleet.run(seconds(1), usual_load);
+                               fleet.remove_leader();
+                               fleet.run(seconds(1), usual_load);
+                               fleet.change_leader(3);
+                               fleet.run(seconds(4), usual_load);
+                           });
+    }
+
+    // Guards against SHORT: an entry refused what its own part did not cover for a second after a
+    // single answer was lost.
+    void a_customer_below_its_rate_is_seldom_refused_after_an_answer_was_lost()
+    {
+        for (auto const rate : rates_of_most)
+            check_refusals(rate,
+                           [](quota_fleet& fleet)
+                           {
+                               for (int n = 0; n != 4; ++n)
+                               {
+                                   fleet.isolate({0, 1, 2, 3, 4, 5, 6, 7, 8});
+                                   fleet.run(milliseconds(100), usual_load);
+                                   fleet.isolate({});
+                                   fleet.run(milliseconds(1400), usual_load);
+                               }
+                           });
+    }
+
 private:
+    /// Checks that at most a twentieth of a customer's requests are refused in a disturbance.
+    static void check_refusals(std::int64_t rate, std::function<void(quota_fleet&)> const& disturb)
+    {
+        int refused = 0;
+        int all = 0;
+        for (std::uint64_t seed = 1; seed <= seeds_of_refusals; ++seed)
+        {
+            quota_fleet fleet({.rate = rate, .seed = seed});
+            fleet.run(seconds(10), usual_load);
+            auto const refused_before = sum_of(fleet.refused());
+            auto const admitted_before = sum_of(fleet.admitted());
+            disturb(fleet);
+            refused += sum_of(fleet.refused()) - refused_before;
+            all += sum_of(fleet.admitted()) - admitted_before;
+        }
+        all += refused;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(refused) + " of " + std::to_string(all) + ", rate " +
+                                   std::to_string(rate),
+                               refused * 20 <= all);
+    }
+
     static std::set<std::size_t> first_entries(std::size_t count)
     {
         std::set<std::size_t> out;
