Let control instances admit requests by their parts of the rates while no leader answers

Each entry decided by its own part, a 182nd of the rate, which for most customers is a request in 10 to 30 s.

A control instance that knows no leader, or gets no answer within 150 ms, now decides the questions of its entries by the part of each rate that belongs to these entries, about a ninth. It begins with half of its part of the burst where the leader's last answer did not name the customer as pressed, and with nothing otherwise, so that the leader's and the parts' admissions together stay within the burst. One that may not know all entries, or hears too few control instances, leaves the decision to the entries, as before.

--- a/include/mulberryrudder/control/roster.hpp
+++ b/include/mulberryrudder/control/roster.hpp
@@ -84,6 +84,21 @@
     virtual std::vector<messages::entry_notice> entry_notices() const = 0;
 };
 
+/// Divides the customers' rates between the control instances, by the entries that report to each.
+///
+/// Thread safety: the decision core's thread.
+class rate_division
+{
+public:
+    virtual ~rate_division() = default;
+
+    /// Returns the part of a customer's rate that belongs to the entries which report to this
+    /// instance; nothing while it may not know all entries, or hears too few control instances.
+    /// The parts of all instances make up the rate, but for the time that an entry takes to change
+    /// its control instance.
+    virtual std::optional<per_mille> part_of(customer_id const& customer, instant now) const = 0;
+};
+
 } // namespace mulberryrudder::control
 
 #endif
--- a/plugins/control/quota/question_relay.cpp
+++ b/plugins/control/quota/question_relay.cpp
@@ -1,6 +1,7 @@
 #include "question_relay.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace mulberryrudder::control
@@ -23,11 +24,7 @@
 
 std::vector<question_relay::reply> question_relay::divide(messages::quota_answer const& answer)
 {
-    auto const found = awaited_.find(answer.number);
-    if (found == awaited_.end())
-        return {};
-    auto const parts = std::move(found->second.parts);
-    awaited_.erase(found);
+    auto const parts = take_joined(answer.number);
     std::map<customer_id, messages::quota_grant> left;
     for (auto const& it : answer.grants)
         left.emplace(it.customer, it);
@@ -51,18 +48,34 @@
     return out;
 }
 
-std::vector<question_relay::reply> question_relay::refuse_waiting()
+std::vector<question_relay::entry_question> question_relay::take_waiting()
 {
-    std::vector<reply> out;
-    for (auto const& it : std::exchange(waiting_, {}))
-        out.push_back({.entry = it.entry,
-                       .answer = {.number = it.question.number, .grants = {}, .pressed = {}}});
+    return std::exchange(waiting_, {});
+}
+
+std::vector<question_relay::entry_question> question_relay::take_joined(sequence_id number)
+{
+    auto const found = awaited_.find(number);
+    if (found == awaited_.end())
+        return {};
+    auto out = std::move(found->second.parts);
+    awaited_.erase(found);
     return out;
 }
 
-void question_relay::expire(instant now)
+std::vector<question_relay::entry_question> question_relay::take_overdue(instant now)
 {
-    std::erase_if(awaited_, [now](auto const& it) { return it.second.deadline <= now; });
+    std::vector<entry_question> out;
+    std::erase_if(awaited_,
+                  [&](auto& it)
+                  {
+                      if (it.second.deadline > now)
+                          return false;
+                      std::move(it.second.parts.begin(), it.second.parts.end(),
+                                std::back_inserter(out));
+                      return true;
+                  });
+    return out;
 }
 
 } // namespace mulberryrudder::control
--- a/plugins/control/quota/question_relay.hpp
+++ b/plugins/control/quota/question_relay.hpp
@@ -23,6 +23,13 @@
         messages::quota_answer answer;
     };
 
+    /// A question and the entry that asks it.
+    struct entry_question
+    {
+        instance_id entry;
+        messages::quota_question question;
+    };
+
     /// Adds the question of an entry to the next one for the leader.
     void add(instance_id entry, messages::quota_question question);
 
@@ -36,18 +43,17 @@
     /// answer to no question that is awaited gives none.
     std::vector<reply> divide(messages::quota_answer const& answer);
 
-    /// Returns answers without grants for all questions that wait to be joined.
-    std::vector<reply> refuse_waiting();
+    /// Removes the questions that wait to be joined and returns them.
+    std::vector<entry_question> take_waiting();
 
-    /// Forgets questions whose answers are overdue.
-    void expire(instant now);
+    /// Removes the questions that were joined under a number and returns them; none if no answer
+    /// to it is awaited.
+    std::vector<entry_question> take_joined(sequence_id number);
+
+    /// Removes the questions whose answers are overdue and returns them.
+    std::vector<entry_question> take_overdue(instant now);
 
 private:
-    struct entry_question
-    {
-        instance_id entry;
-        messages::quota_question question;
-    };
     struct joined_question
     {
         std::vector<entry_question> parts;
--- a/plugins/control/quota/quota_keeper.cpp
+++ b/plugins/control/quota/quota_keeper.cpp
@@ -3,13 +3,18 @@
 
 #include <mulberryrudder/control/component.hpp>
 #include <mulberryrudder/control/replicated_log.hpp>
+#include <mulberryrudder/control/roster.hpp>
 #include <mulberryrudder/control/steering.hpp>
 #include <mulberryrudder/core/message_number.hpp>
 #include <mulberryrudder/messages/quota.hpp>
 
 #include <algorithm>
 #include <array>
+#include <memory>
 #include <optional>
+#include <set>
+#include <string>
+#include <utility>
 
 namespace mulberryrudder::control
 {
@@ -20,8 +25,10 @@
 struct ledger_settings
 {
     requests pooled{10};
+    requests pooled_alone{20};
     milliseconds relay_interval{20};
-    milliseconds answer_timeout{500};
+    milliseconds answer_timeout{150};
+    milliseconds retry_interval{500};
 };
 
 constexpr kernel::limits time_limits{1, 60'000};
@@ -34,12 +41,17 @@
             "Requests of a customer beyond its burst that the leader admits at once; less "
             "than the operators tolerate, since entries that the leader does not answer "
             "admit some by themselves."),
+        kernel::field("pooled_alone", &ledger_settings::pooled_alone, {0, 10'000},
+                      "The same for all control instances together while no leader answers and "
+                      "each admits from its part of the rates."),
         kernel::field("relay_period", &ledger_settings::relay_interval, time_limits,
                       "Least milliseconds between two questions to the leader, each of which joins "
                       "those of all entries that report to this instance."),
         kernel::field("answer_limit", &ledger_settings::answer_timeout, time_limits,
-                      "Milliseconds for which the leader's answer is awaited. Entries wait less "
-                      "long."),
+                      "Milliseconds for which the leader's answer is awaited before this instance "
+                      "decides by its own part of the rates. Entries wait longer."),
+        kernel::field("retry_period", &ledger_settings::retry_interval, time_limits,
+                      "Milliseconds after a missing answer in which that leader is not asked."),
     }};
 
 kernel::counter_kind const questions_counter{"quota.questions",
@@ -51,8 +63,27 @@
 kernel::counter_kind const refused_counter{
     "quota.refused", "Requests that were refused as the leader, over the customer's rate."};
 
+kernel::counter_kind const alone_counter{
+    "quota.decided_alone",
+    "Questions of entries that were decided by this instance's own part of the rates, since no "
+    "leader answered."};
+kernel::event_kind const alone_event{
+    {.number = 760,
+     .name = "quota.leader_missing",
+     .level = kernel::severity::warning,
+     .meaning = "This instance admits requests by its own part of the customers' rates since no "
+                "leader answers (`missing`), or asks the leader again; `part` is its part of the "
+                "rate that it last admitted from, in thousandths, -1 while it does not know it and "
+                "leaves the decision to the entries.",
+     .action = "Find out why there is no leader: see `replica.leader_missing`, and the connections "
+               "to the leader."}};
+
+/// Time for which the leader's last answer tells which customers used up most of their bursts.
+constexpr milliseconds pressed_lifetime{500};
+
 /// Admits requests of customers with a rate: as the leader from the rate itself, else by asking
-/// the leader. An instance that knows no leader lets the entries decide by their own parts.
+/// the leader. While no leader answers, each instance admits from its part of the rates; entries
+/// hold such small parts that they would refuse most requests of a customer below its rate.
 ///
 /// Thread safety: the decision core's thread.
 class quota_keeper final : public component
@@ -70,13 +101,22 @@
         dispatch(*this, table, message.from, message.body, ctx);
     }
 
-    void leading(context& ctx) override { ledger_.emplace(config_.pooled, ctx.now); }
+    void leading(context& ctx) override
+    {
+        ledger_.emplace(config_.pooled, ctx.now);
+        end_alone(ctx);
+    }
 
     void following(context&) override { ledger_.reset(); }
 
     void tick(context& ctx) override
     {
-        relay_.expire(ctx.now);
+        if (auto const overdue = relay_.take_overdue(ctx.now); !overdue.empty())
+        {
+            silent_leader_ = asked_leader_;
+            ask_again_at_ = ctx.now + config_.retry_interval;
+            decide_alone(overdue, ctx);
+        }
         relay_questions(ctx);
     }
 
@@ -84,7 +124,7 @@
     void handle_question(instance_id sender, messages::quota_question const& question, context& ctx)
     {
         if (acts_as_leader(ctx.now))
-            return ctx.send(sender, decide(question, ctx));
+            return ctx.send(sender, decide_as_leader(question, ctx));
         // The sender took this instance for the leader.
         if (question.relayed)
             return ctx.send(sender, messages::quota_answer{.number = question.number,
@@ -97,7 +137,17 @@
 
     void handle_answer(instance_id, messages::quota_answer const& answer, context& ctx)
     {
-        send(relay_.divide(answer), ctx);
+        if (!answer.pressed)
+            return decide_alone(relay_.take_joined(answer.number), ctx);
+        auto const replies = relay_.divide(answer);
+        if (replies.empty())
+            return;
+        pressed_ = {answer.pressed->begin(), answer.pressed->end()};
+        pressed_until_ = ctx.now + pressed_lifetime;
+        silent_leader_.reset();
+        end_alone(ctx);
+        for (auto const& it : replies)
+            ctx.send(it.entry, it.answer);
     }
 
     bool acts_as_leader(instant now) const
@@ -105,7 +155,63 @@
         return ledger_ && services_.require<replicated_log>().may_act(now);
     }
 
-    messages::quota_answer decide(messages::quota_question const& question, context& ctx)
+    messages::quota_answer decide_as_leader(messages::quota_question const& question, context& ctx)
+    {
+        auto out = decide(
+            question, *ledger_, [](customer_id const&) { return std::optional(whole_share); }, ctx);
+        out.pressed = ledger_->pressed_customers(ctx.now);
+        return out;
+    }
+
+    /// Decides questions by this instance's part of the rates. Where it does not know its part, the
+    /// answers are without grants, and the entries decide.
+    void decide_alone(std::vector<question_relay::entry_question> const& questions, context& ctx)
+    {
+        if (questions.empty())
+            return;
+        begin_alone(ctx);
+        ctx.counters.add(alone_counter, questions.size());
+        auto const& division = services_.require<rate_division>();
+        auto const part_of = [&](customer_id const& customer)
+        {
+            auto const part = division.part_of(customer, ctx.now);
+            last_part_ = part;
+            return part == per_mille() ? std::nullopt : part;
+        };
+        for (auto const& it : questions)
+            ctx.send(it.entry, decide(it.question, *part_ledger_, part_of, ctx));
+    }
+
+    void begin_alone(context& ctx)
+    {
+        if (std::exchange(is_alone_, true))
+            return;
+        if (!part_ledger_)
+            part_ledger_.emplace(config_.pooled_alone, ctx.now);
+        part_ledger_->reopen(std::make_unique<balance_beside_a_leader>(
+                                 ctx.now < pressed_until_ ? std::optional(pressed_) : std::nullopt),
+                             ctx.now);
+        record_alone(ctx);
+    }
+
+    void end_alone(context& ctx)
+    {
+        if (std::exchange(is_alone_, false))
+            record_alone(ctx);
+    }
+
+    void record_alone(context& ctx) const
+    {
+        ctx.events.record(alone_event,
+                          {{"missing", is_alone_ ? "true" : "false"},
+                           {"part", std::to_string(last_part_ ? last_part_->count() : -1)}});
+    }
+
+    /// Admits requests from the parts of the rates that `part_of` returns; leaves out customers of
+    /// which it returns nothing.
+    template <class PartOf>
+    messages::quota_answer decide(messages::quota_question const& question, quota_ledger& ledger,
+                                  PartOf const& part_of, context& ctx) const
     {
         messages::quota_answer out{
             .number = question.number, .grants = {}, .pressed = std::nullopt};
@@ -113,9 +219,12 @@
         if (!plan)
             return out;
         for (auto const& [id, wanted] : question.wanted)
-            if (auto const* const customer = find_customer(*plan, id))
-                out.grants.push_back(grant(*customer, wanted, ctx));
-        out.pressed = ledger_->pressed_customers(ctx.now);
+        {
+            auto const* const customer = find_customer(*plan, id);
+            auto const part = customer == nullptr ? std::nullopt : part_of(id);
+            if (part)
+                out.grants.push_back(grant(*customer, wanted, *part, ledger, ctx));
+        }
         return out;
     }
 
@@ -126,13 +235,14 @@
         return found == plan.customers.end() ? nullptr : &*found;
     }
 
-    messages::quota_grant grant(plan_customer const& customer, requests wanted, context& ctx)
+    static messages::quota_grant grant(plan_customer const& customer, requests wanted,
+                                       per_mille part, quota_ledger& ledger, context& ctx)
     {
         messages::quota_grant out{.customer = customer.id, .admitted = wanted};
         if (customer.rate != millitokens_per_second())
         {
-            out.admitted = ledger_->admit(customer, wanted, ctx.now);
-            out.retry_after = ledger_->time_until_next(customer.id);
+            out.admitted = ledger.admit(customer, wanted, ctx.now, part);
+            out.retry_after = ledger.time_until_next(customer.id);
         }
         ctx.counters.add(admitted_counter, static_cast<std::uint64_t>(out.admitted.count()));
         ctx.counters.add(refused_counter,
@@ -145,23 +255,28 @@
         if (relay_.is_empty() || ctx.now < next_relay_at_)
             return;
         auto const leader = services_.require<leader_directory>().leader(ctx.now);
-        if (!leader)
-            return send(relay_.refuse_waiting(), ctx);
+        if (!leader || (leader == silent_leader_ && ctx.now < ask_again_at_))
+            return decide_alone(relay_.take_waiting(), ctx);
+        asked_leader_ = leader;
         next_relay_at_ = ctx.now + config_.relay_interval;
         last_question_ = next_message_number(last_question_, ctx.random);
         ctx.counters.add(relayed_counter);
         ctx.send(*leader, relay_.join(last_question_, ctx.now + config_.answer_timeout));
     }
 
-    static void send(std::vector<question_relay::reply> const& replies, context& ctx)
-    {
-        for (auto const& it : replies)
-            ctx.send(it.entry, it.answer);
-    }
-
     kernel::service_map& services_;
     ledger_settings const& config_;
     std::optional<quota_ledger> ledger_; ///< While this instance leads.
+    /// Of this instance's part of the rates. Kept when a leader answers again, so that what was
+    /// admitted counts if that one soon stops.
+    std::optional<quota_ledger> part_ledger_;
+    bool is_alone_ = false; ///< No leader answered the last questions.
+    std::optional<per_mille> last_part_;
+    std::set<customer_id> pressed_; ///< By the leader's last answer.
+    instant pressed_until_;         ///< When that answer is too old.
+    std::optional<instance_id> asked_leader_;
+    std::optional<instance_id> silent_leader_; ///< It did not answer the last question in time.
+    instant ask_again_at_;                     ///< Until then that leader is not asked.
     question_relay relay_;
     sequence_id last_question_;
     instant next_relay_at_;
--- a/plugins/control/quota/quota_ledger.cpp
+++ b/plugins/control/quota/quota_ledger.cpp
@@ -1,6 +1,7 @@
 #include "quota_ledger.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace mulberryrudder::control
 {
@@ -14,23 +15,56 @@
 
 } // namespace
 
-void quota_ledger::reshape(token_bucket& bucket, plan_customer const& customer, instant now) const
+millitokens balance_after_a_leader::of(customer_id const&, token_bucket const& bucket) const
+{
+    return millitokens(bucket.rate().count() * initial_fill.count() / 1000);
+}
+
+millitokens balance_beside_a_leader::of(customer_id const& customer,
+                                        token_bucket const& bucket) const
+{
+    if (!pressed_ || pressed_->contains(customer))
+        return {};
+    return millitokens(bucket.burst().count() / 2);
+}
+
+quota_ledger::quota_ledger(requests pooled, instant began)
+    : pooled_(pooled), opening_(std::make_unique<balance_after_a_leader>()), began_(began)
+{
+}
+
+void quota_ledger::reopen(std::unique_ptr<opening_balance const> opening, instant now)
+{
+    opening_ = std::move(opening);
+    began_ = now;
+    for (auto& [customer, bucket] : buckets_)
+    {
+        bucket.advance(now);
+        bucket.take_up_to(bucket.tokens() - opening_->of(customer, bucket));
+    }
+}
+
+void quota_ledger::reshape(token_bucket& bucket, plan_customer const& customer, per_mille part,
+                           instant now) const
 {
     auto const burst = customer.burst.count() + pooled_.count() * request_cost.count();
     // A bucket below one request would never admit one.
-    bucket.reshape(now, customer.rate, std::max(millitokens(burst), request_cost));
+    bucket.reshape(
+        now, millitokens_per_second(customer.rate.count() * part.count() / whole_share.count()),
+        std::max(millitokens(burst * part.count() / whole_share.count()), request_cost));
 }
 
-requests quota_ledger::admit(plan_customer const& customer, requests wanted, instant now)
+requests quota_ledger::admit(plan_customer const& customer, requests wanted, instant now,
+                             per_mille part)
 {
     auto const [found, added] = buckets_.try_emplace(customer.id, began_);
     auto& bucket = found->second;
     if (added)
     {
-        reshape(bucket, customer, began_);
-        bucket.add(millitokens(customer.rate.count() * initial_fill.count() / 1000));
+        reshape(bucket, customer, part, began_);
+        bucket.add(opening_->of(customer.id, bucket));
     }
-    reshape(bucket, customer, now);
+    reshape(bucket, customer, part, now);
     auto const tokens = bucket.take_up_to(millitokens(wanted.count() * request_cost.count()));
     auto const admitted = tokens.count() / request_cost.count();
     bucket.add(tokens - millitokens(admitted * request_cost.count()));
--- a/plugins/control/quota/quota_ledger.hpp
+++ b/plugins/control/quota/quota_ledger.hpp
@@ -5,12 +5,53 @@
 #include <mulberryrudder/core/traffic_plan.hpp>
 
 #include <map>
+#include <memory>
+#include <optional>
+#include <set>
 #include <vector>
 
 namespace mulberryrudder::control
 {
 
-/// Holds the whole rate of each customer, from which the leader admits requests for all entries.
+/// Determines what a bucket may hold when a ledger begins to admit from it.
+///
+/// Thread safety: any thread.
+class opening_balance
+{
+public:
+    virtual ~opening_balance() = default;
+
+    /// Returns the most tokens of a customer's bucket, which has its rate and burst.
+    virtual millitokens of(customer_id const& customer, token_bucket const& bucket) const = 0;
+};
+
+/// For a leader: the one before it may just have admitted all that the rates allowed.
+class balance_after_a_leader final : public opening_balance
+{
+public:
+    millitokens of(customer_id const&, token_bucket const& bucket) const override;
+};
+
+/// For an instance whose leader stopped answering: a customer that had used up less than half of
+/// what it may send at once, by the leader's last answer, has the other half left.
+class balance_beside_a_leader final : public opening_balance
+{
+public:
+    /// `pressed` are the customers that had used up more; nothing if the leader's last answer is
+    /// missing or old.
+    explicit balance_beside_a_leader(std::optional<std::set<customer_id>> pressed)
+        : pressed_(std::move(pressed))
+    {
+    }
+
+    millitokens of(customer_id const& customer, token_bucket const& bucket) const override;
+
+private:
+    std::optional<std::set<customer_id>> pressed_;
+};
+
+/// Holds the rate of each customer, or a part of it, from which a control instance admits requests
+/// for all entries that ask it.
 ///
 /// Handles customers whose requests come from many places, a few to each entry instance. Split
 /// over hundreds of entries, a rate leaves each of them less than one request, and a customer
@@ -21,12 +62,17 @@
 {
 public:
     /// `pooled` are the requests beyond a customer's burst that may be admitted at once. `began` is
-    /// when this instance began to lead; an earlier leader may have admitted all that the rates
-    /// allowed until then.
-    quota_ledger(requests pooled, instant began) : pooled_(pooled), began_(began) {}
+    /// when this instance began to lead.
+    quota_ledger(requests pooled, instant began);
+
+    /// Begins anew: each bucket keeps at most its opening balance, and a new one starts with it.
+    /// Precondition: `opening` is not null.
+    void reopen(std::unique_ptr<opening_balance const> opening, instant now);
 
-    /// Admits up to `wanted` requests; returns how many. Precondition: the customer has a rate.
-    requests admit(plan_customer const& customer, requests wanted, instant now);
+    /// Admits up to `wanted` requests from a part of the customer's rate; returns how many.
+    /// Precondition: the customer has a rate.
+    requests admit(plan_customer const& customer, requests wanted, instant now,
+                   per_mille part = whole_share);
 
     /// Returns the time until another request of the customer is admitted, as of the last call of
     /// admit() for it.
@@ -37,9 +83,11 @@
     std::vector<customer_id> pressed_customers(instant now);
 
 private:
-    void reshape(token_bucket& bucket, plan_customer const& customer, instant now) const;
+    void reshape(token_bucket& bucket, plan_customer const& customer, per_mille part,
+                 instant now) const;
 
     requests pooled_;
+    std::unique_ptr<opening_balance const> opening_;
     instant began_;
     std::map<customer_id, token_bucket> buckets_;
 };
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -88,6 +88,9 @@
 /// Time after the start within which entries that run report that they are ready, directly or to
 /// another instance.
 constexpr seconds settling_time{3};
+/// Time after its last report to this instance for which an entry counts as one of its own: longer
+/// than the time for which a poll is held, and a round trip.
+constexpr milliseconds own_report_lifetime{1000};
 kernel::counter_kind const announced_counter{"roster.announcements",
                                              "Announcements that targets sent to this instance."};
 kernel::counter_kind const stale_counter{
@@ -172,7 +175,8 @@
 class roster final : public component,
                      public roster_view,
                      public spread_view,
-                     public leader_directory
+                     public leader_directory,
+                     public rate_division
 {
 public:
     explicit roster(component_parts const& parts)
@@ -181,6 +185,7 @@
         parts.services.provide<roster_view>(*this);
         parts.services.provide<spread_view>(*this);
         parts.services.provide<leader_directory>(*this);
+        parts.services.provide<rate_division>(*this);
     }
 
     bool asked(operator_asked const& request, context& ctx) override
@@ -266,6 +271,13 @@
         return found == nullptr ? std::nullopt : std::optional(found->operator_address);
     }
 
+    std::optional<per_mille> part_of(customer_id const& customer, instant now) const override
+    {
+        if (now < entries_known_at_ || !is_connected(now))
+            return std::nullopt;
+        return entries_.share_reported_since(now - own_report_lifetime, customer);
+    }
+
 private:
     /// One start of an entry instance, and its address.
     struct entry_process
--- a/tests/control/quota/question_relay_test.cpp
+++ b/tests/control/quota/question_relay_test.cpp
@@ -18,7 +18,9 @@
     CPPUNIT_TEST(grants_are_divided_in_the_order_of_the_questions);
     CPPUNIT_TEST(an_answer_is_divided_once);
     CPPUNIT_TEST(an_overdue_answer_is_ignored);
-    CPPUNIT_TEST(questions_without_a_leader_get_no_grants);
+    CPPUNIT_TEST(questions_that_wait_can_be_taken_back);
+    CPPUNIT_TEST(overdue_questions_are_taken_back_once);
+    CPPUNIT_TEST(a_question_that_nobody_decided_is_taken_back_once);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -57,20 +59,42 @@
     void an_overdue_answer_is_ignored()
     {
         ask();
-        relay_.expire(instant(seconds(1001)));
+        relay_.take_overdue(instant(seconds(1001)));
         CPPUNIT_ASSERT(relay_.divide(answer(4)).empty());
     }
 
-    void questions_without_a_leader_get_no_grants()
+    void questions_that_wait_can_be_taken_back()
     {
         relay_.add(instance_id(50), {.number = sequence_id(7), .wanted = {{office, requests(3)}}});
-        auto const replies = relay_.refuse_waiting();
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replies.size());
-        CPPUNIT_ASSERT(replies.front().answer.grants.empty());
-        CPPUNIT_ASSERT(!replies.front().answer.pressed);
+        auto const taken = relay_.take_waiting();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, taken.size());
+        CPPUNIT_ASSERT(taken.front().entry == instance_id(50));
+        CPPUNIT_ASSERT(taken.front().question.number == sequence_id(7));
+        CPPUNIT_ASSERT(taken.front().question.wanted.at(office) == requests(3));
         CPPUNIT_ASSERT(relay_.is_empty());
     }
 
+    // Guards against requests that are decided twice, by the leader and without it.
+    void overdue_questions_are_taken_back_once()
+    {
+        ask();
+        CPPUNIT_ASSERT(relay_.take_overdue(instant(milliseconds(1'000'999))).empty());
+        auto const taken = relay_.take_overdue(instant(seconds(1001)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, taken.size());
+        CPPUNIT_ASSERT(taken.front().entry == instance_id(50));
+        CPPUNIT_ASSERT(taken.back().entry == instance_id(51));
+        CPPUNIT_ASSERT(relay_.take_overdue(instant(seconds(1001))).empty());
+    }
+
+    // Guards against requests that are decided twice: the receiver was no leader.
+    void a_question_that_nobody_decided_is_taken_back_once()
+    {
+        ask();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, relay_.take_joined(sequence_id(100)).size());
+        CPPUNIT_ASSERT(relay_.take_joined(sequence_id(100)).empty());
+        CPPUNIT_ASSERT(relay_.divide(answer(4)).empty());
+    }
+
 private:
     messages::quota_question ask()
     {
--- a/tests/control/quota/quota_ledger_test.cpp
+++ b/tests/control/quota/quota_ledger_test.cpp
@@ -16,6 +16,10 @@
     CPPUNIT_TEST(a_lower_burst_holds_at_once);
     CPPUNIT_TEST(a_refusal_tells_when_the_next_request_is_admitted);
     CPPUNIT_TEST(a_customer_is_pressed_until_half_of_its_burst_is_back);
+    CPPUNIT_TEST(a_part_of_a_rate_admits_that_part);
+    CPPUNIT_TEST(beside_a_leader_half_of_the_burst_is_left_to_customers_that_are_not_pressed);
+    CPPUNIT_TEST(beside_an_unknown_leader_no_burst_is_left);
+    CPPUNIT_TEST(a_ledger_that_begins_anew_gives_nothing_back);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -56,6 +60,48 @@
         CPPUNIT_ASSERT(ledger_.pressed_customers(now_ + milliseconds(300)).empty());
     }
 
+    void a_part_of_a_rate_admits_that_part()
+    {
+        quota_ledger part(requests(10), now_);
+        auto const later = now_ + seconds(100);
+        CPPUNIT_ASSERT(part.admit(office_, requests(100), later, per_mille(100)) == requests(3));
+        CPPUNIT_ASSERT(part.admit(office_, requests(100), later + seconds(1), per_mille(100)) ==
+                       requests(2));
+    }
+
+    void beside_a_leader_half_of_the_burst_is_left_to_customers_that_are_not_pressed()
+    {
+        quota_ledger part(requests(10), now_);
+        part.reopen(std::make_unique<balance_beside_a_leader>(std::set{customer_id("shop")}), now_);
+        CPPUNIT_ASSERT(part.admit(office_, requests(100), now_, per_mille(500)) == requests(7));
+        auto shop = office_;
+        shop.id = customer_id("shop");
+        CPPUNIT_ASSERT(part.admit(shop, requests(100), now_, per_mille(500)) == requests(0));
+    }
+
+    // Guards against QUOTA: a leader that was not heard lately may have admitted the burst.
+    void beside_an_unknown_leader_no_burst_is_left()
+    {
+        quota_ledger part(requests(10), now_);
+        part.reopen(std::make_unique<balance_beside_a_leader>(std::nullopt), now_);
+        CPPUNIT_ASSERT(part.admit(office_, requests(100), now_, per_mille(500)) == requests(0));
+    }
+
+    // Guards against QUOTA: a leader that answers now and then would let each part admit half of
+    // the burst again and again.
+    void a_ledger_that_begins_anew_gives_nothing_back()
+    {
+        quota_ledger part(requests(10), now_);
+        part.reopen(std::make_unique<balance_beside_a_leader>(std::set<customer_id>{}), now_);
+        part.admit(office_, requests(100), now_, per_mille(500));
+        part.reopen(std::make_unique<balance_beside_a_leader>(std::set<customer_id>{}), now_);
+        CPPUNIT_ASSERT(part.admit(office_, requests(100), now_, per_mille(500)) == requests(0));
+        // Nothing of the time in which the leader answered counts beyond the opening balance.
+        auto const later = now_ + seconds(100);
+        part.reopen(std::make_unique<balance_beside_a_leader>(std::set<customer_id>{}), later);
+        CPPUNIT_ASSERT(part.admit(office_, requests(100), later, per_mille(500)) == requests(7));
+    }
+
 private:
     plan_customer office_{.id = customer_id("office"),
                           .keys = {},
--- a/tests/quota_fleet/quota_fleet.cpp
+++ b/tests/quota_fleet/quota_fleet.cpp
@@ -1,9 +1,11 @@
 #include "quota_fleet.hpp"
 
 #include <mulberryrudder/control/replicated_log.hpp>
+#include <mulberryrudder/control/roster.hpp>
 #include <mulberryrudder/control/steering.hpp>
 
 #include <algorithm>
+#include <map>
 #include <numeric>
 #include <utility>
 
@@ -24,7 +26,8 @@
 class quota_fleet::fake_fleet_state final : public control::component,
                                             public control::replicated_log,
                                             public control::leader_directory,
-                                            public control::steering_view
+                                            public control::steering_view,
+                                            public control::rate_division
 {
 public:
     explicit fake_fleet_state(control::component_parts const& parts)
@@ -32,6 +35,7 @@
         parts.services.provide<control::replicated_log>(*this);
         parts.services.provide<control::leader_directory>(*this);
         parts.services.provide<control::steering_view>(*this);
+        parts.services.provide<control::rate_division>(*this);
         parts.services.provide<fake_fleet_state>(*this);
     }
 
@@ -45,6 +49,7 @@
     std::optional<endpoint> leader_address(instant) const override { return std::nullopt; }
     shared_steering steering() const override { return state; }
     void learn(shared_steering const&) override {}
+    std::optional<per_mille> part_of(customer_id const&, instant) const override { return part; }
 
     void tick(control::context& ctx) override
     {
@@ -60,6 +65,7 @@
 
     bool leads = false;
     std::optional<instance_id> other_leader;
+    std::optional<per_mille> part; ///< Of each rate.
     shared_steering state;
 
 private:
@@ -89,6 +95,7 @@
     for (std::size_t n = 0; n != config.entries; ++n)
         entries_.push_back(make_entry(n));
     change_leader(0);
+    divide_rates();
 }
 
 quota_fleet::~quota_fleet() = default;
@@ -147,6 +154,8 @@
         plan.entry_count = 1;
         plan.share = whole_share;
     }
+    for (auto const& it : controls_)
+        it->services().require<fake_fleet_state>().part.reset();
 }
 
 void quota_fleet::tell_entries()
@@ -158,6 +167,7 @@
         plan.entry_count = static_cast<std::int64_t>(config_.entries);
         plan.share = per_mille(whole_share.count() / plan.entry_count);
     }
+    divide_rates();
 }
 
 void quota_fleet::attach_entries(std::vector<std::size_t> const& controls)
@@ -165,6 +175,18 @@
     for (std::size_t n = 0; n != entries_.size(); ++n)
         entries_.at(n)->services().find<entry::testing::fake_plan>()->current_control =
             control_id(controls.at(n % controls.size()));
+    divide_rates();
+}
+
+void quota_fleet::divide_rates()
+{
+    std::map<instance_id, std::int64_t> counts;
+    for (auto const& it : entries_)
+        ++counts[*it->services().find<entry::testing::fake_plan>()->current_control];
+    for (std::size_t n = 0; n != controls_.size(); ++n)
+        controls_.at(n)->services().require<fake_fleet_state>().part =
+            per_mille(counts[control_id(n)] * whole_share.count() /
+                      static_cast<std::int64_t>(entries_.size()));
 }
 
 void quota_fleet::change_leader(std::size_t control)
--- a/tests/quota_fleet/quota_fleet.hpp
+++ b/tests/quota_fleet/quota_fleet.hpp
@@ -55,9 +55,9 @@
     void restart_controls();
     /// Starts entries again, without any state of their earlier start.
     void restart_entries(std::set<std::size_t> const& entries);
-    /// Leaves all entries without the number of entries, as before control told them.
+    /// Leaves all instances without the number of entries, as after a start of all.
     void forget_entries();
-    /// Tells all entries how many there are, and to each its even part of the rates.
+    /// Tells all instances how many entries there are, and to each its even part of the rates.
     void tell_entries();
     /// Suspends entries; their messages wait for them.
     void suspend(std::set<std::size_t> const& entries) { suspended_ = entries; }
@@ -85,6 +85,8 @@
         envelope message;
     };
 
+    /// Tells each control instance its part of the rates, by the entries that report to it.
+    void divide_rates();
     std::unique_ptr<control::core> make_control(std::size_t n);
     std::unique_ptr<entry::core> make_entry(std::size_t n);
     void send_requests(std::int64_t rate, std::string const& key);
