Ask control again before a request is refused by an entry's own part of a rate

On the fleet model, with control silent for 0.1 s every 1.5 s, 100 of 500 requests of a customer at 63% of a rate of 9 were refused.

A question is repeated once, to the control instance that answers reports by then, and only then decided alone. In the second after it the own part is used first, and control is asked about the rest. A request waits for at most two answer limits, half a second.

--- a/plugins/entry/quota/admission_questions.cpp
+++ b/plugins/entry/quota/admission_questions.cpp
@@ -14,7 +14,8 @@
     pending_ = question{.recipient = recipient,
                         .number = number,
                         .deadline = deadline,
-                        .requests = std::exchange(waiting_, {})};
+                        .requests = std::exchange(waiting_, {}),
+                        .is_repeated = std::exchange(repeats_, false)};
     return out;
 }
 
@@ -28,8 +29,15 @@
     return out;
 }
 
+void admission_questions::repeat()
+{
+    waiting_ = give_up();
+    repeats_ = true;
+}
+
 admission_questions::request_lists admission_questions::give_up()
 {
+    repeats_ = false;
     auto out = std::exchange(waiting_, {});
     auto const pending = std::exchange(pending_, std::nullopt);
     if (!pending)
--- a/plugins/entry/quota/admission_questions.hpp
+++ b/plugins/entry/quota/admission_questions.hpp
@@ -45,6 +45,13 @@
         return pending_ ? std::optional(pending_->recipient) : std::nullopt;
     }
 
+    /// Returns whether the requests of the question that is on its way were asked for before.
+    bool is_repeated() const { return pending_ && pending_->is_repeated; }
+
+    /// Ends the question that is on its way and adds its requests to the next one, which repeats
+    /// it. Precondition: a question is on its way.
+    void repeat();
+
     /// Ends the question that is on its way; returns its requests and all that wait.
     request_lists give_up();
 
@@ -55,9 +62,11 @@
         sequence_id number;
         instant deadline;
         request_lists requests;
+        bool is_repeated = false;
     };
 
     request_lists waiting_;
+    bool repeats_ = false; ///< Some requests that wait were asked for before.
     std::optional<question> pending_;
 };
 
--- a/plugins/entry/quota/quota_stage.cpp
+++ b/plugins/entry/quota/quota_stage.cpp
@@ -25,7 +25,7 @@
     per_mille relaxed_rate{1150};
     requests ask_below{3};
     milliseconds answer_timeout{250};
-    milliseconds retry_interval{1000};
+    milliseconds silence_interval{1000};
 };
 
 kernel::section<quota_settings> const quota_section{
@@ -45,10 +45,12 @@
                       "Control admits the requests of a customer if this instance alone could let "
                       "through fewer than this number of them at once."),
         kernel::field("answer_limit", &quota_settings::answer_timeout, {1, 10'000},
-                      "Milliseconds after which requests that control did not admit or refuse are "
-                      "decided by this instance's own part of the rate."),
-        kernel::field("retry_period", &quota_settings::retry_interval, {1, 600'000},
-                      "Milliseconds after such a missing answer in which control is not asked."),
+                      "Milliseconds after which control is asked again about requests that it did "
+                      "not admit or refuse, once; after as many more, they are decided by this "
+                      "instance's own part of the rate."),
+        kernel::field("retry_period", &quota_settings::silence_interval, {1, 600'000},
+                      "Milliseconds after such a missing answer in which control is asked only "
+                      "about requests that this instance's own part does not cover."),
     }};
 
 refusal_kind const over_quota({.name = "over_quota",
@@ -79,13 +81,12 @@
 {
     part_suffices,   ///< The part is large enough to be of use.
     control_unknown, ///< No control instance answers this instance's reports.
-    control_silent,  ///< Control did not answer a question a moment ago.
     no_answer,       ///< Control did not answer this request's question in time.
     no_leader        ///< Control answered that nobody could decide.
 };
 
-constexpr std::array<std::string_view, 5> own_decision_names{
-    "part_suffices", "control_unknown", "control_silent", "no_answer", "no_leader"};
+constexpr std::array<std::string_view, 4> own_decision_names{"part_suffices", "control_unknown",
+                                                             "no_answer", "no_leader"};
 
 kernel::counter_kind const asked_counter{"quota.asked",
                                          "Questions to control whether to admit requests."};
@@ -122,8 +123,9 @@
             return admit_by_own_part(what, own_decision::part_suffices, with);
         if (!services_.require<plan_view>().control())
             return admit_by_own_part(what, own_decision::control_unknown, with);
-        if (!is_control_askable(with.now))
-            return admit_by_own_part(what, own_decision::control_silent, with);
+        // Control may answer again at any moment, so what the part does not cover is asked for.
+        if (is_control_silent(with.now) && it.bucket.take(request_cost))
+            return proceed{};
         questions_.add(what.payer->id, what.id);
         ask(with);
         return wait{};
@@ -145,10 +147,11 @@
         millitokens_per_second average;
     };
 
-    bool is_control_askable(instant now)
+    /// Returns whether the control instance did not answer a question a moment ago.
+    bool is_control_silent(instant now)
     {
-        auto const control = services_.require<plan_view>().control();
-        return control && (control != silent_control_ || now >= ask_again_at_);
+        return silent_control_ && services_.require<plan_view>().control() == silent_control_ &&
+               now < silent_until_;
     }
 
     /// Asks control to admit the requests that wait, unless a question is on its way.
@@ -173,6 +176,7 @@
         auto asked = questions_.end(sender, answer.number);
         if (!asked)
             return;
+        silent_control_.reset();
         if (answer.pressed)
             use_up_parts(*answer.pressed, with);
         for (auto const& it : answer.grants)
@@ -229,16 +233,23 @@
         }
     }
 
-    /// Returns whether a question was overdue. Its requests, and those that waited for their turn,
-    /// are then decided by this instance's own part of the rates.
+    /// Returns whether a question was overdue. It is repeated once, at the control instance that
+    /// answers reports by then. After that its requests, and those that waited for their turn, are
+    /// decided by this instance's own part of the rates.
     bool end_overdue_question(context& with)
     {
         if (!questions_.is_overdue(with.now))
             return false;
         with.counters.add(unanswered_counter);
         silent_control_ = questions_.recipient();
-        ask_again_at_ = with.now + config_.retry_interval;
-        decide_alone(questions_.give_up(), own_decision::no_answer, with);
+        silent_until_ = with.now + config_.silence_interval;
+        if (questions_.is_repeated())
+            decide_alone(questions_.give_up(), own_decision::no_answer, with);
+        else
+        {
+            questions_.repeat();
+            ask(with);
+        }
         return true;
     }
 
@@ -265,11 +276,11 @@
         reshape(it, *what.payer, with);
         if (it.bucket.take(request_cost))
             return proceed{};
-        what.why = "rate=" + std::to_string(it.bucket.rate().count()) +
-                   " burst=" + std::to_string(it.bucket.burst().count()) + " share=" +
-                   std::to_string(services_.require<plan_view>().share_of(what.payer->id).count()) +
-                   " because=" +
-                   std::string(own_decision_names.at(static_cast<std::size_t>(cause)));
+        what.why =
+            "rate=" + std::to_string(it.bucket.rate().count()) +
+            " burst=" + std::to_string(it.bucket.burst().count()) + " share=" +
+            std::to_string(services_.require<plan_view>().share_of(what.payer->id).count()) +
+            " because=" + std::string(own_decision_names.at(static_cast<std::size_t>(cause)));
         return refuse(over_quota, time_until_token(it, with));
     }
 
@@ -344,7 +355,7 @@
     admission_questions questions_;
     sequence_id last_question_;
     std::optional<instance_id> silent_control_; ///< It did not answer the last overdue question.
-    instant ask_again_at_;                      ///< Until then that instance is not asked.
+    instant silent_until_;                      ///< Until then requests use their parts first.
     std::set<customer_id> pressed_;             ///< As of the leader's last answer.
     instant window_ends_ = instant{} + demand_window;
 };
