Charge the leader's ledger with what control instances admitted from their parts

A leader that answers at times admitted from the whole rate whenever it answered, beside what the parts had admitted in between: on the fleet model with a leader that is silent for 0.2 s every 0.5 s, 40 requests of a rate of 3 were admitted in five seconds, 39 are tolerated (QUOTA).

The next question to the same leader tells what was admitted meanwhile, and the leader takes it from its buckets as far as they hold as much.

--- a/include/mulberryrudder/messages/quota.hpp
+++ b/include/mulberryrudder/messages/quota.hpp
@@ -19,6 +19,9 @@
     sequence_id number;
     std::map<customer_id, requests> wanted;
     bool relayed = false; ///< From a control instance; the receiver must not ask another one.
+    /// What the sender admitted from its parts of the rates while no leader answered, and did not
+    /// tell yet.
+    std::map<customer_id, requests> spent = {};
 };
 
 /// What the leader admits of one customer's requests.
--- a/plugins/control/quota/quota_keeper.cpp
+++ b/plugins/control/quota/quota_keeper.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -104,6 +105,8 @@
     void leading(context& ctx) override
     {
         ledger_.emplace(config_.pooled, ctx.now);
+        charge_.reset();
+        spent_.clear();
         end_alone(ctx);
     }
 
@@ -113,6 +116,7 @@
     {
         if (auto const overdue = relay_.take_overdue(ctx.now); !overdue.empty())
         {
+            take_back_charge();
             silent_leader_ = asked_leader_;
             ask_again_at_ = ctx.now + config_.retry_interval;
             decide_alone(overdue, ctx);
@@ -121,6 +125,13 @@
     }
 
 private:
+    /// What a question to the leader tells it of requests that were admitted here.
+    struct told_charge
+    {
+        sequence_id question;
+        std::map<customer_id, requests> spent;
+    };
+
     void handle_question(instance_id sender, messages::quota_question const& question, context& ctx)
     {
         if (acts_as_leader(ctx.now))
@@ -135,15 +146,21 @@
         relay_questions(ctx);
     }
 
-    void handle_answer(instance_id, messages::quota_answer const& answer, context& ctx)
+    void handle_answer(instance_id sender, messages::quota_answer const& answer, context& ctx)
     {
         if (!answer.pressed)
+        {
+            take_back_charge();
             return decide_alone(relay_.take_joined(answer.number), ctx);
+        }
         auto const replies = relay_.divide(answer);
         if (replies.empty())
             return;
+        if (charge_ && charge_->question == answer.number)
+            charge_.reset();
         pressed_ = {answer.pressed->begin(), answer.pressed->end()};
         pressed_until_ = ctx.now + pressed_lifetime;
+        answering_leader_ = sender;
         silent_leader_.reset();
         end_alone(ctx);
         for (auto const& it : replies)
@@ -157,6 +174,7 @@
 
     messages::quota_answer decide_as_leader(messages::quota_question const& question, context& ctx)
     {
+        charge(question.spent, ctx);
         auto out = decide(
             question, *ledger_, [](customer_id const&) { return std::optional(whole_share); }, ctx);
         out.pressed = ledger_->pressed_customers(ctx.now);
@@ -179,7 +197,47 @@
             return part == per_mille() ? std::nullopt : part;
         };
         for (auto const& it : questions)
-            ctx.send(it.entry, decide(it.question, *part_ledger_, part_of, ctx));
+        {
+            auto decided = decide(it.question, *part_ledger_, part_of, ctx);
+            for (auto const& granted : decided.grants)
+                if (granted.admitted != requests())
+                    spent_[granted.customer] += granted.admitted;
+            ctx.send(it.entry, std::move(decided));
+        }
+    }
+
+    /// Lets what other instances admitted from their parts of the rates count as admitted here.
+    void charge(std::map<customer_id, requests> const& spent, context& ctx)
+    {
+        auto const plan = services_.require<steering_view>().steering()->plan;
+        if (!plan)
+            return;
+        for (auto const& [id, count] : spent)
+            if (auto const* const customer = find_customer(*plan, id);
+                customer != nullptr && customer->rate != millitokens_per_second())
+                ledger_->charge(*customer, count, ctx.now);
+    }
+
+    /// Adds what one question at a time tells the leader. Another leader than the last one that
+    /// answered began with nearly empty buckets, so it is not charged.
+    void add_charge(messages::quota_question& question)
+    {
+        if (asked_leader_ != answering_leader_)
+            spent_.clear();
+        if (charge_ || spent_.empty())
+            return;
+        question.spent = std::exchange(spent_, {});
+        charge_ = {.question = question.number, .spent = question.spent};
+    }
+
+    /// The leader may not have been told; it is told again.
+    void take_back_charge()
+    {
+        if (!charge_)
+            return;
+        for (auto const& [customer, count] : charge_->spent)
+            spent_[customer] += count;
+        charge_.reset();
     }
 
     void begin_alone(context& ctx)
@@ -261,7 +319,9 @@
         next_relay_at_ = ctx.now + config_.relay_interval;
         last_question_ = next_message_number(last_question_, ctx.random);
         ctx.counters.add(relayed_counter);
-        ctx.send(*leader, relay_.join(last_question_, ctx.now + config_.answer_timeout));
+        auto question = relay_.join(last_question_, ctx.now + config_.answer_timeout);
+        add_charge(question);
+        ctx.send(*leader, std::move(question));
     }
 
     kernel::service_map& services_;
@@ -270,13 +330,16 @@
     /// Of this instance's part of the rates. Kept when a leader answers again, so that what was
     /// admitted counts if that one soon stops.
     std::optional<quota_ledger> part_ledger_;
-    bool is_alone_ = false; ///< No leader answered the last questions.
+    std::map<customer_id, requests> spent_; ///< Admitted from it, and no leader was told.
+    std::optional<told_charge> charge_;     ///< On its way to the leader.
+    bool is_alone_ = false;                 ///< No leader answered the last questions.
     std::optional<per_mille> last_part_;
     std::set<customer_id> pressed_; ///< By the leader's last answer.
     instant pressed_until_;         ///< When that answer is too old.
     std::optional<instance_id> asked_leader_;
-    std::optional<instance_id> silent_leader_; ///< It did not answer the last question in time.
-    instant ask_again_at_;                     ///< Until then that leader is not asked.
+    std::optional<instance_id> answering_leader_; ///< The last one that answered.
+    std::optional<instance_id> silent_leader_;    ///< It did not answer the last question in time.
+    instant ask_again_at_;                        ///< Until then that leader is not asked.
     question_relay relay_;
     sequence_id last_question_;
     instant next_relay_at_;
--- a/plugins/control/quota/quota_ledger.cpp
+++ b/plugins/control/quota/quota_ledger.cpp
@@ -54,8 +54,7 @@
         std::max(millitokens(burst * part.count() / whole_share.count()), request_cost));
 }
 
-requests quota_ledger::admit(plan_customer const& customer, requests wanted, instant now,
-                             per_mille part)
+token_bucket& quota_ledger::bucket_of(plan_customer const& customer, per_mille part, instant now)
 {
     auto const [found, added] = buckets_.try_emplace(customer.id, began_);
     auto& bucket = found->second;
@@ -65,12 +64,25 @@
         bucket.add(opening_->of(customer.id, bucket));
     }
     reshape(bucket, customer, part, now);
+    return bucket;
+}
+
+requests quota_ledger::admit(plan_customer const& customer, requests wanted, instant now,
+                             per_mille part)
+{
+    auto& bucket = bucket_of(customer, part, now);
     auto const tokens = bucket.take_up_to(millitokens(wanted.count() * request_cost.count()));
     auto const admitted = tokens.count() / request_cost.count();
     bucket.add(tokens - millitokens(admitted * request_cost.count()));
     return requests(admitted);
 }
 
+void quota_ledger::charge(plan_customer const& customer, requests spent, instant now)
+{
+    bucket_of(customer, whole_share, now)
+        .take_up_to(millitokens(spent.count() * request_cost.count()));
+}
+
 std::vector<customer_id> quota_ledger::pressed_customers(instant now)
 {
     std::vector<customer_id> out;
--- a/plugins/control/quota/quota_ledger.hpp
+++ b/plugins/control/quota/quota_ledger.hpp
@@ -74,6 +74,10 @@
     requests admit(plan_customer const& customer, requests wanted, instant now,
                    per_mille part = whole_share);
 
+    /// Takes requests that were admitted elsewhere from the customer's bucket, as far as it holds
+    /// as many. Precondition: the customer has a rate.
+    void charge(plan_customer const& customer, requests spent, instant now);
+
     /// Returns the time until another request of the customer is admitted, as of the last call of
     /// admit() for it.
     milliseconds time_until_next(customer_id const& customer) const;
@@ -85,6 +89,7 @@
 private:
     void reshape(token_bucket& bucket, plan_customer const& customer, per_mille part,
                  instant now) const;
+    token_bucket& bucket_of(plan_customer const& customer, per_mille part, instant now);
 
     requests pooled_;
     std::unique_ptr<opening_balance const> opening_;
--- a/plugins/peer/codecs/quota_codec.cpp
+++ b/plugins/peer/codecs/quota_codec.cpp
@@ -13,26 +13,37 @@
 namespace
 {
 
-void encode_question(messages::quota_question const& from, Question::Builder to)
+void encode_counts(std::map<customer_id, requests> const& from, ::capnp::List<Wanted>::Builder to)
 {
-    to.setNumber(from.number.value());
-    to.setRelayed(from.relayed);
-    auto wanted = to.initWanted(size_of(from.wanted));
     unsigned n = 0;
-    for (auto const& [customer, count] : from.wanted)
+    for (auto const& [customer, count] : from)
     {
-        auto out = wanted[n++];
+        auto out = to[n++];
         out.setCustomer(customer.value());
         out.setRequests(static_cast<std::uint32_t>(count.count()));
     }
 }
 
+void decode_counts(::capnp::List<Wanted>::Reader from, std::map<customer_id, requests>& to)
+{
+    for (auto const it : from)
+        to.emplace(customer_id(decode_text(it.getCustomer())), requests(it.getRequests()));
+}
+
+void encode_question(messages::quota_question const& from, Question::Builder to)
+{
+    to.setNumber(from.number.value());
+    to.setRelayed(from.relayed);
+    encode_counts(from.wanted, to.initWanted(size_of(from.wanted)));
+    encode_counts(from.spent, to.initSpent(size_of(from.spent)));
+}
+
 messages::quota_question decode_question(Question::Reader from)
 {
     messages::quota_question out{
         .number = sequence_id(from.getNumber()), .wanted = {}, .relayed = from.getRelayed()};
-    for (auto const it : from.getWanted())
-        out.wanted.emplace(customer_id(decode_text(it.getCustomer())), requests(it.getRequests()));
+    decode_counts(from.getWanted(), out.wanted);
+    decode_counts(from.getSpent(), out.spent);
     return out;
 }
 
--- a/schemas/quota.capnp
+++ b/schemas/quota.capnp
@@ -13,6 +13,7 @@
   number @0 :UInt64;
   wanted @1 :List(Wanted);
   relayed @2 :Bool;
+  spent @3 :List(Wanted);
 }
 
 struct Grant {
