Lend the parts of the rates to one control instance while no leader answers

The control instances now ask the one with the lowest number that they hear, and lend it their parts, which it admits from together. An instance that a leader answers accepts no loan. Parts are counted by entries alone: with one bucket for all of them, it does not matter where a customer's callers are.

--- a/include/mulberryrudder/control/roster.hpp
+++ b/include/mulberryrudder/control/roster.hpp
@@ -92,11 +92,11 @@
 public:
     virtual ~rate_division() = default;
 
-    /// Returns the part of a customer's rate that belongs to the entries which report to this
-    /// instance; nothing while it may not know all entries, or hears too few control instances.
-    /// The parts of all instances make up the rate, but for the time that an entry takes to change
-    /// its control instance.
-    virtual std::optional<per_mille> part_of(customer_id const& customer, instant now) const = 0;
+    /// Returns the part of each rate that belongs to the entries which report to this instance;
+    /// nothing while it may not know all entries, or hears too few control instances. The parts of
+    /// all instances make up the rate, but for the time that an entry takes to change its control
+    /// instance.
+    virtual std::optional<per_mille> part(instant now) const = 0;
 };
 
 } // namespace mulberryrudder::control
--- a/include/mulberryrudder/messages/quota.hpp
+++ b/include/mulberryrudder/messages/quota.hpp
@@ -19,6 +19,9 @@
     sequence_id number;
     std::map<customer_id, requests> wanted;
     bool relayed = false; ///< From a control instance; the receiver must not ask another one.
+    /// The sender's part of the rates, which the receiver may admit from while no leader answers;
+    /// nothing in a question to a leader.
+    std::optional<per_mille> part = std::nullopt;
     /// What the sender admitted from its parts of the rates while no leader answered, and did not
     /// tell yet.
     std::map<customer_id, requests> spent = {};
@@ -40,6 +43,7 @@
     sequence_id number; ///< Of the question.
     std::vector<quota_grant> grants;
     /// Customers that used up most of what they may send at once; nothing if no leader answered.
+    /// Without these, grants are from the parts of the rates.
     std::optional<std::vector<customer_id>> pressed;
 };
 
--- a/plugins/control/quota/question_relay.cpp
+++ b/plugins/control/quota/question_relay.cpp
@@ -12,13 +12,15 @@
     waiting_.push_back({.entry = entry, .question = std::move(question)});
 }
 
-messages::quota_question question_relay::join(sequence_id number, instant deadline)
+messages::quota_question question_relay::join(sequence_id number, instance_id recipient,
+                                              instant deadline)
 {
     messages::quota_question out{.number = number, .wanted = {}, .relayed = true};
     for (auto const& it : waiting_)
         for (auto const& [customer, wanted] : it.question.wanted)
             out.wanted[customer] += wanted;
-    awaited_[number] = {.parts = std::exchange(waiting_, {}), .deadline = deadline};
+    awaited_[number] = {
+        .recipient = recipient, .deadline = deadline, .parts = std::exchange(waiting_, {})};
     return out;
 }
 
@@ -63,19 +65,24 @@
     return out;
 }
 
-std::vector<question_relay::entry_question> question_relay::take_overdue(instant now)
+std::vector<question_relay::joined_question> question_relay::take_overdue(instant now)
 {
-    std::vector<entry_question> out;
+    std::vector<joined_question> out;
     std::erase_if(awaited_,
                   [&](auto& it)
                   {
                       if (it.second.deadline > now)
                           return false;
-                      std::move(it.second.parts.begin(), it.second.parts.end(),
-                                std::back_inserter(out));
+                      out.push_back(std::move(it.second));
                       return true;
                   });
     return out;
 }
 
+void question_relay::put_back(std::vector<entry_question> questions)
+{
+    std::move(waiting_.begin(), waiting_.end(), std::back_inserter(questions));
+    waiting_ = std::move(questions);
+}
+
 } // namespace mulberryrudder::control
--- a/plugins/control/quota/question_relay.hpp
+++ b/plugins/control/quota/question_relay.hpp
@@ -35,9 +35,17 @@
 
     bool is_empty() const { return waiting_.empty(); }
 
+    /// Questions that were joined into one.
+    struct joined_question
+    {
+        instance_id recipient;
+        instant deadline;
+        std::vector<entry_question> parts;
+    };
+
     /// Makes the next question. Its answer is awaited until `deadline`. Precondition: `number`
     /// differs from those of earlier questions.
-    messages::quota_question join(sequence_id number, instant deadline);
+    messages::quota_question join(sequence_id number, instance_id recipient, instant deadline);
 
     /// Divides an answer between the entries, in the order in which their questions arrived. An
     /// answer to no question that is awaited gives none.
@@ -50,16 +58,13 @@
     /// to it is awaited.
     std::vector<entry_question> take_joined(sequence_id number);
 
-    /// Removes the questions whose answers are overdue and returns them.
-    std::vector<entry_question> take_overdue(instant now);
+    /// Removes the joined questions whose answers are overdue and returns them.
+    std::vector<joined_question> take_overdue(instant now);
 
-private:
-    struct joined_question
-    {
-        std::vector<entry_question> parts;
-        instant deadline;
-    };
+    /// Adds questions that were taken back, before those that wait.
+    void put_back(std::vector<entry_question> questions);
 
+private:
     std::vector<entry_question> waiting_;
     std::map<sequence_id, joined_question> awaited_;
 };
--- a/plugins/control/quota/quota_keeper.cpp
+++ b/plugins/control/quota/quota_keeper.cpp
@@ -1,3 +1,4 @@
+#include "part_ledger.hpp"
 #include "question_relay.hpp"
 #include "quota_ledger.hpp"
 
@@ -10,12 +11,14 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace mulberryrudder::control
 {
@@ -49,10 +52,10 @@
                       "Least milliseconds between two questions to the leader, each of which joins "
                       "those of all entries that report to this instance."),
         kernel::field("answer_limit", &ledger_settings::answer_timeout, time_limits,
-                      "Milliseconds for which the leader's answer is awaited before this instance "
-                      "decides by its own part of the rates. Entries wait longer."),
+                      "Milliseconds for which an answer is awaited before another control instance "
+                      "is asked, or this one decides. Entries wait longer."),
         kernel::field("retry_period", &ledger_settings::retry_interval, time_limits,
-                      "Milliseconds after a missing answer in which that leader is not asked."),
+                      "Milliseconds after a missing answer in which that instance is not asked."),
     }};
 
 kernel::counter_kind const questions_counter{"quota.questions",
@@ -64,34 +67,50 @@
 kernel::counter_kind const refused_counter{
     "quota.refused", "Requests that were refused as the leader, over the customer's rate."};
 
-kernel::counter_kind const alone_counter{
-    "quota.decided_alone",
-    "Questions of entries that were decided by this instance's own part of the rates, since no "
-    "leader answered."};
-kernel::event_kind const alone_event{
+kernel::counter_kind const parts_counter{
+    "quota.decided_by_parts",
+    "Questions that this instance decided by parts of the rates, since no leader answered."};
+kernel::event_kind const authority_event{
     {.number = 760,
-     .name = "quota.leader_missing",
+     .name = "quota.authority_changed",
      .level = kernel::severity::warning,
-     .meaning = "This instance admits requests by its own part of the customers' rates since no "
-                "leader answers (`missing`), or asks the leader again; `part` is its part of the "
-                "rate that it last admitted from, in thousandths, -1 while it does not know it and "
-                "leaves the decision to the entries.",
-     .action = "Find out why there is no leader: see `replica.leader_missing`, and the connections "
-               "to the leader."}};
+     .meaning =
+         "Who admits the requests of this instance's entries: the leader, from the whole rates "
+         "(`leader`); while no leader answers, another control instance, to which the others lend "
+         "their parts of the rates (`substitute`), or this one (`own`). `part` is this instance's "
+         "part of the rates in thousandths, -1 while it does not know it and the entries decide.",
+     .action = "Unless the leader admits them, find out why there is none: see "
+               "`replica.leader_missing`, and the connections to the leader."}};
+
+/// Who admits the requests of this instance's entries.
+enum class authority : std::uint8_t
+{
+    leader,
+    substitute, ///< Another control instance, while no leader answers.
+    own         ///< This one, while no leader answers.
+};
+
+constexpr std::array<std::string_view, 3> authority_names{"leader", "substitute", "own"};
 
 /// Time for which the leader's last answer tells which customers used up most of their bursts.
 constexpr milliseconds pressed_lifetime{500};
+/// Time within which a control instance must have been heard to admit requests for this one: a few
+/// exchange intervals.
+constexpr milliseconds substitute_silence{500};
 
 /// Admits requests of customers with a rate: as the leader from the rate itself, else by asking
-/// the leader. While no leader answers, each instance admits from its part of the rates; entries
-/// hold such small parts that they would refuse most requests of a customer below its rate.
+/// the leader. While no leader answers, the control instances lend their parts of the rates to the
+/// one with the lowest number that they hear; one that gets no answer there either admits from its
+/// own part. Split over the entries, the rates would leave less than a request to each of them, and
+/// most requests of a customer below its rate would be refused.
 ///
 /// Thread safety: the decision core's thread.
 class quota_keeper final : public component
 {
 public:
     explicit quota_keeper(component_parts const& parts)
-        : services_(parts.services), config_(parts.config.get(ledger_section))
+        : services_(parts.services), config_(parts.config.get(ledger_section)),
+          parts_(config_.pooled_alone)
     {
     }
 
@@ -106,26 +125,21 @@
     {
         ledger_.emplace(config_.pooled, ctx.now);
         charge_.reset();
-        spent_.clear();
-        end_alone(ctx);
+        parts_.take_spent();
+        change_authority(authority::leader, ctx);
     }
 
     void following(context&) override { ledger_.reset(); }
 
     void tick(context& ctx) override
     {
-        if (auto const overdue = relay_.take_overdue(ctx.now); !overdue.empty())
-        {
-            take_back_charge();
-            silent_leader_ = asked_leader_;
-            ask_again_at_ = ctx.now + config_.retry_interval;
-            decide_alone(overdue, ctx);
-        }
+        for (auto& it : relay_.take_overdue(ctx.now))
+            ask_elsewhere(it.recipient, std::move(it.parts), ctx);
         relay_questions(ctx);
     }
 
 private:
-    /// What a question to the leader tells it of requests that were admitted here.
+    /// What a question to the leader tells it of requests that were admitted from parts.
     struct told_charge
     {
         sequence_id question;
@@ -136,11 +150,8 @@
     {
         if (acts_as_leader(ctx.now))
             return ctx.send(sender, decide_as_leader(question, ctx));
-        // The sender took this instance for the leader.
         if (question.relayed)
-            return ctx.send(sender, messages::quota_answer{.number = question.number,
-                                                           .grants = {},
-                                                           .pressed = std::nullopt});
+            return ctx.send(sender, decide_as_substitute(sender, question, ctx));
         ctx.counters.add(questions_counter);
         relay_.add(sender, question);
         relay_questions(ctx);
@@ -148,23 +159,45 @@
 
     void handle_answer(instance_id sender, messages::quota_answer const& answer, context& ctx)
     {
-        if (!answer.pressed)
-        {
-            take_back_charge();
-            return decide_alone(relay_.take_joined(answer.number), ctx);
-        }
+        if (!answer.pressed && answer.grants.empty())
+            return ask_elsewhere(sender, relay_.take_joined(answer.number), ctx);
         auto const replies = relay_.divide(answer);
         if (replies.empty())
             return;
+        silent_until_.erase(sender);
+        if (answer.pressed)
+            leader_answered(sender, answer, ctx);
+        else
+            change_authority(authority::substitute, ctx);
+        for (auto const& it : replies)
+            ctx.send(it.entry, it.answer);
+    }
+
+    void leader_answered(instance_id leader, messages::quota_answer const& answer, context& ctx)
+    {
         if (charge_ && charge_->question == answer.number)
             charge_.reset();
         pressed_ = {answer.pressed->begin(), answer.pressed->end()};
         pressed_until_ = ctx.now + pressed_lifetime;
-        answering_leader_ = sender;
-        silent_leader_.reset();
-        end_alone(ctx);
-        for (auto const& it : replies)
-            ctx.send(it.entry, it.answer);
+        answering_leader_ = leader;
+        change_authority(authority::leader, ctx);
+    }
+
+    /// Asks the next instance about questions that one did not decide.
+    void ask_elsewhere(instance_id undecided, std::vector<question_relay::entry_question> questions,
+                       context& ctx)
+    {
+        if (questions.empty())
+            return;
+        silent_until_[undecided] = ctx.now + config_.retry_interval;
+        if (charge_)
+        {
+            // The leader may not have been told, and is told again.
+            parts_.add_spent(charge_->spent);
+            charge_.reset();
+        }
+        relay_.put_back(std::move(questions));
+        relay_questions(ctx);
     }
 
     bool acts_as_leader(instant now) const
@@ -172,41 +205,87 @@
         return ledger_ && services_.require<replicated_log>().may_act(now);
     }
 
+    bool is_silent(instance_id id, instant now) const
+    {
+        auto const found = silent_until_.find(id);
+        return found != silent_until_.end() && now < found->second;
+    }
+
+    /// Returns the leader, unless it did not answer a moment ago.
+    std::optional<instance_id> answering_leader(instant now) const
+    {
+        auto const leader = services_.require<leader_directory>().leader(now);
+        return leader && !is_silent(*leader, now) ? leader : std::nullopt;
+    }
+
+    /// Returns the control instance that admits requests for all others that hear it; nothing if it
+    /// is this one, or did not answer a moment ago.
+    std::optional<instance_id> substitute(context const& ctx) const
+    {
+        auto lowest = ctx.self.self.id;
+        for (auto const& it :
+             services_.require<roster_view>().control_since(ctx.now - substitute_silence))
+            lowest = std::min(lowest, it.id);
+        return lowest == ctx.self.self.id || is_silent(lowest, ctx.now) ? std::nullopt
+                                                                        : std::optional(lowest);
+    }
+
+    std::optional<per_mille> own_part(instant now) const
+    {
+        return services_.require<rate_division>().part(now);
+    }
+
     messages::quota_answer decide_as_leader(messages::quota_question const& question, context& ctx)
     {
         charge(question.spent, ctx);
-        auto out = decide(
-            question, *ledger_, [](customer_id const&) { return std::optional(whole_share); }, ctx);
+        auto const admit = [&](plan_customer const& customer, requests wanted)
+        {
+            return messages::quota_grant{.customer = customer.id,
+                                         .admitted = ledger_->admit(customer, wanted, ctx.now),
+                                         .retry_after = ledger_->time_until_next(customer.id)};
+        };
+        auto out = decide(question, admit, ctx);
         out.pressed = ledger_->pressed_customers(ctx.now);
         return out;
     }
 
-    /// Decides questions by this instance's part of the rates. Where it does not know its part, the
-    /// answers are without grants, and the entries decide.
+    /// Answers without grants unless the sender lends its part and a leader does not answer here
+    /// either.
+    messages::quota_answer
+    decide_as_substitute(instance_id sender, messages::quota_question const& question, context& ctx)
+    {
+        bool const has_leader = authority_ == authority::leader && answering_leader(ctx.now);
+        if (!question.part || has_leader)
+            return {.number = question.number, .grants = {}, .pressed = std::nullopt};
+        change_authority(authority::own, ctx);
+        parts_.lend(sender, *question.part, ctx.now);
+        return decide_by_parts(question, ctx);
+    }
+
     void decide_alone(std::vector<question_relay::entry_question> const& questions, context& ctx)
     {
-        if (questions.empty())
-            return;
-        begin_alone(ctx);
-        ctx.counters.add(alone_counter, questions.size());
-        auto const& division = services_.require<rate_division>();
-        auto const part_of = [&](customer_id const& customer)
-        {
-            auto const part = division.part_of(customer, ctx.now);
-            last_part_ = part;
-            return part == per_mille() ? std::nullopt : part;
-        };
+        change_authority(authority::own, ctx);
         for (auto const& it : questions)
+            ctx.send(it.entry, decide_by_parts(it.question, ctx));
+    }
+
+    /// Answers without grants while no part of the rates is known; the entries decide then.
+    messages::quota_answer decide_by_parts(messages::quota_question const& question, context& ctx)
+    {
+        auto const part = parts_.available(own_part(ctx.now), ctx.now);
+        if (part == per_mille())
+            return {.number = question.number, .grants = {}, .pressed = std::nullopt};
+        ctx.counters.add(parts_counter);
+        auto const admit = [&](plan_customer const& customer, requests wanted)
         {
-            auto decided = decide(it.question, *part_ledger_, part_of, ctx);
-            for (auto const& granted : decided.grants)
-                if (granted.admitted != requests())
-                    spent_[granted.customer] += granted.admitted;
-            ctx.send(it.entry, std::move(decided));
-        }
+            return messages::quota_grant{.customer = customer.id,
+                                         .admitted = parts_.admit(customer, wanted, part, ctx.now),
+                                         .retry_after = parts_.time_until_next(customer.id)};
+        };
+        return decide(question, admit, ctx);
     }
 
-    /// Lets what other instances admitted from their parts of the rates count as admitted here.
+    /// Lets what other instances admitted from parts of the rates count as admitted here.
     void charge(std::map<customer_id, requests> const& spent, context& ctx)
     {
         auto const plan = services_.require<steering_view>().steering()->plan;
@@ -220,56 +299,38 @@
 
     /// Adds what one question at a time tells the leader. Another leader than the last one that
     /// answered began with nearly empty buckets, so it is not charged.
-    void add_charge(messages::quota_question& question)
+    void add_charge(messages::quota_question& question, instance_id leader)
     {
-        if (asked_leader_ != answering_leader_)
-            spent_.clear();
-        if (charge_ || spent_.empty())
+        if (charge_)
             return;
-        question.spent = std::exchange(spent_, {});
-        charge_ = {.question = question.number, .spent = question.spent};
+        question.spent = parts_.take_spent();
+        if (leader != answering_leader_)
+            question.spent.clear();
+        if (!question.spent.empty())
+            charge_ = {.question = question.number, .spent = question.spent};
     }
 
-    /// The leader may not have been told; it is told again.
-    void take_back_charge()
+    void change_authority(authority next, context& ctx)
     {
-        if (!charge_)
+        auto const previous = std::exchange(authority_, next);
+        if (previous == next)
             return;
-        for (auto const& [customer, count] : charge_->spent)
-            spent_[customer] += count;
-        charge_.reset();
+        // What a substitute left of the bursts is not known.
+        bool const knows_pressed = previous == authority::leader && ctx.now < pressed_until_;
+        if (next == authority::own)
+            parts_.open(knows_pressed ? std::optional(pressed_) : std::nullopt, ctx.now);
+        auto const part = own_part(ctx.now);
+        ctx.events.record(
+            authority_event,
+            {{"authority", std::string(authority_names.at(static_cast<std::size_t>(next)))},
+             {"part", std::to_string(part ? part->count() : -1)}});
     }
 
-    void begin_alone(context& ctx)
-    {
-        if (std::exchange(is_alone_, true))
-            return;
-        if (!part_ledger_)
-            part_ledger_.emplace(config_.pooled_alone, ctx.now);
-        part_ledger_->reopen(std::make_unique<balance_beside_a_leader>(
-                                 ctx.now < pressed_until_ ? std::optional(pressed_) : std::nullopt),
-                             ctx.now);
-        record_alone(ctx);
-    }
-
-    void end_alone(context& ctx)
-    {
-        if (std::exchange(is_alone_, false))
-            record_alone(ctx);
-    }
-
-    void record_alone(context& ctx) const
-    {
-        ctx.events.record(alone_event,
-                          {{"missing", is_alone_ ? "true" : "false"},
-                           {"part", std::to_string(last_part_ ? last_part_->count() : -1)}});
-    }
-
-    /// Admits requests from the parts of the rates that `part_of` returns; leaves out customers of
-    /// which it returns nothing.
-    template <class PartOf>
-    messages::quota_answer decide(messages::quota_question const& question, quota_ledger& ledger,
-                                  PartOf const& part_of, context& ctx) const
+    /// Grants what `admit` returns to each customer with a rate, and all to the others; leaves out
+    /// unknown customers.
+    template <class Admit>
+    messages::quota_answer decide(messages::quota_question const& question, Admit const& admit,
+                                  context& ctx) const
     {
         messages::quota_answer out{
             .number = question.number, .grants = {}, .pressed = std::nullopt};
@@ -279,9 +340,16 @@
         for (auto const& [id, wanted] : question.wanted)
         {
             auto const* const customer = find_customer(*plan, id);
-            auto const part = customer == nullptr ? std::nullopt : part_of(id);
-            if (part)
-                out.grants.push_back(grant(*customer, wanted, *part, ledger, ctx));
+            if (customer == nullptr)
+                continue;
+            auto const granted = customer->rate == millitokens_per_second()
+                                     ? messages::quota_grant{.customer = id, .admitted = wanted}
+                                     : admit(*customer, wanted);
+            ctx.counters.add(admitted_counter,
+                             static_cast<std::uint64_t>(granted.admitted.count()));
+            ctx.counters.add(refused_counter,
+                             static_cast<std::uint64_t>((wanted - granted.admitted).count()));
+            out.grants.push_back(granted);
         }
         return out;
     }
@@ -293,53 +361,37 @@
         return found == plan.customers.end() ? nullptr : &*found;
     }
 
-    static messages::quota_grant grant(plan_customer const& customer, requests wanted,
-                                       per_mille part, quota_ledger& ledger, context& ctx)
-    {
-        messages::quota_grant out{.customer = customer.id, .admitted = wanted};
-        if (customer.rate != millitokens_per_second())
-        {
-            out.admitted = ledger.admit(customer, wanted, ctx.now, part);
-            out.retry_after = ledger.time_until_next(customer.id);
-        }
-        ctx.counters.add(admitted_counter, static_cast<std::uint64_t>(out.admitted.count()));
-        ctx.counters.add(refused_counter,
-                         static_cast<std::uint64_t>((wanted - out.admitted).count()));
-        return out;
-    }
-
     void relay_questions(context& ctx)
     {
         if (relay_.is_empty() || ctx.now < next_relay_at_)
             return;
-        auto const leader = services_.require<leader_directory>().leader(ctx.now);
-        if (!leader || (leader == silent_leader_ && ctx.now < ask_again_at_))
+        auto const leader = answering_leader(ctx.now);
+        auto const part = leader ? std::nullopt : own_part(ctx.now);
+        auto const recipient = leader || !part ? leader : substitute(ctx);
+        if (!recipient)
             return decide_alone(relay_.take_waiting(), ctx);
-        asked_leader_ = leader;
         next_relay_at_ = ctx.now + config_.relay_interval;
         last_question_ = next_message_number(last_question_, ctx.random);
         ctx.counters.add(relayed_counter);
-        auto question = relay_.join(last_question_, ctx.now + config_.answer_timeout);
-        add_charge(question);
-        ctx.send(*leader, std::move(question));
+        auto question = relay_.join(last_question_, *recipient, ctx.now + config_.answer_timeout);
+        question.part = part;
+        if (leader)
+            add_charge(question, *leader);
+        ctx.send(*recipient, std::move(question));
     }
 
     kernel::service_map& services_;
     ledger_settings const& config_;
     std::optional<quota_ledger> ledger_; ///< While this instance leads.
-    /// Of this instance's part of the rates. Kept when a leader answers again, so that what was
-    /// admitted counts if that one soon stops.
-    std::optional<quota_ledger> part_ledger_;
-    std::map<customer_id, requests> spent_; ///< Admitted from it, and no leader was told.
-    std::optional<told_charge> charge_;     ///< On its way to the leader.
-    bool is_alone_ = false;                 ///< No leader answered the last questions.
-    std::optional<per_mille> last_part_;
-    std::set<customer_id> pressed_; ///< By the leader's last answer.
-    instant pressed_until_;         ///< When that answer is too old.
-    std::optional<instance_id> asked_leader_;
+    /// Kept when a leader answers again, so that what was admitted counts if that one soon stops.
+    part_ledger parts_;
+    std::optional<told_charge> charge_; ///< On its way to the leader.
+    authority authority_ = authority::leader;
+    std::set<customer_id> pressed_;               ///< By the leader's last answer.
+    instant pressed_until_;                       ///< When that answer is too old.
     std::optional<instance_id> answering_leader_; ///< The last one that answered.
-    std::optional<instance_id> silent_leader_;    ///< It did not answer the last question in time.
-    instant ask_again_at_;                        ///< Until then that leader is not asked.
+    /// Instances that did not decide a question, and until when they are not asked.
+    std::map<instance_id, instant> silent_until_;
     question_relay relay_;
     sequence_id last_question_;
     instant next_relay_at_;
--- a/plugins/control/roster/entry_table.cpp
+++ b/plugins/control/roster/entry_table.cpp
@@ -152,29 +152,13 @@
                       { return it.second.notice.ready && it.second.notice.who.domain == domain; }));
 }
 
-millitokens_per_second entry_table::demand_at(row const& entry, customer_id const& customer)
+per_mille entry_table::part_reported_since(instant cutoff) const
 {
-    auto const found = entry.notice.demand.find(customer);
-    return base_demand +
-           (found == entry.notice.demand.end() ? millitokens_per_second() : found->second);
-}
-
-millitokens_per_second entry_table::divided_demand(customer_id const& customer) const
-{
-    auto const found = total_demand_.find(customer);
-    auto const reported = found == total_demand_.end() ? 0 : found->second.count();
-    return millitokens_per_second(reported +
-                                  base_demand.count() * static_cast<std::int64_t>(rows_.size()));
-}
-
-per_mille entry_table::share_reported_since(instant cutoff, customer_id const& customer) const
-{
-    millitokens_per_second own;
-    for (auto const& [id, it] : rows_)
-        if (it.last_own_report >= cutoff)
-            own += demand_at(it, customer);
-    auto const all = std::max<std::int64_t>(divided_demand(customer).count(), 1);
-    return per_mille(own.count() * whole_share.count() / all);
+    auto const own =
+        std::count_if(rows_.begin(), rows_.end(),
+                      [cutoff](auto const& it) { return it.second.last_own_report >= cutoff; });
+    return per_mille(own * whole_share.count() /
+                     std::max<std::int64_t>(static_cast<std::int64_t>(rows_.size()), 1));
 }
 
 std::map<customer_id, per_mille> entry_table::shares_of(instance_id entry) const
@@ -183,9 +167,16 @@
     auto const own = rows_.find(entry);
     if (own == rows_.end())
         return out;
+    auto const base = base_demand.count();
+    auto const total_base = base * static_cast<std::int64_t>(rows_.size());
     for (auto const& [customer, sum] : total_demand_)
-        out[customer] = per_mille(demand_at(own->second, customer).count() * whole_share.count() /
-                                  divided_demand(customer).count());
+    {
+        auto const found = own->second.notice.demand.find(customer);
+        auto const own_demand =
+            found == own->second.notice.demand.end() ? 0 : found->second.count();
+        out[customer] =
+            per_mille((own_demand + base) * whole_share.count() / (sum.count() + total_base));
+    }
     return out;
 }
 
--- a/plugins/control/roster/entry_table.hpp
+++ b/plugins/control/roster/entry_table.hpp
@@ -53,9 +53,8 @@
     /// entries. Omits customers that no entry lists in its demand.
     std::map<customer_id, per_mille> shares_of(instance_id entry) const;
 
-    /// Returns the sum of the shares of the entries that reported to this instance themselves since
-    /// `cutoff`.
-    per_mille share_reported_since(instant cutoff, customer_id const& customer) const;
+    /// Returns the part of the entries that reported to this instance themselves since `cutoff`.
+    per_mille part_reported_since(instant cutoff) const;
 
     /// Returns the demand of each customer, summed over all entries. Entries list only
     /// customers with a high demand.
@@ -71,11 +70,6 @@
         instant whole_due = {};       ///< When it is forwarded whole although nothing changed.
     };
 
-    /// Returns by how much an entry counts when a customer's rate is divided.
-    static millitokens_per_second demand_at(row const& entry, customer_id const& customer);
-    /// Returns the sum of demand_at() over all entries.
-    millitokens_per_second divided_demand(customer_id const& customer) const;
-
     /// Replaces the row of an entry.
     void set_row(row replacement);
     /// Removes the demand of a notice from the sums.
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -271,11 +271,11 @@
         return found == nullptr ? std::nullopt : std::optional(found->operator_address);
     }
 
-    std::optional<per_mille> part_of(customer_id const& customer, instant now) const override
+    std::optional<per_mille> part(instant now) const override
     {
         if (now < entries_known_at_ || !is_connected(now))
             return std::nullopt;
-        return entries_.share_reported_since(now - own_report_lifetime, customer);
+        return entries_.part_reported_since(now - own_report_lifetime);
     }
 
 private:
--- a/plugins/peer/codecs/quota_codec.cpp
+++ b/plugins/peer/codecs/quota_codec.cpp
@@ -35,6 +35,9 @@
     to.setNumber(from.number.value());
     to.setRelayed(from.relayed);
     encode_counts(from.wanted, to.initWanted(size_of(from.wanted)));
+    to.setHasPart(from.part.has_value());
+    if (from.part)
+        to.setPart(static_cast<std::uint32_t>(from.part->count()));
     encode_counts(from.spent, to.initSpent(size_of(from.spent)));
 }
 
@@ -43,6 +46,8 @@
     messages::quota_question out{
         .number = sequence_id(from.getNumber()), .wanted = {}, .relayed = from.getRelayed()};
     decode_counts(from.getWanted(), out.wanted);
+    if (from.getHasPart())
+        out.part = per_mille(from.getPart());
     decode_counts(from.getSpent(), out.spent);
     return out;
 }
--- a/schemas/quota.capnp
+++ b/schemas/quota.capnp
@@ -14,6 +14,8 @@
   wanted @1 :List(Wanted);
   relayed @2 :Bool;
   spent @3 :List(Wanted);
+  hasPart @4 :Bool;
+  part @5 :UInt32;
 }
 
 struct Grant {
--- a/tests/control/quota/question_relay_test.cpp
+++ b/tests/control/quota/question_relay_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(questions_that_wait_can_be_taken_back);
     CPPUNIT_TEST(overdue_questions_are_taken_back_once);
     CPPUNIT_TEST(a_question_that_nobody_decided_is_taken_back_once);
+    CPPUNIT_TEST(questions_that_are_put_back_come_before_those_that_wait);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -80,12 +81,26 @@
         ask();
         CPPUNIT_ASSERT(relay_.take_overdue(instant(milliseconds(1'000'999))).empty());
         auto const taken = relay_.take_overdue(instant(seconds(1001)));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, taken.size());
-        CPPUNIT_ASSERT(taken.front().entry == instance_id(50));
-        CPPUNIT_ASSERT(taken.back().entry == instance_id(51));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, taken.size());
+        CPPUNIT_ASSERT(taken.front().recipient == instance_id(3));
+        auto const& parts = taken.front().parts;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, parts.size());
+        CPPUNIT_ASSERT(parts.front().entry == instance_id(50));
+        CPPUNIT_ASSERT(parts.back().entry == instance_id(51));
         CPPUNIT_ASSERT(relay_.take_overdue(instant(seconds(1001))).empty());
     }
 
+    void questions_that_are_put_back_come_before_those_that_wait()
+    {
+        ask();
+        relay_.add(instance_id(52), {.number = sequence_id(8), .wanted = {{office, requests(1)}}});
+        relay_.put_back(relay_.take_joined(sequence_id(100)));
+        auto const taken = relay_.take_waiting();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, taken.size());
+        CPPUNIT_ASSERT(taken.front().entry == instance_id(50));
+        CPPUNIT_ASSERT(taken.back().entry == instance_id(52));
+    }
+
     // Guards against requests that are decided twice: the receiver was no leader.
     void a_question_that_nobody_decided_is_taken_back_once()
     {
@@ -101,7 +116,7 @@
         relay_.add(instance_id(50), {.number = sequence_id(7), .wanted = {{office, requests(3)}}});
         relay_.add(instance_id(51), {.number = sequence_id(9),
                                      .wanted = {{office, requests(2)}, {shop, requests(1)}}});
-        return relay_.join(sequence_id(100), instant(seconds(1001)));
+        return relay_.join(sequence_id(100), instance_id(3), instant(seconds(1001)));
     }
 
     static messages::quota_answer answer(std::int64_t admitted)
--- a/tests/quota_fleet/quota_fleet.cpp
+++ b/tests/quota_fleet/quota_fleet.cpp
@@ -17,6 +17,8 @@
 
 constexpr milliseconds between_controls{20};
 constexpr milliseconds within_domain{1};
+/// Time after which control instances notice which others they do not hear.
+constexpr milliseconds silence_notice_time{500};
 /// Slots of time within a step, each of which brings at most one request.
 constexpr int draws_per_step = 100;
 
@@ -27,7 +29,8 @@
                                             public control::replicated_log,
                                             public control::leader_directory,
                                             public control::steering_view,
-                                            public control::rate_division
+                                            public control::rate_division,
+                                            public control::roster_view
 {
 public:
     explicit fake_fleet_state(control::component_parts const& parts)
@@ -36,6 +39,7 @@
         parts.services.provide<control::leader_directory>(*this);
         parts.services.provide<control::steering_view>(*this);
         parts.services.provide<control::rate_division>(*this);
+        parts.services.provide<control::roster_view>(*this);
         parts.services.provide<fake_fleet_state>(*this);
     }
 
@@ -49,7 +53,12 @@
     std::optional<endpoint> leader_address(instant) const override { return std::nullopt; }
     shared_steering steering() const override { return state; }
     void learn(shared_steering const&) override {}
-    std::optional<per_mille> part_of(customer_id const&, instant) const override { return part; }
+    std::optional<per_mille> part(instant) const override { return own_part; }
+    std::vector<version_id> versions_of(service_id const&) const override { return {}; }
+    slots capacity_of(service_id const&, version_id const&) const override { return {}; }
+    std::vector<instance_description> control_since(instant) const override { return others; }
+    std::optional<instant> control_last_heard(instance_id) const override { return std::nullopt; }
+    std::vector<messages::entry_notice> entry_notices() const override { return {}; }
 
     void tick(control::context& ctx) override
     {
@@ -65,7 +74,8 @@
 
     bool leads = false;
     std::optional<instance_id> other_leader;
-    std::optional<per_mille> part; ///< Of each rate.
+    std::optional<per_mille> own_part;        ///< Of each rate.
+    std::vector<instance_description> others; ///< Control instances that are heard.
     shared_steering state;
 
 private:
@@ -96,6 +106,7 @@
         entries_.push_back(make_entry(n));
     change_leader(0);
     divide_rates();
+    notice_silence();
 }
 
 quota_fleet::~quota_fleet() = default;
@@ -135,6 +146,7 @@
 {
     for (std::size_t n = 0; n != controls_.size(); ++n)
         controls_.at(n) = make_control(n);
+    notice_silence();
 }
 
 void quota_fleet::restart_entries(std::set<std::size_t> const& entries)
@@ -155,7 +167,7 @@
         plan.share = whole_share;
     }
     for (auto const& it : controls_)
-        it->services().require<fake_fleet_state>().part.reset();
+        it->services().require<fake_fleet_state>().own_part.reset();
 }
 
 void quota_fleet::tell_entries()
@@ -178,13 +190,41 @@
     divide_rates();
 }
 
+void quota_fleet::isolate(std::set<std::size_t> const& controls)
+{
+    isolated_ = controls;
+    notice_silence_at_ = now_ + silence_notice_time;
+}
+
+void quota_fleet::partition(std::set<std::size_t> const& group)
+{
+    partition_group_ = group;
+    notice_silence_at_ = now_ + silence_notice_time;
+}
+
+void quota_fleet::notice_silence()
+{
+    for (std::size_t n = 0; n != controls_.size(); ++n)
+    {
+        auto& others = controls_.at(n)->services().require<fake_fleet_state>().others;
+        others.clear();
+        for (std::size_t other = 0; other != controls_.size(); ++other)
+        {
+            instance_description described;
+            described.id = control_id(other);
+            if (other != n && !is_dropped({.from = described.id, .to = control_id(n), .body = {}}))
+                others.push_back(described);
+        }
+    }
+}
+
 void quota_fleet::divide_rates()
 {
     std::map<instance_id, std::int64_t> counts;
     for (auto const& it : entries_)
         ++counts[*it->services().find<entry::testing::fake_plan>()->current_control];
     for (std::size_t n = 0; n != controls_.size(); ++n)
-        controls_.at(n)->services().require<fake_fleet_state>().part =
+        controls_.at(n)->services().require<fake_fleet_state>().own_part =
             per_mille(counts[control_id(n)] * whole_share.count() /
                       static_cast<std::int64_t>(entries_.size()));
 }
@@ -214,6 +254,8 @@
     for (span elapsed{0}; elapsed < duration; elapsed += step)
     {
         now_ += step;
+        if (now_ >= notice_silence_at_)
+            notice_silence();
         admitted_.push_back(0);
         refused_.push_back(0);
         deliver();
--- a/tests/quota_fleet/quota_fleet.hpp
+++ b/tests/quota_fleet/quota_fleet.hpp
@@ -42,10 +42,10 @@
     /// is silent or hears too few others.
     void attach_entries(std::vector<std::size_t> const& controls);
     /// Lets these control instances lose all messages from and to them.
-    void isolate(std::set<std::size_t> const& controls) { isolated_ = controls; }
+    void isolate(std::set<std::size_t> const& controls);
     /// Lets control instances lose all messages between this group and the others. Entries reach
     /// both groups.
-    void partition(std::set<std::size_t> const& group) { partition_group_ = group; }
+    void partition(std::set<std::size_t> const& group);
     /// Makes another control instance the leader.
     void change_leader(std::size_t control);
     /// Leaves no control instance the leader.
@@ -85,6 +85,8 @@
         envelope message;
     };
 
+    /// Tells each control instance which others it hears.
+    void notice_silence();
     /// Tells each control instance its part of the rates, by the entries that report to it.
     void divide_rates();
     std::unique_ptr<control::core> make_control(std::size_t n);
@@ -118,6 +120,7 @@
     std::set<request_id> watched_; ///< Unanswered requests of the watched customer.
     std::uint64_t last_request_ = 0;
     instant now_{seconds(1000)};
+    instant notice_silence_at_ = never;
 };
 
 } // namespace mulberryrudder::testing
