--- a/tests/control/roster/entry_table_test.cpp
+++ b/tests/control/roster/entry_table_test.cpp
@@ -35,6 +35,8 @@
     CPPUNIT_TEST(an_entry_that_reports_elsewhere_without_a_change_does_not_expire);
     CPPUNIT_TEST(rates_are_divided_in_proportion_to_demand);
     CPPUNIT_TEST(demand_follows_the_newest_notices);
+    CPPUNIT_TEST(the_own_part_counts_entries_that_report_to_this_instance);
+    CPPUNIT_TEST(an_entry_that_changes_its_control_instance_leaves_the_own_part);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -139,6 +141,22 @@
         CPPUNIT_ASSERT(table_.demand().empty());
     }
 
+    void the_own_part_counts_entries_that_report_to_this_instance()
+    {
+        table_.update_from_control(entry(4, "e", "e-b"), now_);
+        CPPUNIT_ASSERT(table_.part_reported_since(now_) == per_mille(750));
+    }
+
+    // Guards against QUOTA: an entry would belong to the parts of two control instances.
+    void an_entry_that_changes_its_control_instance_leaves_the_own_part()
+    {
+        auto const left = now_ + milliseconds(1500);
+        table_.update_from_entry(entry(1, "m", "m-a"), left);
+        table_.update_from_entry(entry(2, "m", "m-b"), left);
+        table_.update_from_control(entry(3, "e", "e-a"), left);
+        CPPUNIT_ASSERT(table_.part_reported_since(left - seconds(1)) == per_mille(666));
+    }
+
 private:
     void expect_nothing_to_forward()
     {
--- a/tests/control/steering/steering_codec_test.cpp
+++ b/tests/control/steering/steering_codec_test.cpp
@@ -1,5 +1,6 @@
 #include <mulberryrudder/control/steering.hpp>
 #include <mulberryrudder/fleet/steering_difference.hpp>
+#include <mulberryrudder/messages/quota.hpp>
 #include <mulberryrudder/messages/roster.hpp>
 #include <mulberryrudder/wire/codec.hpp>
 
@@ -106,6 +107,7 @@
     CPPUNIT_TEST(an_update_without_the_fleet_omits_its_figures);
     CPPUNIT_TEST(a_change_of_one_route_is_sent_without_the_rest_of_the_plan);
     CPPUNIT_TEST(a_probe_and_its_reply_round_trip);
+    CPPUNIT_TEST(a_question_for_admissions_keeps_its_part_and_its_account);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -257,6 +259,23 @@
         CPPUNIT_ASSERT(decoded_reply.generation == reply.generation);
         CPPUNIT_ASSERT(decoded_reply.connected && decoded_reply.current);
     }
+
+    void a_question_for_admissions_keeps_its_part_and_its_account()
+    {
+        messages::quota_question question{.number = sequence_id(7),
+                                          .wanted = {{customer_id("c"), requests(3)}},
+                                          .relayed = true,
+                                          .part = per_mille(111),
+                                          .spent = {{customer_id("d"), requests(5)}}};
+        auto const copy = round_trip(question);
+        CPPUNIT_ASSERT(copy.number == question.number);
+        CPPUNIT_ASSERT(copy.wanted == question.wanted);
+        CPPUNIT_ASSERT(copy.relayed);
+        CPPUNIT_ASSERT(copy.part == question.part);
+        CPPUNIT_ASSERT(copy.spent == question.spent);
+        question.part.reset();
+        CPPUNIT_ASSERT(!round_trip(question).part);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(steering_codec_test);
