--- a/plugins/control/quota/quota_keeper.cpp
+++ b/plugins/control/quota/quota_keeper.cpp
@@ -61,11 +61,14 @@
 kernel::counter_kind const questions_counter{"quota.questions",
                                              "Questions of entries whether to admit requests."};
 kernel::counter_kind const relayed_counter{
-    "quota.relayed", "Questions to the leader that join those of several entries."};
-kernel::counter_kind const admitted_counter{"quota.admitted",
-                                            "Requests that were admitted as the leader."};
+    "quota.relayed",
+    "Questions to the leader, or to a substitute, that join those of several entries."};
+kernel::counter_kind const admitted_counter{
+    "quota.admitted", "Requests that were admitted as the leader or from parts of the rates."};
 kernel::counter_kind const refused_counter{
-    "quota.refused", "Requests that were refused as the leader, over the customer's rate."};
+    "quota.refused",
+    "Requests that were refused as the leader or beyond parts of the rates, over the "
+    "customer's rate."};
 
 kernel::counter_kind const parts_counter{
     "quota.decided_by_parts",
@@ -249,13 +252,14 @@
         return out;
     }
 
-    /// Answers without grants unless the sender lends its part and a leader does not answer here
-    /// either.
+    /// Answers without grants unless the sender lends its part, a leader does not answer here
+    /// either, and this instance does not lend its own part.
     messages::quota_answer
     decide_as_substitute(instance_id sender, messages::quota_question const& question, context& ctx)
     {
         bool const has_leader = authority_ == authority::leader && answering_leader(ctx.now);
-        if (!question.part || has_leader)
+        bool const lends = authority_ == authority::substitute && substitute(ctx);
+        if (!question.part || has_leader || lends)
             return {.number = question.number, .grants = {}, .pressed = std::nullopt};
         change_authority(authority::own, ctx);
         parts_.lend(sender, *question.part, ctx.now);
