--- a/plugins/entry/quota/quota_stage.cpp
+++ b/plugins/entry/quota/quota_stage.cpp
@@ -62,6 +62,9 @@
 /// that start at once. Fleets of up to this part's inverse keep the rates.
 constexpr per_mille share_in_unknown_fleet{1};
 
+/// Recipient of a question that waits for a control instance.
+constexpr instance_id nobody{};
+
 /// Time over which demand is averaged: long enough for a few requests of a customer
 /// with a small rate, short against a change of where its callers are.
 constexpr milliseconds demand_window{1000};
@@ -80,7 +83,7 @@
 enum class own_decision : std::uint8_t
 {
     part_suffices,   ///< The part is large enough to be of use.
-    control_unknown, ///< No control instance answers this instance's reports.
+    control_unknown, ///< No control instance was found in time.
     no_answer,       ///< Control did not answer this request's question in time.
     no_leader        ///< Control answered that nobody could decide.
 };
@@ -121,9 +124,7 @@
             it.bucket.burst().count() < config_.ask_below.count() * request_cost.count();
         if (!is_part_small)
             return admit_by_own_part(what, own_decision::part_suffices, with);
-        if (!services_.require<plan_view>().control())
-            return admit_by_own_part(what, own_decision::control_unknown, with);
-        // Control may answer again at any moment, so what the part does not cover is asked for.
+        // Control may answer at any moment, so what the part does not cover waits for it.
         if (is_control_silent(with.now) && it.bucket.take(request_cost))
             return proceed{};
         questions_.add(what.payer->id, what.id);
@@ -137,7 +138,16 @@
         dispatch(*this, table, message, with);
     }
 
-    void tick(context& with) override { end_overdue_question(with); }
+    void tick(context& with) override
+    {
+        auto const recipient = questions_.recipient();
+        if (recipient == nobody && services_.require<plan_view>().control())
+        {
+            questions_.repeat();
+            ask(with);
+        }
+        end_overdue_question(with);
+    }
 
 private:
     struct account
@@ -147,25 +157,27 @@
         millitokens_per_second average;
     };
 
-    /// Returns whether the control instance did not answer a question a moment ago.
+    /// Returns whether there is no control instance, or it did not answer a question a moment ago.
     bool is_control_silent(instant now)
     {
-        return silent_control_ && services_.require<plan_view>().control() == silent_control_ &&
-               now < silent_until_;
+        auto const control = services_.require<plan_view>().control();
+        return !control || (control == silent_control_ && now < silent_until_);
     }
 
-    /// Asks control to admit the requests that wait, unless a question is on its way.
+    /// Asks control to admit the requests that wait, unless a question is on its way. Without a
+    /// control instance, the question waits for one until its deadline.
     void ask(context& with)
     {
         if (!questions_.can_ask())
             return;
         auto const control = services_.require<plan_view>().control();
-        if (!control)
-            return decide_alone(questions_.give_up(), own_decision::control_unknown, with);
         last_question_ = next_message_number(last_question_, with.random);
+        auto question = questions_.ask(control.value_or(nobody), last_question_,
+                                       with.now + config_.answer_timeout);
+        if (!control)
+            return;
         with.counters.add(asked_counter);
-        with.send(*control,
-                  questions_.ask(*control, last_question_, with.now + config_.answer_timeout));
+        with.send(*control, std::move(question));
     }
 
     void handle_answer(instance_id sender, messages::quota_answer const& answer, context& with)
@@ -240,6 +252,11 @@
     {
         if (!questions_.is_overdue(with.now))
             return false;
+        if (questions_.recipient() == nobody)
+        {
+            decide_alone(questions_.give_up(), own_decision::control_unknown, with);
+            return true;
+        }
         with.counters.add(unanswered_counter);
         silent_control_ = questions_.recipient();
         silent_until_ = with.now + config_.silence_interval;
--- a/tests/quota_fleet/quota_fleet.cpp
+++ b/tests/quota_fleet/quota_fleet.cpp
@@ -190,6 +190,12 @@
     divide_rates();
 }
 
+void quota_fleet::detach_entries()
+{
+    for (auto const& it : entries_)
+        it->services().find<entry::testing::fake_plan>()->current_control.reset();
+}
+
 void quota_fleet::isolate(std::set<std::size_t> const& controls)
 {
     isolated_ = controls;
--- a/tests/quota_fleet/quota_fleet.hpp
+++ b/tests/quota_fleet/quota_fleet.hpp
@@ -41,6 +41,8 @@
     /// Lets all entries report to these control instances, in turn, as they do once their own one
     /// is silent or hears too few others.
     void attach_entries(std::vector<std::size_t> const& controls);
+    /// Leaves all entries without a control instance, as while they search for one.
+    void detach_entries();
     /// Lets these control instances lose all messages from and to them.
     void isolate(std::set<std::size_t> const& controls);
     /// Lets control instances lose all messages between this group and the others. Entries reach
--- a/tests/quota_fleet/quota_fleet_test.cpp
+++ b/tests/quota_fleet/quota_fleet_test.cpp
@@ -61,6 +61,8 @@
     CPPUNIT_TEST(a_customer_below_its_rate_is_seldom_refused_while_control_has_no_leader);
     CPPUNIT_TEST(a_customer_below_its_rate_is_seldom_refused_while_its_leader_is_silent);
     CPPUNIT_TEST(a_customer_below_its_rate_is_seldom_refused_after_an_answer_was_lost);
+    CPPUNIT_TEST(a_customer_below_its_rate_is_seldom_refused_while_entries_search_for_control);
+    CPPUNIT_TEST(entries_that_find_no_control_refuse_within_an_answer_limit);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -382,6 +384,39 @@
                            });
     }
 
+    // Guards against SHORT: entries that had not chosen a control instance yet, as after a start of
+    // all, refused at once what their own parts did not cover.
+    void a_customer_below_its_rate_is_seldom_refused_while_entries_search_for_control()
+    {
+        for (auto const rate : rates_of_most)
+            check_refusals(rate,
+                           [](quota_fleet& fleet)
+                           {
+                               for (int n = 0; n != 4; ++n)
+                               {
+                                   fleet.detach_entries();
+                                   fleet.run(milliseconds(200), usual_load);
+                                   fleet.attach_entries({0, 1, 2, 3, 4, 5, 6, 7, 8});
+                                   fleet.run(milliseconds(1300), usual_load);
+                               }
+                           });
+    }
+
+    void entries_that_find_no_control_refuse_within_an_answer_limit()
+    {
+        quota_fleet fleet({.rate = 240, .seed = 1});
+        fleet.run(seconds(5), usual_load);
+        fleet.detach_entries();
+        fleet.run(milliseconds(500), excessive_load);
+        auto const decided = sum_of(fleet.admitted()) + sum_of(fleet.refused());
+        // What was sent in the last answer limit, and the tick after it, may still wait.
+        fleet.run(milliseconds(260), per_mille(0));
+        auto const all = sum_of(fleet.admitted()) + sum_of(fleet.refused());
+        CPPUNIT_ASSERT(decided < all);
+        fleet.run(seconds(2), per_mille(0));
+        CPPUNIT_ASSERT_EQUAL(all, sum_of(fleet.admitted()) + sum_of(fleet.refused()));
+    }
+
 private:
     /// Checks that at most a twentieth of a customer's requests are refused in a disturbance.
     static void check_refusals(std::int64_t rate, std::function<void(quota_fleet&)> const& disturb)
