Count what entries admit by their own parts of rates and what control admits

Cause: nothing told how many requests of a customer each path admits, so the hypotheses P1 and P2 of rate-parts could be told apart by refusals only. Change: the counters quota.admitted_alone and quota.admitted_by_control.

--- a/plugins/entry/quota/quota_stage.cpp
+++ b/plugins/entry/quota/quota_stage.cpp
@@ -96,6 +96,11 @@
 kernel::counter_kind const unanswered_counter{
     "quota.unanswered", "Questions to control that were not answered in time."};
 
+kernel::counter_kind const admitted_alone_counter{
+    "quota.admitted_alone", "Requests that were admitted by this instance's own parts of rates."};
+kernel::counter_kind const admitted_by_control_counter{
+    "quota.admitted_by_control", "Requests that a control instance admitted."};
+
 /// Holds each customer to its rate. Control divides the rate by what is asked at each instance, so
 /// the parts follow the callers. Where the parts of many instances are too small to be of use,
 /// the leader of control admits the requests; while it does not answer, the parts apply.
@@ -126,7 +131,10 @@
             return admit_by_own_part(what, own_decision::part_suffices, with);
         // Control may answer at any moment, so what the part does not cover waits for it.
         if (is_control_silent(with.now) && it.bucket.take(request_cost))
+        {
+            with.counters.add(admitted_alone_counter);
             return proceed{};
+        }
         questions_.add(what.payer->id, what.id);
         ask(with);
         return wait{};
@@ -235,6 +243,7 @@
             if (left > requests())
             {
                 left -= requests(1);
+                with.counters.add(admitted_by_control_counter);
                 with.flow.resume(id);
                 continue;
             }
@@ -292,7 +301,10 @@
         auto& it = accounts_[what.payer->id];
         reshape(it, *what.payer, with);
         if (it.bucket.take(request_cost))
+        {
+            with.counters.add(admitted_alone_counter);
             return proceed{};
+        }
         what.why =
             "rate=" + std::to_string(it.bucket.rate().count()) +
             " burst=" + std::to_string(it.bucket.burst().count()) + " share=" +
