--- a/tests/quota_fleet/quota_fleet.cpp
+++ b/tests/quota_fleet/quota_fleet.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <map>
-#include <numeric>
 #include <utility>
 
 namespace mulberryrudder::testing
@@ -262,8 +261,7 @@
         now_ += step;
         if (now_ >= notice_silence_at_)
             notice_silence();
-        admitted_.push_back(0);
-        refused_.push_back(0);
+        record_.begin_step();
         deliver();
         send_requests(config_.rate * load.count(), "key");
         send_requests(config_.others * whole_share.count(), "other key");
@@ -332,8 +330,7 @@
                 if (watched_.erase(ended->id) == 0)
                     continue;
                 auto const& why = *std::get<entry::refused>(ended->what).why;
-                auto& count = why.what().status == 429 ? refused_ : admitted_;
-                ++count.back();
+                record_.add(why.what().status != 429);
                 continue;
             }
             if (auto const* const sent = std::get_if<entry::send_message>(&it))
@@ -385,25 +382,6 @@
     }
 }
 
-int quota_fleet::most_in_window() const
-{
-    auto const length = std::min<std::size_t>(seconds(5) / step, admitted_.size());
-    auto sum = std::accumulate(admitted_.begin(),
-                               admitted_.begin() + static_cast<std::ptrdiff_t>(length), 0);
-    int most = sum;
-    for (std::size_t n = length; n != admitted_.size(); ++n)
-    {
-        sum += admitted_.at(n) - admitted_.at(n - length);
-        most = std::max(most, sum);
-    }
-    return most;
-}
-
-int quota_fleet::tolerated() const
-{
-    return static_cast<int>((config_.rate * 5 + config_.rate) * 11 / 10 + 20);
-}
-
 std::uint64_t quota_fleet::counter(std::string_view name) const
 {
     for (auto const& [each, value] : counters_.snapshot())
--- a/tests/quota_fleet/quota_fleet.hpp
+++ b/tests/quota_fleet/quota_fleet.hpp
@@ -1,6 +1,7 @@
 #ifndef MULBERRYRUDDER_TESTS_QUOTA_FLEET_QUOTA_FLEET_HPP
 #define MULBERRYRUDDER_TESTS_QUOTA_FLEET_QUOTA_FLEET_HPP
 
+#include "admission_record.hpp"
 #include "tests/entry/plan_stages/plan_bench.hpp"
 
 #include <mulberryrudder/control/core.hpp>
@@ -64,20 +65,13 @@
     /// Suspends entries; their messages wait for them.
     void suspend(std::set<std::size_t> const& entries) { suspended_ = entries; }
 
-    /// Requests of the watched customer in each step of `step`, from the start on.
-    std::vector<int> const& admitted() const { return admitted_; }
-    std::vector<int> const& refused() const { return refused_; }
-
-    /// Returns the largest number of admitted requests in any five seconds.
-    int most_in_window() const;
-    /// Returns the limit QUOTA on that number: the rate for five seconds and the burst, plus a
-    /// tenth, plus 20 requests.
-    int tolerated() const;
+    /// What happened to the requests of the watched customer.
+    admission_record const& record() const { return record_; }
 
     /// Returns the value of a counter that all instances share.
     std::uint64_t counter(std::string_view name) const;
 
-    static constexpr milliseconds step{10};
+    static constexpr milliseconds step = admission_record::step;
 
 private:
     class fake_fleet_state;
@@ -117,8 +111,7 @@
     std::set<std::size_t> isolated_;
     std::set<std::size_t> partition_group_;
     std::set<std::size_t> suspended_;
-    std::vector<int> admitted_;
-    std::vector<int> refused_;
+    admission_record record_;
     std::set<request_id> watched_; ///< Unanswered requests of the watched customer.
     std::uint64_t last_request_ = 0;
     instant now_{seconds(1000)};
--- a/tests/quota_fleet/quota_fleet_test.cpp
+++ b/tests/quota_fleet/quota_fleet_test.cpp
@@ -74,8 +74,8 @@
         {
             quota_fleet fleet({.rate = 9, .seed = seed});
             fleet.run(seconds(60), usual_load);
-            auto const refused = sum_of(fleet.refused());
-            auto const all = refused + sum_of(fleet.admitted());
+            auto const refused = sum_of(fleet.record().refused());
+            auto const all = refused + sum_of(fleet.record().admitted());
             CPPUNIT_ASSERT(all > 250);
             CPPUNIT_ASSERT_MESSAGE(std::to_string(refused) + " of " + std::to_string(all),
                                    refused * 20 <= all);
@@ -209,10 +209,10 @@
     {
         quota_fleet fleet({.rate = 240, .seed = 1});
         fleet.run(seconds(5), usual_load);
-        auto const before = sum_of(fleet.admitted());
+        auto const before = sum_of(fleet.record().admitted());
         fleet.isolate({0, 1, 2, 3, 4, 5, 6, 7, 8});
         fleet.run(seconds(5), usual_load);
-        auto const admitted = sum_of(fleet.admitted()) - before;
+        auto const admitted = sum_of(fleet.record().admitted()) - before;
         CPPUNIT_ASSERT_MESSAGE(std::to_string(admitted), admitted > 240 * 5 * 63 / 100 / 2);
     }
 
@@ -225,7 +225,7 @@
         for (std::size_t n = 0; n != 182; ++n)
             all.insert(n);
         fleet.run(milliseconds(10), excessive_load);
-        CPPUNIT_ASSERT_EQUAL_MESSAGE("all wait", 0, sum_of(fleet.admitted()));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("all wait", 0, sum_of(fleet.record().admitted()));
         auto const asked = fleet.counter("quota.asked");
         fleet.suspend(all);
         fleet.run(seconds(3), per_mille(0));
@@ -320,8 +320,8 @@
                 fleet.run(seconds(2), usual_load);
                 fleet.tell_entries();
                 fleet.run(seconds(47), usual_load);
-                auto const refused = sum_of(fleet.refused());
-                auto const all = refused + sum_of(fleet.admitted());
+                auto const refused = sum_of(fleet.record().refused());
+                auto const all = refused + sum_of(fleet.record().admitted());
                 CPPUNIT_ASSERT_MESSAGE(std::to_string(refused) + " of " + std::to_string(all) +
                                            ", rate " + std::to_string(rate),
                                        refused * 20 <= all || rate < 9);
@@ -408,13 +408,14 @@
         fleet.run(seconds(5), usual_load);
         fleet.detach_entries();
         fleet.run(milliseconds(500), excessive_load);
-        auto const decided = sum_of(fleet.admitted()) + sum_of(fleet.refused());
+        auto const decided = sum_of(fleet.record().admitted()) + sum_of(fleet.record().refused());
         // What was sent in the last answer limit, and the tick after it, may still wait.
         fleet.run(milliseconds(260), per_mille(0));
-        auto const all = sum_of(fleet.admitted()) + sum_of(fleet.refused());
+        auto const all = sum_of(fleet.record().admitted()) + sum_of(fleet.record().refused());
         CPPUNIT_ASSERT(decided < all);
         fleet.run(seconds(2), per_mille(0));
-        CPPUNIT_ASSERT_EQUAL(all, sum_of(fleet.admitted()) + sum_of(fleet.refused()));
+        CPPUNIT_ASSERT_EQUAL(all,
+                             sum_of(fleet.record().admitted()) + sum_of(fleet.record().refused()));
     }
 
 private:
@@ -427,11 +428,11 @@
         {
             quota_fleet fleet({.rate = rate, .seed = seed});
             fleet.run(seconds(10), usual_load);
-            auto const refused_before = sum_of(fleet.refused());
-            auto const admitted_before = sum_of(fleet.admitted());
+            auto const refused_before = sum_of(fleet.record().refused());
+            auto const admitted_before = sum_of(fleet.record().admitted());
             disturb(fleet);
-            refused += sum_of(fleet.refused()) - refused_before;
-            all += sum_of(fleet.admitted()) - admitted_before;
+            refused += sum_of(fleet.record().refused()) - refused_before;
+            all += sum_of(fleet.record().admitted()) - admitted_before;
         }
         all += refused;
         CPPUNIT_ASSERT_MESSAGE(std::to_string(refused) + " of " + std::to_string(all) + ", rate " +
@@ -460,11 +461,12 @@
 
     static void check_window(quota_fleet const& fleet, std::int64_t rate, std::uint64_t seed)
     {
-        auto const most = fleet.most_in_window();
-        CPPUNIT_ASSERT_MESSAGE(std::to_string(most) + " of " + std::to_string(fleet.tolerated()) +
+        auto const most = fleet.record().most_in_window();
+        auto const tolerated = admission_record::tolerated(rate);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most) + " of " + std::to_string(tolerated) +
                                    ", rate " + std::to_string(rate) + ", seed " +
                                    std::to_string(seed),
-                               most <= fleet.tolerated());
+                               most <= tolerated);
     }
 };
 
--- a/tests/roster_fleet/roster_fleet.cpp
+++ b/tests/roster_fleet/roster_fleet.cpp
@@ -13,8 +13,10 @@
 using control::testing::fake_log;
 using messages::target_standing;
 
-constexpr milliseconds step{10};
+constexpr milliseconds step = admission_record::step;
 constexpr milliseconds latency{20};
+/// Slots of time within a step, each of which brings at most one request.
+constexpr int draws_per_step = 100;
 /// Time between two announcements of a target.
 constexpr milliseconds announcement_interval{1500};
 
@@ -41,16 +43,25 @@
     return target_id("t" + std::to_string(target));
 }
 
-std::shared_ptr<traffic_plan const> first_plan()
+/// Returns a plan with a customer of this rate in requests a second, or without a customer.
+std::shared_ptr<traffic_plan const> first_plan(std::int64_t rate)
 {
     traffic_plan out{.number = plan_number(1)};
     out.services = {{.id = service_id("desk"), .health_path = {}, .most_connections = {}}};
     out.routes = {{.id = route_id("r"),
                    .host = "h",
                    .path_prefix = "/",
-                   .timeout = milliseconds(100),
+                   .timeout = seconds(2),
                    .services = {{service_id("desk"), weight(1)}},
                    .homes = {}}};
+    if (rate != 0)
+        out.customers = {{.id = customer_id("office"),
+                          .keys = {sha256("key")},
+                          .rank = std::nullopt,
+                          .rate = millitokens_per_second(rate * 1000),
+                          .burst = millitokens(rate * 1000),
+                          .homes = {}}};
+    out.keyed = rate != 0;
     out.source = "plan 1";
     return std::make_shared<traffic_plan const>(std::move(out));
 }
@@ -142,6 +153,15 @@
     controls_.at(control)->services().require<fake_log>().takes_the_lead = true;
 }
 
+void roster_fleet::remove_leader()
+{
+    for (auto const& it : controls_)
+    {
+        auto& log = it->services().require<fake_log>();
+        log.step_down = std::exchange(log.leads, false);
+    }
+}
+
 void roster_fleet::apply_committed(std::size_t control, std::size_t count)
 {
     auto& log = controls_.at(control)->services().require<fake_log>();
@@ -223,8 +243,10 @@
     for (span elapsed{0}; elapsed < duration; elapsed += step)
     {
         now_ += step;
+        record_.begin_step();
         deliver();
         announce_targets();
+        send_requests();
         for (std::size_t n = 0; n != controls_.size(); ++n)
         {
             control::effects out;
@@ -241,6 +263,44 @@
     }
 }
 
+void roster_fleet::set_load(per_mille load, std::vector<std::size_t> entries)
+{
+    load_ = load;
+    loaded_entries_ = std::move(entries);
+}
+
+/// Sends the requests of a step. They arrive at random, so their number varies. Integer arithmetic
+/// gives the same schedule on all machines.
+void roster_fleet::send_requests()
+{
+    if (loaded_entries_.empty())
+        return;
+    std::uniform_int_distribution<std::int64_t> draw(0,
+                                                     std::int64_t{1'000'000} * draws_per_step - 1);
+    std::uniform_int_distribution<std::size_t> choose(0, loaded_entries_.size() - 1);
+    for (int n = 0; n != draws_per_step; ++n)
+        if (draw(random_) < config_.rate * load_.count() * step.count())
+            send_request(loaded_entries_.at(choose(random_)));
+}
+
+void roster_fleet::send_request(std::size_t entry)
+{
+    call const content{.method = call_method::get, .path = "/x", .fields = {}, .body = {}};
+    entry::request_arrived const arrived{.id = request_id(++last_request_),
+                                         .key = sha256("key"),
+                                         .route = {},
+                                         .content = std::make_shared<call const>(content),
+                                         .idempotency_key = std::nullopt,
+                                         .client = {},
+                                         .deadline = now_ + seconds(4),
+                                         .host = "h:80",
+                                         .object = {},
+                                         .caller_reference = {}};
+    entry::effects out;
+    entries_.at(entry)->handle(now_, arrived, out);
+    process(out);
+}
+
 template <class Effects>
 void roster_fleet::process(Effects const& effects)
 {
@@ -255,6 +315,9 @@
         }
         else if (auto const* const sent = std::get_if<entry::send_message>(&it))
             transmit(sent->message);
+        // Without a stage that chooses targets, an admitted request ends with another refusal.
+        else if (auto const* const ended = std::get_if<entry::answer_caller>(&it))
+            record_.add(std::get<entry::refused>(ended->what).why->what().status != 429);
     }
 }
 
@@ -424,7 +487,8 @@
 void roster_fleet::apply_first_plan()
 {
     run(seconds(1));
-    request(0, any_message::of(control::plan_submission{plan_number(), first_plan(), {}}));
+    request(0,
+            any_message::of(control::plan_submission{plan_number(), first_plan(config_.rate), {}}));
     commit({0, 1, 2});
 }
 
--- a/tests/roster_fleet/roster_fleet.hpp
+++ b/tests/roster_fleet/roster_fleet.hpp
@@ -1,6 +1,8 @@
 #ifndef MULBERRYRUDDER_TESTS_ROSTER_FLEET_ROSTER_FLEET_HPP
 #define MULBERRYRUDDER_TESTS_ROSTER_FLEET_ROSTER_FLEET_HPP
 
+#include "tests/quota_fleet/admission_record.hpp"
+
 #include <mulberryrudder/control/core.hpp>
 #include <mulberryrudder/control/replicated_log.hpp>
 #include <mulberryrudder/control/roster.hpp>
@@ -36,6 +38,9 @@
         bool counts_traffic = false; ///< traffic() is counted, which takes time.
         /// Control instances that the settings of entries name.
         std::vector<std::size_t> entry_seeds{0, 1, 2};
+        /// Requests a second of the only customer of the first plan, whose burst is the same
+        /// number; 0 for a plan without customers.
+        std::int64_t rate = 0;
     };
 
     /// Messages between control instances of one kind.
@@ -49,6 +54,12 @@
 
     void run(span duration);
 
+    /// Lets the customer send this many thousandths of its rate from now on, each request to one of
+    /// these entries, drawn at random. Precondition: the first plan is in force, with a customer.
+    void set_load(per_mille load, std::vector<std::size_t> entries);
+    /// What happened to the requests of the customer.
+    admission_record const& record() const { return record_; }
+
     /// Starts a target, which announces itself periodically to a control instance that is
     /// reachable.
     void start_target(int target);
@@ -114,6 +125,8 @@
     /// Lets a control instance lead, with all commands that were ever committed. Precondition:
     /// nobody leads, and it has run since its start.
     void lead(std::size_t control);
+    /// Lets no control instance lead any more.
+    void remove_leader();
 
     /// Delivers an announcement that a target sent before its newest one.
     control::operator_request_id deliver_old_announcement(std::size_t control, int target);
@@ -185,6 +198,8 @@
     /// Returns how long other traffic lets a message to an entry wait.
     span link_wait() const;
     void announce_targets();
+    void send_requests();
+    void send_request(std::size_t entry);
     /// Returns the first control instance from `preferred` on that is not isolated, if any.
     std::optional<std::size_t> reachable_control(std::size_t preferred) const;
     entry::plan_view& view(std::size_t entry);
@@ -217,6 +232,10 @@
     int tables_sent_ = 0;
     std::size_t notices_between_controls_ = 0;
     std::map<wire::message_kind, message_total> traffic_;
+    per_mille load_; ///< Of the customer's rate.
+    std::vector<std::size_t> loaded_entries_;
+    std::uint64_t last_request_ = 0;
+    admission_record record_;
     std::uint64_t last_ = 0;
     std::uint64_t starts_ = 0; ///< Of all instances; makes each start differ.
     instant now_{seconds(1000)};
