Admit requests of all customers from one account

Cause: entries whose part of a rate held three requests or more decided by it alone. Class: parts handed out add up to more than the whole. Change: the leader of control admits the requests of all customers with a rate from one bucket. Where a customer has used less than half of what it may send at once, the leader also admits ahead what an entry expects in 250 ms; such a credit has a deadline that counts from the question. Entries that nobody answers admit from an even part that begins nearly empty, and tell control afterwards, whose bucket may owe the requests of a second. The settings quota/pooled_rate, relaxed_below, relaxed_rate and ask_below are gone.

--- a/include/mulberryrudder/messages/quota.hpp
+++ b/include/mulberryrudder/messages/quota.hpp
@@ -17,13 +17,16 @@
 struct quota_question
 {
     sequence_id number;
-    std::map<customer_id, requests> wanted;
+    std::map<customer_id, requests> wanted; ///< Requests that wait.
+    /// Requests that are expected soon. The leader admits them ahead where the customer is far from
+    /// its rate, so that they need not wait.
+    std::map<customer_id, requests> expected = {};
     bool relayed = false; ///< From a control instance; the receiver must not ask another one.
     /// The sender's part of the rates, which the receiver may admit from while no leader answers;
     /// nothing in a question to a leader.
     std::optional<per_mille> part = std::nullopt;
-    /// What the sender admitted from its parts of the rates while no leader answered, and did not
-    /// tell yet.
+    /// What the sender admitted by its own parts of the rates while nobody else decided, and did
+    /// not tell yet.
     std::map<customer_id, requests> spent = {};
 };
 
@@ -31,7 +34,8 @@
 struct quota_grant
 {
     customer_id customer;
-    requests admitted;           ///< Of those asked for; the others are over the rate.
+    requests admitted;           ///< Of those that wait; the others are over the rate.
+    requests ahead = {};         ///< Of those that are expected.
     milliseconds retry_after{0}; ///< Time until it can admit another one.
 
     friend bool operator==(quota_grant const&, quota_grant const&) = default;
--- a/plugins/control/quota/part_ledger.hpp
+++ b/plugins/control/quota/part_ledger.hpp
@@ -45,7 +45,7 @@
 
     /// Removes the account of admitted requests and returns it.
     std::map<customer_id, requests> take_spent();
-    /// Adds to that account what the leader was not told after all.
+    /// Adds to that account what the leader was not told after all, or what entries admitted.
     void add_spent(std::map<customer_id, requests> const& untold);
 
 private:
--- a/plugins/control/quota/question_relay.cpp
+++ b/plugins/control/quota/question_relay.cpp
@@ -7,6 +7,27 @@
 namespace mulberryrudder::control
 {
 
+namespace
+{
+
+void add_counts(std::map<customer_id, requests>& to, std::map<customer_id, requests> const& counts)
+{
+    for (auto const& [customer, count] : counts)
+        to[customer] += count;
+}
+
+/// Moves as many requests as are wanted and left.
+requests take(requests& left, std::map<customer_id, requests> const& wanted,
+              customer_id const& customer)
+{
+    auto const found = wanted.find(customer);
+    auto const out = found == wanted.end() ? requests() : std::min(found->second, left);
+    left -= out;
+    return out;
+}
+
+} // namespace
+
 void question_relay::add(instance_id entry, messages::quota_question question)
 {
     waiting_.push_back({.entry = entry, .question = std::move(question)});
@@ -15,10 +36,13 @@
 messages::quota_question question_relay::join(sequence_id number, instance_id recipient,
                                               instant deadline)
 {
-    messages::quota_question out{.number = number, .wanted = {}, .relayed = true};
+    messages::quota_question out{.number = number, .wanted = {}, .expected = {}, .relayed = true};
     for (auto const& it : waiting_)
-        for (auto const& [customer, wanted] : it.question.wanted)
-            out.wanted[customer] += wanted;
+    {
+        add_counts(out.wanted, it.question.wanted);
+        add_counts(out.expected, it.question.expected);
+        add_counts(out.spent, it.question.spent);
+    }
     awaited_[number] = {
         .recipient = recipient, .deadline = deadline, .parts = std::exchange(waiting_, {})};
     return out;
@@ -35,14 +59,13 @@
     {
         reply made{.entry = entry,
                    .answer = {.number = question.number, .grants = {}, .pressed = answer.pressed}};
-        for (auto const& [customer, wanted] : question.wanted)
+        for (auto& [customer, granted] : left)
         {
-            auto const granted = left.find(customer);
-            if (granted == left.end())
+            if (!question.wanted.contains(customer) && !question.expected.contains(customer))
                 continue;
-            auto part = granted->second;
-            part.admitted = std::min(wanted, granted->second.admitted);
-            granted->second.admitted -= part.admitted;
+            auto part = granted;
+            part.admitted = take(granted.admitted, question.wanted, customer);
+            part.ahead = take(granted.ahead, question.expected, customer);
             made.answer.grants.push_back(std::move(part));
         }
         out.push_back(std::move(made));
--- a/plugins/control/quota/quota_keeper.cpp
+++ b/plugins/control/quota/quota_keeper.cpp
@@ -241,11 +241,13 @@
     messages::quota_answer decide_as_leader(messages::quota_question const& question, context& ctx)
     {
         charge(question.spent, ctx);
-        auto const admit = [&](plan_customer const& customer, requests wanted)
+        auto const admit = [&](plan_customer const& customer, requests wanted, requests expected)
         {
-            return messages::quota_grant{.customer = customer.id,
-                                         .admitted = ledger_->admit(customer, wanted, ctx.now),
-                                         .retry_after = ledger_->time_until_next(customer.id)};
+            messages::quota_grant out{.customer = customer.id,
+                                      .admitted = ledger_->admit(customer, wanted, ctx.now),
+                                      .retry_after = ledger_->time_until_next(customer.id)};
+            out.ahead = ledger_->admit_ahead(customer, expected, ctx.now);
+            return out;
         };
         auto out = decide(question, admit, ctx);
         out.pressed = ledger_->pressed_customers(ctx.now);
@@ -276,11 +278,13 @@
     /// Answers without grants while no part of the rates is known; the entries decide then.
     messages::quota_answer decide_by_parts(messages::quota_question const& question, context& ctx)
     {
+        parts_.add_spent(question.spent);
         auto const part = parts_.available(own_part(ctx.now), ctx.now);
         if (part == per_mille())
             return {.number = question.number, .grants = {}, .pressed = std::nullopt};
         ctx.counters.add(parts_counter);
-        auto const admit = [&](plan_customer const& customer, requests wanted)
+        // Nothing is admitted ahead: a leader may answer soon, and does not know of it.
+        auto const admit = [&](plan_customer const& customer, requests wanted, requests)
         {
             return messages::quota_grant{.customer = customer.id,
                                          .admitted = parts_.admit(customer, wanted, part, ctx.now),
@@ -301,17 +305,18 @@
                 ledger_->charge(*customer, count, ctx.now);
     }
 
-    /// Adds what one question at a time tells the leader. Another leader than the last one that
-    /// answered began with nearly empty buckets, so it is not charged.
+    /// Adds what this instance admitted from parts, in one question at a time. Another leader than
+    /// the last one that answered began with nearly empty buckets, so it is not charged.
     void add_charge(messages::quota_question& question, instance_id leader)
     {
         if (charge_)
             return;
-        question.spent = parts_.take_spent();
-        if (leader != answering_leader_)
-            question.spent.clear();
-        if (!question.spent.empty())
-            charge_ = {.question = question.number, .spent = question.spent};
+        auto const spent = parts_.take_spent();
+        if (leader != answering_leader_ || spent.empty())
+            return;
+        for (auto const& [customer, count] : spent)
+            question.spent[customer] += count;
+        charge_ = {.question = question.number, .spent = spent};
     }
 
     void change_authority(authority next, context& ctx)
@@ -341,16 +346,24 @@
         auto const plan = services_.require<steering_view>().steering()->plan;
         if (!plan)
             return out;
-        for (auto const& [id, wanted] : question.wanted)
+        // Requests that wait go before those that are expected, which are in both lists or alone.
+        std::set<customer_id> customers;
+        for (auto const* const list : {&question.wanted, &question.expected})
+            for (auto const& [id, count] : *list)
+                customers.insert(id);
+        for (auto const& id : customers)
         {
             auto const* const customer = find_customer(*plan, id);
             if (customer == nullptr)
                 continue;
-            auto const granted = customer->rate == millitokens_per_second()
-                                     ? messages::quota_grant{.customer = id, .admitted = wanted}
-                                     : admit(*customer, wanted);
-            ctx.counters.add(admitted_counter,
-                             static_cast<std::uint64_t>(granted.admitted.count()));
+            auto const wanted = count_of(question.wanted, id);
+            auto const expected = count_of(question.expected, id);
+            auto const granted =
+                customer->rate == millitokens_per_second()
+                    ? messages::quota_grant{.customer = id, .admitted = wanted, .ahead = expected}
+                    : admit(*customer, wanted, expected);
+            ctx.counters.add(admitted_counter, static_cast<std::uint64_t>(
+                                                   (granted.admitted + granted.ahead).count()));
             ctx.counters.add(refused_counter,
                              static_cast<std::uint64_t>((wanted - granted.admitted).count()));
             out.grants.push_back(granted);
@@ -358,6 +371,12 @@
         return out;
     }
 
+    static requests count_of(std::map<customer_id, requests> const& counts, customer_id const& id)
+    {
+        auto const found = counts.find(id);
+        return found == counts.end() ? requests() : found->second;
+    }
+
     static plan_customer const* find_customer(traffic_plan const& plan, customer_id const& id)
     {
         auto const found = std::find_if(plan.customers.begin(), plan.customers.end(),
--- a/plugins/control/quota/quota_ledger.cpp
+++ b/plugins/control/quota/quota_ledger.cpp
@@ -12,6 +12,10 @@
 /// Time whose requests a new leader may admit at once. Operators tolerate a tenth of what the rate
 /// brings in their window of five seconds; the rest of it is left for requests that arrive late.
 constexpr milliseconds initial_fill{100};
+/// Time whose requests a bucket may owe.
+constexpr seconds max_debt{1};
+/// Time after the begin of a ledger in which entries still tell what they admitted before.
+constexpr milliseconds untold_time{1000};
 
 } // namespace
 
@@ -77,10 +81,22 @@
     return requests(admitted);
 }
 
+requests quota_ledger::admit_ahead(plan_customer const& customer, requests expected, instant now)
+{
+    auto const& bucket = bucket_of(customer, whole_share, now);
+    auto const spare =
+        (bucket.tokens().count() - bucket.burst().count() / 2) / request_cost.count();
+    return admit(customer, std::clamp(requests(spare), requests(), expected), now);
+}
+
 void quota_ledger::charge(plan_customer const& customer, requests spent, instant now)
 {
-    bucket_of(customer, whole_share, now)
-        .take_up_to(millitokens(spent.count() * request_cost.count()));
+    if (now < began_ + untold_time)
+        return;
+    auto& bucket = bucket_of(customer, whole_share, now);
+    auto const most = bucket.tokens().count() + customer.rate.count() * max_debt.count();
+    auto const cost = std::min(spent.count() * request_cost.count(), most);
+    bucket.add(millitokens(-std::max<std::int64_t>(cost, 0)));
 }
 
 std::vector<customer_id> quota_ledger::pressed_customers(instant now)
--- a/plugins/control/quota/quota_ledger.hpp
+++ b/plugins/control/quota/quota_ledger.hpp
@@ -74,8 +74,14 @@
     requests admit(plan_customer const& customer, requests wanted, instant now,
                    per_mille part = whole_share);
 
-    /// Takes requests that were admitted elsewhere from the customer's bucket, as far as it holds
-    /// as many. Precondition: the customer has a rate.
+    /// Admits up to `expected` requests that did not arrive yet, from the upper half of what the
+    /// customer may send at once; returns how many. The other half stays for requests that wait.
+    /// Precondition: the customer has a rate.
+    requests admit_ahead(plan_customer const& customer, requests expected, instant now);
+
+    /// Takes requests that were admitted elsewhere from the customer's bucket. It may owe what it
+    /// brings in a second. What was admitted before the ledger began is not taken: the opening
+    /// balance allows for it. Precondition: the customer has a rate.
     void charge(plan_customer const& customer, requests spent, instant now);
 
     /// Returns the time until another request of the customer is admitted, as of the last call of
--- a/plugins/entry/quota/admission_questions.hpp
+++ b/plugins/entry/quota/admission_questions.hpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace mulberryrudder::entry
@@ -22,18 +23,36 @@
     /// Requests in the order of their arrival, by customer.
     using request_lists = std::map<customer_id, std::vector<request_id>>;
 
+    /// A question that was answered.
+    struct answered_question
+    {
+        instant sent;
+        request_lists requests;
+    };
+
     /// Adds a request to the next question.
     void add(customer_id const& customer, request_id id) { waiting_[customer].push_back(id); }
 
-    /// Returns whether requests wait and no question is on its way.
-    bool can_ask() const { return !pending_ && !waiting_.empty(); }
+    /// Adds a customer of which requests are expected to the next question.
+    void expect(customer_id const& customer) { expecting_.insert(customer); }
 
-    /// Makes the next question. Precondition: can_ask(); `number` differs from earlier ones.
-    messages::quota_question ask(instance_id recipient, sequence_id number, instant deadline);
+    /// Adds a request that this instance admitted alone to what the next question tells.
+    void add_spent(customer_id const& customer) { spent_[customer] += requests(1); }
 
-    /// Ends the question that an answer belongs to; returns its requests, or nothing if the answer
+    /// Returns whether there is something to ask and no question is on its way.
+    bool can_ask() const { return !pending_ && (!waiting_.empty() || !expecting_.empty()); }
+
+    /// Returns the customers of the next question.
+    std::set<customer_id> customers() const;
+
+    /// Makes the next question, which also asks for `expected` requests. Precondition: can_ask();
+    /// `number` differs from earlier ones.
+    messages::quota_question ask(instance_id recipient, sequence_id number, instant now,
+                                 instant deadline, std::map<customer_id, requests> expected);
+
+    /// Ends the question that an answer belongs to and returns it, or nothing if the answer
     /// belongs to no question that is on its way.
-    std::optional<request_lists> end(instance_id sender, sequence_id number);
+    std::optional<answered_question> end(instance_id sender, sequence_id number);
 
     /// Returns whether the question that is on its way has passed its deadline. An answer that
     /// arrives later must not be used: it admits requests of an earlier time.
@@ -60,12 +79,19 @@
     {
         instance_id recipient;
         sequence_id number;
+        instant sent;
         instant deadline;
         request_lists requests;
+        std::map<customer_id, mulberryrudder::requests> spent;
         bool is_repeated = false;
     };
 
+    /// Ends the question that is on its way. What it told may not have arrived and is told again.
+    std::optional<question> take_back();
+
     request_lists waiting_;
+    std::set<customer_id> expecting_;
+    std::map<customer_id, requests> spent_;
     bool repeats_ = false; ///< Some requests that wait were asked for before.
     std::optional<question> pending_;
 };
--- a/plugins/entry/quota/quota_stage.cpp
+++ b/plugins/entry/quota/quota_stage.cpp
@@ -1,4 +1,6 @@
+#include "admission_credits.hpp"
 #include "admission_questions.hpp"
+#include "demand_average.hpp"
 
 #include <mulberryrudder/core/message_number.hpp>
 #include <mulberryrudder/core/token_bucket.hpp>
@@ -20,10 +22,7 @@
 struct quota_settings
 {
     requests pooled{10};
-    per_mille pooled_rate{200};
-    per_mille relaxed_below{800};
-    per_mille relaxed_rate{1150};
-    requests ask_below{3};
+    milliseconds ahead_lifetime{250};
     milliseconds answer_timeout{250};
     milliseconds silence_interval{1000};
 };
@@ -33,17 +32,12 @@
     {
         kernel::field("pooled", &quota_settings::pooled, {0, 10'000},
                       "Requests of a customer beyond its burst that all instances together may "
-                      "let through at once; below what the operators tolerate."),
-        kernel::field("pooled_rate", &quota_settings::pooled_rate, {0, 10'000},
-                      "The same in thousandths of the customer's requests a second."),
-        kernel::field("relaxed_below", &quota_settings::relaxed_below, {0, 1000},
-                      "Thousandths of a customer's rate below which its demand in the fleet "
-                      "leaves each instance more than its part."),
-        kernel::field("relaxed_rate", &quota_settings::relaxed_rate, {1000, 10'000},
-                      "Thousandths of its part that an instance lets through then."),
-        kernel::field("ask_below", &quota_settings::ask_below, {0, 10'000},
-                      "Control admits the requests of a customer if this instance alone could let "
-                      "through fewer than this number of them at once."),
+                      "let through at once while each decides by its own part of the rate; below "
+                      "what the operators tolerate."),
+        kernel::field("ahead_lifetime", &quota_settings::ahead_lifetime, {0, 10'000},
+                      "Milliseconds, from the question on, for which a request may come that "
+                      "control admitted before its arrival. What a customer may send in this time "
+                      "adds to its burst."),
         kernel::field("answer_limit", &quota_settings::answer_timeout, {1, 10'000},
                       "Milliseconds after which control is asked again about requests that it did "
                       "not admit or refuse, once; after as many more, they are decided by this "
@@ -68,28 +62,19 @@
 /// Time over which demand is averaged: long enough for a few requests of a customer
 /// with a small rate, short against a change of where its callers are.
 constexpr milliseconds demand_window{1000};
-/// Part of the older average that stays in each window.
-constexpr std::int64_t kept_of_four = 2;
-/// Demand below is not reported.
-constexpr millitokens_per_second least_reported{500};
-/// A bucket of a lower rate starts with a part of a request that is drawn at random. Nothing is
-/// known to be unspent after a start, and whole requests of hundreds of entries that start at once
-/// would exceed the rate of most customers.
-constexpr millitokens_per_second least_rate_of_whole_fill{2000};
 /// Returns of refused callers are spread over this part of the time until a token.
 constexpr milliseconds return_spread{400};
 
 /// Why an instance decides by its own part of a rate.
 enum class own_decision : std::uint8_t
 {
-    part_suffices,   ///< The part is large enough to be of use.
     control_unknown, ///< No control instance was found in time.
     no_answer,       ///< Control did not answer this request's question in time.
     no_leader        ///< Control answered that nobody could decide.
 };
 
-constexpr std::array<std::string_view, 4> own_decision_names{"part_suffices", "control_unknown",
-                                                             "no_answer", "no_leader"};
+constexpr std::array<std::string_view, 3> own_decision_names{"control_unknown", "no_answer",
+                                                             "no_leader"};
 
 kernel::counter_kind const asked_counter{"quota.asked",
                                          "Questions to control whether to admit requests."};
@@ -101,41 +86,43 @@
 kernel::counter_kind const admitted_by_control_counter{
     "quota.admitted_by_control", "Requests that a control instance admitted."};
 
-/// Holds each customer to its rate. Control divides the rate by what is asked at each instance, so
-/// the parts follow the callers. Where the parts of many instances are too small to be of use,
-/// the leader of control admits the requests; while it does not answer, the parts apply.
+/// Holds each customer to its rate. The leader of control holds the whole of each rate and admits
+/// the requests; where a customer is far from its rate, it admits those that are expected soon
+/// ahead, so that few of them wait for an answer. While nobody answers, each instance admits from
+/// an even part of the rate and tells control afterwards. So what is admitted anywhere comes from
+/// one account, whichever way the callers choose among the entries.
 ///
 /// Thread safety: as stage.
-class quota_stage final : public stage, private demand_view
+class quota_stage final : public stage
 {
 public:
     explicit quota_stage(stage_parts const& parts)
         : config_(parts.config.get(quota_section)), services_(parts.services)
     {
-        parts.services.provide<demand_view>(*this);
     }
 
     step admit(request& what, context& with) override
     {
-        if (what.payer == nullptr)
+        if (what.payer == nullptr || what.payer->rate == millitokens_per_second())
             return proceed{};
-        auto& it = accounts_[what.payer->id];
+        auto const& customer = *what.payer;
+        auto& it = accounts_[customer.id];
         if (what.attempts.empty())
-            ++it.asked;
-        if (what.payer->rate == millitokens_per_second())
-            return proceed{};
-        reshape(it, *what.payer, with);
-        bool const is_part_small =
-            it.bucket.burst().count() < config_.ask_below.count() * request_cost.count();
-        if (!is_part_small)
-            return admit_by_own_part(what, own_decision::part_suffices, with);
-        // Control may answer at any moment, so what the part does not cover waits for it.
-        if (is_control_silent(with.now) && it.bucket.take(request_cost))
+            it.demand.add();
+        if (it.ahead.take(with.now))
         {
-            with.counters.add(admitted_alone_counter);
+            with.counters.add(admitted_by_control_counter);
+            if (it.ahead.left(with.now).count() * 2 < expected(it).count())
+            {
+                questions_.expect(customer.id);
+                ask(with);
+            }
             return proceed{};
         }
-        questions_.add(what.payer->id, what.id);
+        // Control may answer at any moment, so what the part does not cover waits for it.
+        if (is_control_silent(with.now) && admit_alone(it, customer, with))
+            return proceed{};
+        questions_.add(customer.id, what.id);
         ask(with);
         return wait{};
     }
@@ -155,16 +142,24 @@
             ask(with);
         }
         end_overdue_question(with);
+        average_demand(with.now);
     }
 
 private:
     struct account
     {
-        token_bucket bucket;
-        std::int64_t asked = 0; ///< Since the window began.
-        millitokens_per_second average;
+        admission_credits ahead; ///< Admitted by control.
+        token_bucket part;       ///< This instance's part of the rate.
+        bool uses_part = false;  ///< Since control's last decision.
+        demand_average demand;
     };
 
+    /// Returns the requests of a customer that may come before an answer to the next question.
+    requests expected(account const& it) const
+    {
+        return it.demand.expected_in(config_.ahead_lifetime);
+    }
+
     /// Returns whether there is no control instance, or it did not answer a question a moment ago.
     bool is_control_silent(instant now)
     {
@@ -180,8 +175,15 @@
             return;
         auto const control = services_.require<plan_view>().control();
         last_question_ = next_message_number(last_question_, with.random);
-        auto question = questions_.ask(control.value_or(nobody), last_question_,
-                                       with.now + config_.answer_timeout);
+        std::map<customer_id, requests> missing;
+        for (auto const& customer : questions_.customers())
+        {
+            auto& it = accounts_[customer];
+            if (auto const n = expected(it) - it.ahead.left(with.now); n > requests())
+                missing.emplace(customer, n);
+        }
+        auto question = questions_.ask(control.value_or(nobody), last_question_, with.now,
+                                       with.now + config_.answer_timeout, std::move(missing));
         if (!control)
             return;
         with.counters.add(asked_counter);
@@ -197,39 +199,23 @@
         if (!asked)
             return;
         silent_control_.reset();
-        if (answer.pressed)
-            use_up_parts(*answer.pressed, with);
+        auto const ahead_deadline = asked->sent + config_.ahead_lifetime;
         for (auto const& it : answer.grants)
-            if (auto const found = asked->find(it.customer); found != asked->end())
+        {
+            auto& known = accounts_[it.customer];
+            known.uses_part = false;
+            known.ahead.add(it.ahead, ahead_deadline);
+            if (auto const found = asked->requests.find(it.customer);
+                found != asked->requests.end())
             {
                 apply(it, found->second, with);
-                asked->erase(found);
+                asked->requests.erase(found);
             }
-        decide_alone(*asked, own_decision::no_leader, with);
+        }
+        decide_alone(asked->requests, own_decision::no_leader, with);
         ask(with);
     }
 
-    /// Empties this instance's parts of customers that used up most of what they may send at once,
-    /// in case that the next answers are missing. Where the rest of a part ends is drawn at random,
-    /// so that the parts of all instances together go on at the customer's rate.
-    void use_up_parts(std::vector<customer_id> const& pressed, context& with)
-    {
-        pressed_ = {pressed.begin(), pressed.end()};
-        for (auto const& it : pressed_)
-            if (auto const found = accounts_.find(it); found != accounts_.end())
-                draw_rest(found->second, with);
-    }
-
-    /// Leaves a part of a request. Its average, a half, is what a bucket in use holds, so an entry
-    /// that starts admits as much on average as one that went on.
-    static void draw_rest(account& it, context& with)
-    {
-        std::uniform_int_distribution<std::int64_t> rest(0, request_cost.count() - 1);
-        it.bucket.advance(with.now);
-        it.bucket.take_up_to(it.bucket.tokens());
-        it.bucket.add(millitokens(rest(with.random)));
-    }
-
     /// Admits the first requests of a customer and refuses the rest.
     void apply(messages::quota_grant const& grant, std::vector<request_id> const& ids,
                context& with)
@@ -299,54 +285,59 @@
     step admit_by_own_part(request& what, own_decision cause, context& with)
     {
         auto& it = accounts_[what.payer->id];
-        reshape(it, *what.payer, with);
-        if (it.bucket.take(request_cost))
-        {
-            with.counters.add(admitted_alone_counter);
+        if (admit_alone(it, *what.payer, with))
             return proceed{};
-        }
-        what.why =
-            "rate=" + std::to_string(it.bucket.rate().count()) +
-            " burst=" + std::to_string(it.bucket.burst().count()) + " share=" +
-            std::to_string(services_.require<plan_view>().share_of(what.payer->id).count()) +
-            " because=" + std::string(own_decision_names.at(static_cast<std::size_t>(cause)));
+        what.why = "rate=" + std::to_string(it.part.rate().count()) +
+                   " burst=" + std::to_string(it.part.burst().count()) +
+                   " share=" + std::to_string(share().count()) + " because=" +
+                   std::string(own_decision_names.at(static_cast<std::size_t>(cause)));
         return refuse(over_quota, time_until_token(it, with));
     }
 
-    void reshape(account& it, plan_customer const& whose, context& with)
+    /// Admits a request from this instance's part of a rate, or returns false.
+    bool admit_alone(account& it, plan_customer const& customer, context& with)
+    {
+        reshape(it.part, customer, with.now);
+        if (!std::exchange(it.uses_part, true))
+            begin_part(it.part, with);
+        if (!it.part.take(request_cost))
+            return false;
+        with.counters.add(admitted_alone_counter);
+        questions_.add_spent(customer.id);
+        return true;
+    }
+
+    /// Empties a part but for a random part of a request, since control may have admitted all that
+    /// the rate allows until now. Its average, a half, is what a bucket in use holds, so parts that
+    /// begin again and again admit no more than those that went on.
+    static void begin_part(token_bucket& part, context& with)
+    {
+        std::uniform_int_distribution<std::int64_t> rest(0, request_cost.count() - 1);
+        part.take_up_to(part.tokens());
+        part.add(millitokens(rest(with.random)));
+    }
+
+    /// Returns this instance's part of each rate.
+    per_mille share() const
     {
         auto const& view = services_.require<plan_view>();
-        auto const share =
-            (view.knows_entries() ? view.share_of(whose.id) : share_in_unknown_fleet).count();
-        // Within its rate a customer is not held to each instance's part of it.
-        bool const relaxed =
-            !pressed_.contains(whose.id) && view.fleet_demand(whose.id).count() * 1000 <
-                                                whose.rate.count() * config_.relaxed_below.count();
-        auto const stretch = relaxed ? config_.relaxed_rate : whole_share;
-        auto const rate =
-            millitokens_per_second(whose.rate.count() * share / 1000 * stretch.count() / 1000);
-        // What the fleet may let through at once is shared half evenly, since a few
-        // requests that come together say little of where the next ones come.
-        auto const pool = whose.burst.count() +
-                          whose.rate.count() * config_.pooled_rate.count() / 1000 +
-                          config_.pooled.count() * request_cost.count();
-        auto const evenly = view.knows_entries() ? whole_share.count() / view.entries() : share;
+        return view.knows_entries() ? per_mille(whole_share.count() / view.entries())
+                                    : share_in_unknown_fleet;
+    }
+
+    void reshape(token_bucket& part, plan_customer const& customer, instant now) const
+    {
+        auto const burst = customer.burst.count() + config_.pooled.count() * request_cost.count();
+        auto const own = share().count();
         // A bucket below one request would never let one through.
-        auto const burst =
-            std::max(millitokens(pool * ((share + evenly) / 2) / 1000), request_cost);
-        bool const fresh = it.bucket.rate() == millitokens_per_second();
-        it.bucket.reshape(with.now, rate, burst);
-        if (!fresh)
-            return;
-        if (rate < least_rate_of_whole_fill || pressed_.contains(whose.id))
-            return draw_rest(it, with);
-        it.bucket.add(request_cost);
+        part.reshape(now, millitokens_per_second(customer.rate.count() * own / whole_share.count()),
+                     std::max(millitokens(burst * own / whole_share.count()), request_cost));
     }
 
     static milliseconds time_until_token(account const& it, context& with)
     {
-        auto const missing = (request_cost - it.bucket.tokens()).count();
-        auto const rate = std::max<std::int64_t>(it.bucket.rate().count(), 1);
+        auto const missing = (request_cost - it.part.tokens()).count();
+        auto const rate = std::max<std::int64_t>(it.part.rate().count(), 1);
         return milliseconds(missing * 1000 / rate) + spread(with);
     }
 
@@ -356,26 +347,14 @@
         return milliseconds(draw(with.random));
     }
 
-    std::map<customer_id, millitokens_per_second> demand(instant now) override
+    void average_demand(instant now)
     {
-        if (now >= window_ends_)
-        {
-            auto const began = window_ends_ - demand_window;
-            auto const took = std::max<std::int64_t>(
-                std::chrono::duration_cast<milliseconds>(now - began).count(), 1);
-            for (auto& [id, it] : accounts_)
-            {
-                auto const fresh = std::exchange(it.asked, 0) * 1'000'000 / took;
-                it.average = millitokens_per_second(
-                    (it.average.count() * kept_of_four + fresh * (4 - kept_of_four)) / 4);
-            }
-            window_ends_ = now + demand_window;
-        }
-        std::map<customer_id, millitokens_per_second> out;
-        for (auto const& [id, it] : accounts_)
-            if (it.average >= least_reported)
-                out.emplace(id, it.average);
-        return out;
+        if (now < window_ends_)
+            return;
+        auto const length = now - (window_ends_ - demand_window);
+        for (auto& [id, it] : accounts_)
+            it.demand.end_window(length);
+        window_ends_ = now + demand_window;
     }
 
     quota_settings const& config_;
@@ -385,7 +364,6 @@
     sequence_id last_question_;
     std::optional<instance_id> silent_control_; ///< It did not answer the last overdue question.
     instant silent_until_;                      ///< Until then requests use their parts first.
-    std::set<customer_id> pressed_;             ///< As of the leader's last answer.
     instant window_ends_ = instant{} + demand_window;
 };
 
--- a/plugins/peer/codecs/quota_codec.cpp
+++ b/plugins/peer/codecs/quota_codec.cpp
@@ -39,16 +39,20 @@
     if (from.part)
         to.setPart(static_cast<std::uint32_t>(from.part->count()));
     encode_counts(from.spent, to.initSpent(size_of(from.spent)));
+    encode_counts(from.expected, to.initExpected(size_of(from.expected)));
 }
 
 messages::quota_question decode_question(Question::Reader from)
 {
-    messages::quota_question out{
-        .number = sequence_id(from.getNumber()), .wanted = {}, .relayed = from.getRelayed()};
+    messages::quota_question out{.number = sequence_id(from.getNumber()),
+                                 .wanted = {},
+                                 .expected = {},
+                                 .relayed = from.getRelayed()};
     decode_counts(from.getWanted(), out.wanted);
     if (from.getHasPart())
         out.part = per_mille(from.getPart());
     decode_counts(from.getSpent(), out.spent);
+    decode_counts(from.getExpected(), out.expected);
     return out;
 }
 
@@ -63,6 +67,7 @@
         out.setCustomer(it.customer.value());
         out.setAdmitted(static_cast<std::uint32_t>(it.admitted.count()));
         out.setRetryAfterMs(it.retry_after.count());
+        out.setAhead(static_cast<std::uint32_t>(it.ahead.count()));
     }
     to.setHasPressed(from.pressed.has_value());
     if (from.pressed)
@@ -76,6 +81,7 @@
     for (auto const it : from.getGrants())
         out.grants.push_back({.customer = customer_id(decode_text(it.getCustomer())),
                               .admitted = requests(it.getAdmitted()),
+                              .ahead = requests(it.getAhead()),
                               .retry_after = milliseconds(it.getRetryAfterMs())});
     if (from.getHasPressed())
         decode_ids(from.getPressed(), out.pressed.emplace());
--- a/schemas/quota.capnp
+++ b/schemas/quota.capnp
@@ -16,12 +16,14 @@
   spent @3 :List(Wanted);
   hasPart @4 :Bool;
   part @5 :UInt32;
+  expected @6 :List(Wanted);
 }
 
 struct Grant {
   customer @0 :Text;
   admitted @1 :UInt32;
   retryAfterMs @2 :Int64;
+  ahead @3 :UInt32;
 }
 
 struct Answer {
--- a/tests/control/quota/question_relay_test.cpp
+++ b/tests/control/quota/question_relay_test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST_SUITE(question_relay_test);
     CPPUNIT_TEST(questions_of_several_entries_are_joined);
     CPPUNIT_TEST(grants_are_divided_in_the_order_of_the_questions);
+    CPPUNIT_TEST(requests_that_are_expected_are_divided_apart_from_those_that_wait);
+    CPPUNIT_TEST(what_entries_admitted_alone_is_told_in_one_sum);
     CPPUNIT_TEST(an_answer_is_divided_once);
     CPPUNIT_TEST(an_overdue_answer_is_ignored);
     CPPUNIT_TEST(questions_that_wait_can_be_taken_back);
@@ -49,6 +51,42 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replies[1].answer.grants.size());
     }
 
+    // Guards against QUOTA: parts that were handed out to the entries must not add up to more than
+    // the leader admitted.
+    void requests_that_are_expected_are_divided_apart_from_those_that_wait()
+    {
+        relay_.add(instance_id(50), {.number = sequence_id(7),
+                                     .wanted = {{office, requests(1)}},
+                                     .expected = {{office, requests(4)}}});
+        relay_.add(instance_id(51),
+                   {.number = sequence_id(8), .wanted = {}, .expected = {{office, requests(4)}}});
+        relay_.add(instance_id(52),
+                   {.number = sequence_id(9), .wanted = {{shop, requests(1)}}, .expected = {}});
+        auto const joined = relay_.join(sequence_id(100), instance_id(3), instant(seconds(1001)));
+        CPPUNIT_ASSERT(joined.wanted.at(office) == requests(1));
+        CPPUNIT_ASSERT(joined.expected.at(office) == requests(8));
+        auto const replies = relay_.divide(
+            {.number = sequence_id(100),
+             .grants = {{.customer = office, .admitted = requests(1), .ahead = requests(5)}},
+             .pressed = std::vector<customer_id>{}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, replies.size());
+        CPPUNIT_ASSERT(replies[0].answer.grants.front().admitted == requests(1));
+        CPPUNIT_ASSERT(replies[0].answer.grants.front().ahead == requests(4));
+        CPPUNIT_ASSERT(replies[1].answer.grants.front().admitted == requests(0));
+        CPPUNIT_ASSERT(replies[1].answer.grants.front().ahead == requests(1));
+        CPPUNIT_ASSERT(replies[2].answer.grants.empty());
+    }
+
+    void what_entries_admitted_alone_is_told_in_one_sum()
+    {
+        for (std::uint32_t const n : {50, 51})
+            relay_.add(instance_id(n), {.number = sequence_id(7),
+                                        .wanted = {{office, requests(1)}},
+                                        .spent = {{office, requests(2)}}});
+        auto const joined = relay_.join(sequence_id(100), instance_id(3), instant(seconds(1001)));
+        CPPUNIT_ASSERT(joined.spent.at(office) == requests(4));
+    }
+
     // Guards against requests that are admitted twice: a message may be delivered again.
     void an_answer_is_divided_once()
     {
--- a/tests/control/quota/quota_ledger_test.cpp
+++ b/tests/control/quota/quota_ledger_test.cpp
@@ -20,6 +20,9 @@
     CPPUNIT_TEST(beside_a_leader_half_of_the_burst_is_left_to_customers_that_are_not_pressed);
     CPPUNIT_TEST(beside_an_unknown_leader_no_burst_is_left);
     CPPUNIT_TEST(a_ledger_that_begins_anew_gives_nothing_back);
+    CPPUNIT_TEST(requests_are_admitted_ahead_from_the_upper_half);
+    CPPUNIT_TEST(what_was_admitted_elsewhere_is_owed_for_a_second_at_most);
+    CPPUNIT_TEST(what_was_admitted_before_a_ledger_began_is_not_taken);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -102,6 +105,37 @@
         CPPUNIT_ASSERT(part.admit(office_, requests(100), later, per_mille(500)) == requests(7));
     }
 
+    // Guards against refusals below the rate: requests that are admitted ahead and never come must
+    // not use up what those that wait need.
+    void requests_are_admitted_ahead_from_the_upper_half()
+    {
+        CPPUNIT_ASSERT(ledger_.admit_ahead(office_, requests(100), now_) == requests(15));
+        CPPUNIT_ASSERT(ledger_.admit_ahead(office_, requests(100), now_) == requests(0));
+        CPPUNIT_ASSERT(ledger_.admit(office_, requests(100), now_) == requests(15));
+        CPPUNIT_ASSERT(ledger_.admit_ahead(office_, requests(100), now_ + milliseconds(500)) ==
+                       requests(0));
+    }
+
+    // Guards against QUOTA: entries that decided alone admitted beside a ledger that was empty.
+    void what_was_admitted_elsewhere_is_owed_for_a_second_at_most()
+    {
+        ledger_.admit(office_, requests(100), now_);
+        ledger_.charge(office_, requests(5), now_);
+        CPPUNIT_ASSERT(ledger_.admit(office_, requests(100), now_ + seconds(1)) == requests(15));
+        ledger_.charge(office_, requests(1000), now_ + seconds(1));
+        CPPUNIT_ASSERT(ledger_.admit(office_, requests(100), now_ + seconds(2)) == requests(0));
+        CPPUNIT_ASSERT(ledger_.admit(office_, requests(100), now_ + seconds(3)) == requests(20));
+    }
+
+    void what_was_admitted_before_a_ledger_began_is_not_taken()
+    {
+        quota_ledger successor(requests(10), now_);
+        CPPUNIT_ASSERT(successor.admit(office_, requests(100), now_) == requests(2));
+        successor.charge(office_, requests(20), now_ + milliseconds(999));
+        CPPUNIT_ASSERT(successor.admit(office_, requests(100), now_ + milliseconds(999)) ==
+                       requests(19));
+    }
+
 private:
     plan_customer office_{.id = customer_id("office"),
                           .keys = {},
--- a/tests/control/steering/steering_codec_test.cpp
+++ b/tests/control/steering/steering_codec_test.cpp
@@ -108,6 +108,7 @@
     CPPUNIT_TEST(a_change_of_one_route_is_sent_without_the_rest_of_the_plan);
     CPPUNIT_TEST(a_probe_and_its_reply_round_trip);
     CPPUNIT_TEST(a_question_for_admissions_keeps_its_part_and_its_account);
+    CPPUNIT_TEST(an_answer_keeps_what_is_admitted_and_what_is_admitted_ahead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -264,18 +265,31 @@
     {
         messages::quota_question question{.number = sequence_id(7),
                                           .wanted = {{customer_id("c"), requests(3)}},
+                                          .expected = {{customer_id("e"), requests(4)}},
                                           .relayed = true,
                                           .part = per_mille(111),
                                           .spent = {{customer_id("d"), requests(5)}}};
         auto const copy = round_trip(question);
         CPPUNIT_ASSERT(copy.number == question.number);
         CPPUNIT_ASSERT(copy.wanted == question.wanted);
+        CPPUNIT_ASSERT(copy.expected == question.expected);
         CPPUNIT_ASSERT(copy.relayed);
         CPPUNIT_ASSERT(copy.part == question.part);
         CPPUNIT_ASSERT(copy.spent == question.spent);
         question.part.reset();
         CPPUNIT_ASSERT(!round_trip(question).part);
     }
+
+    void an_answer_keeps_what_is_admitted_and_what_is_admitted_ahead()
+    {
+        messages::quota_answer const answer{.number = sequence_id(7),
+                                            .grants = {{.customer = customer_id("c"),
+                                                        .admitted = requests(3),
+                                                        .ahead = requests(4),
+                                                        .retry_after = milliseconds(5)}},
+                                            .pressed = std::nullopt};
+        CPPUNIT_ASSERT(round_trip(answer).grants == answer.grants);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(steering_codec_test);
