Count what is admitted ahead until it has come, and tell control only recent spending

Cause: entries told a new leader all that they had admitted alone since the last answer, many seconds of it, and its buckets began to owe. Credits lived 250 ms only, so that customers with few requests an entry waited for a round trip each time. Change: spending is told for a second, and a leader ignores it in its first second. Credits live for 2 s, and entries tell once which have come; the leader lets a bucket hold as much less as credits are outstanding. Bucket and credits together never exceed the burst, however long credits live. The leader admits ahead from the upper third only, so that no customer counts as pressed by that. Also: entries report the part from which they admitted alone (part_in_use); the event quota.parts_exceed_rates (761, warning) tells when what the leader and these entries may admit adds up to more than the rates. Demand and shares are gone from reports and answers, with two tests of the division by demand, whose place the bounds of rate_fleet_tests take.

--- a/include/mulberryrudder/entry/plan_view.hpp
+++ b/include/mulberryrudder/entry/plan_view.hpp
@@ -48,27 +48,22 @@
     virtual std::int64_t entries() const = 0;
     virtual std::int64_t entries_in_domain() const = 0;
 
-    /// Returns whether entries() and share_of() count all entries. Control instances that started
-    /// at the same time as this instance do not know all of them at first.
+    /// Returns whether entries() counts all entries. Control instances that started at the same
+    /// time as this instance do not know all of them at first.
     virtual bool knows_entries() const = 0;
-
-    /// Returns this instance's part of a customer's rate.
-    virtual per_mille share_of(customer_id const& customer) const = 0;
-
-    /// Returns what all instances together were asked for by a customer lately.
-    virtual millitokens_per_second fleet_demand(customer_id const& customer) const = 0;
 };
 
-/// Shows what customers ask of this instance.
+/// Shows how this instance holds customers to their rates.
 ///
 /// Thread safety: the decision core's thread.
-class demand_view
+class quota_view
 {
 public:
-    virtual ~demand_view() = default;
+    virtual ~quota_view() = default;
 
-    /// Returns each customer's requests a second, as of the last seconds.
-    virtual std::map<customer_id, millitokens_per_second> demand(instant now) = 0;
+    /// Returns the part of the rates from which this instance admitted requests alone in the last
+    /// second; 0 if it admitted none.
+    virtual per_mille part_in_use(instant now) const = 0;
 };
 
 } // namespace mulberryrudder::entry
--- a/include/mulberryrudder/messages/quota.hpp
+++ b/include/mulberryrudder/messages/quota.hpp
@@ -21,6 +21,9 @@
     /// Requests that are expected soon. The leader admits them ahead where the customer is far from
     /// its rate, so that they need not wait.
     std::map<customer_id, requests> expected = {};
+    /// Of what was admitted ahead, the requests that came and were not told yet. Told once: what is
+    /// lost counts as outstanding until it expires.
+    std::map<customer_id, requests> used_ahead = {};
     bool relayed = false; ///< From a control instance; the receiver must not ask another one.
     /// The sender's part of the rates, which the receiver may admit from while no leader answers;
     /// nothing in a question to a leader.
@@ -49,6 +52,8 @@
     /// Customers that used up most of what they may send at once; nothing if no leader answered.
     /// Without these, grants are from the parts of the rates.
     std::optional<std::vector<customer_id>> pressed;
+    /// Time, from the sending of the question on, for which `ahead` of the grants holds.
+    milliseconds ahead_lifetime{0};
 };
 
 } // namespace mulberryrudder::messages
--- a/include/mulberryrudder/messages/roster.hpp
+++ b/include/mulberryrudder/messages/roster.hpp
@@ -88,7 +88,7 @@
     /// It searches for an instance whose state is confirmed; the receiver need not report at
     /// once that its own is not.
     bool searching = false;
-    /// It asks for the figures of the fleet, too: `control`, `entries`, `shares` and `demand`.
+    /// It asks for the figures of the fleet, too: `control` and `entries`.
     bool wants_fleet = true;
     /// It can apply a difference to the steering state that it holds.
     bool takes_difference = false;
@@ -120,10 +120,6 @@
     std::uint32_t entries = 1;           ///< Ready ones in the fleet.
     /// The sender started a short time ago, so more entries may run than reported to it.
     bool entries_incomplete = false;
-    /// The asker's part of each customer's rate, where it is not an even one.
-    std::map<customer_id, per_mille> shares;
-    /// What all entries together are asked for by those customers.
-    std::map<customer_id, millitokens_per_second> demand;
 };
 
 /// An entry instance asks a control instance how current it is; answered at once.
--- a/include/mulberryrudder/messages/roster_notices.hpp
+++ b/include/mulberryrudder/messages/roster_notices.hpp
@@ -71,8 +71,8 @@
     sequence_id sequence; ///< Grows with each report of one start.
     bool ready = false;   ///< It takes callers.
     milliseconds age{0};  ///< Time since it said so.
-    /// Requests a second of customers that ask much here, in millitokens.
-    std::map<customer_id, millitokens_per_second> demand;
+    /// Part of the rates from which it admitted requests alone in the last second.
+    per_mille part_in_use = {};
     std::vector<version_outcomes> outcomes; ///< Of the rollouts that run; the totals of `boot`.
 
     friend bool operator==(entry_notice const&, entry_notice const&) = default;
--- a/plugins/control/quota/question_relay.cpp
+++ b/plugins/control/quota/question_relay.cpp
@@ -37,10 +37,11 @@
                                               instant deadline)
 {
     messages::quota_question out{.number = number, .wanted = {}, .expected = {}, .relayed = true};
-    for (auto const& it : waiting_)
+    for (auto& it : waiting_)
     {
         add_counts(out.wanted, it.question.wanted);
         add_counts(out.expected, it.question.expected);
+        add_counts(out.used_ahead, std::exchange(it.question.used_ahead, {}));
         add_counts(out.spent, it.question.spent);
     }
     awaited_[number] = {
@@ -58,7 +59,10 @@
     for (auto const& [entry, question] : parts)
     {
         reply made{.entry = entry,
-                   .answer = {.number = question.number, .grants = {}, .pressed = answer.pressed}};
+                   .answer = {.number = question.number,
+                              .grants = {},
+                              .pressed = answer.pressed,
+                              .ahead_lifetime = answer.ahead_lifetime}};
         for (auto& [customer, granted] : left)
         {
             if (!question.wanted.contains(customer) && !question.expected.contains(customer))
--- a/plugins/control/quota/quota_keeper.cpp
+++ b/plugins/control/quota/quota_keeper.cpp
@@ -30,6 +30,7 @@
 {
     requests pooled{10};
     requests pooled_alone{20};
+    milliseconds ahead_lifetime{2000};
     milliseconds relay_interval{20};
     milliseconds answer_timeout{150};
     milliseconds retry_interval{500};
@@ -48,6 +49,9 @@
         kernel::field("pooled_alone", &ledger_settings::pooled_alone, {0, 10'000},
                       "The same for all control instances together while no leader answers and "
                       "each admits from its part of the rates."),
+        kernel::field("ahead_lifetime", &ledger_settings::ahead_lifetime, {0, 60'000},
+                      "Milliseconds for which a request may come that the leader admitted before "
+                      "its arrival."),
         kernel::field("relay_period", &ledger_settings::relay_interval, time_limits,
                       "Least milliseconds between two questions to the leader, each of which joins "
                       "those of all entries that report to this instance."),
@@ -85,6 +89,19 @@
      .action = "Unless the leader admits them, find out why there is none: see "
                "`replica.leader_missing`, and the connections to the leader."}};
 
+kernel::event_kind const parts_event{
+    {.number = 761,
+     .name = "quota.parts_exceed_rates",
+     .level = kernel::severity::warning,
+     .meaning = "What this instance may admit of each rate, and the parts from which entries "
+                "admitted alone in the last second, add up to `sum` thousandths, which is more "
+                "than the rates, or is not any more; `entries` is the number of these entries.",
+     .action = "Customers that ask for more than their rates may get more meanwhile. Check the "
+               "connections between these entries and control: see `quota.admitted_alone` there, "
+               "and `quota.authority_changed`."}};
+/// Time between two sums of the parts in use.
+constexpr milliseconds parts_check_interval{1000};
+
 /// Who admits the requests of this instance's entries.
 enum class authority : std::uint8_t
 {
@@ -139,6 +156,8 @@
         for (auto& it : relay_.take_overdue(ctx.now))
             ask_elsewhere(it.recipient, std::move(it.parts), ctx);
         relay_questions(ctx);
+        if (ctx.now >= parts_check_due_)
+            check_parts(ctx);
     }
 
 private:
@@ -203,6 +222,27 @@
         relay_questions(ctx);
     }
 
+    /// Records whether the parts of the rates that are in use add up to more than the rates.
+    void check_parts(context& ctx)
+    {
+        parts_check_due_ = ctx.now + parts_check_interval;
+        per_mille sum;
+        if (acts_as_leader(ctx.now))
+            sum = whole_share;
+        else if (authority_ == authority::own)
+            sum = parts_.available(own_part(ctx.now), ctx.now);
+        std::size_t entries = 0;
+        for (auto const& it : services_.require<roster_view>().entry_notices())
+        {
+            sum += it.part_in_use;
+            entries += it.part_in_use != per_mille();
+        }
+        bool const exceed = sum > whole_share;
+        if (std::exchange(parts_exceed_, exceed) != exceed)
+            ctx.events.record(parts_event, {{"sum", std::to_string(sum.count())},
+                                            {"entries", std::to_string(entries)}});
+    }
+
     bool acts_as_leader(instant now) const
     {
         return ledger_ && services_.require<replicated_log>().may_act(now);
@@ -246,11 +286,15 @@
             messages::quota_grant out{.customer = customer.id,
                                       .admitted = ledger_->admit(customer, wanted, ctx.now),
                                       .retry_after = ledger_->time_until_next(customer.id)};
-            out.ahead = ledger_->admit_ahead(customer, expected, ctx.now);
+            out.ahead =
+                ledger_->admit_ahead(customer, expected, ctx.now + config_.ahead_lifetime, ctx.now);
             return out;
         };
+        for (auto const& [customer, used] : question.used_ahead)
+            ledger_->settle_ahead(customer, used, ctx.now);
         auto out = decide(question, admit, ctx);
         out.pressed = ledger_->pressed_customers(ctx.now);
+        out.ahead_lifetime = config_.ahead_lifetime;
         return out;
     }
 
@@ -418,6 +462,8 @@
     question_relay relay_;
     sequence_id last_question_;
     instant next_relay_at_;
+    instant parts_check_due_;
+    bool parts_exceed_ = false; ///< As of the last check.
 };
 
 component_registrar<quota_keeper> const registered{"quota_keeper", component_order::quota};
--- a/plugins/control/quota/quota_ledger.hpp
+++ b/plugins/control/quota/quota_ledger.hpp
@@ -1,6 +1,7 @@
 #ifndef MULBERRYRUDDER_PLUGINS_CONTROL_QUOTA_QUOTA_LEDGER_HPP
 #define MULBERRYRUDDER_PLUGINS_CONTROL_QUOTA_QUOTA_LEDGER_HPP
 
+#include <mulberryrudder/core/expiring_requests.hpp>
 #include <mulberryrudder/core/token_bucket.hpp>
 #include <mulberryrudder/core/traffic_plan.hpp>
 
@@ -74,10 +75,15 @@
     requests admit(plan_customer const& customer, requests wanted, instant now,
                    per_mille part = whole_share);
 
-    /// Admits up to `expected` requests that did not arrive yet, from the upper half of what the
-    /// customer may send at once; returns how many. The other half stays for requests that wait.
-    /// Precondition: the customer has a rate.
-    requests admit_ahead(plan_customer const& customer, requests expected, instant now);
+    /// Admits up to `expected` requests that may come until `deadline`, from the upper third of
+    /// what the customer may send at once; returns how many. The rest stays for requests that wait.
+    /// Until they have come or expired, the bucket holds as much less. Preconditions: the customer
+    /// has a rate, and no earlier call had a later deadline.
+    requests admit_ahead(plan_customer const& customer, requests expected, instant deadline,
+                         instant now);
+
+    /// Removes requests that have come from those that were admitted ahead.
+    void settle_ahead(customer_id const& customer, requests used, instant now);
 
     /// Takes requests that were admitted elsewhere from the customer's bucket. It may owe what it
     /// brings in a second. What was admitted before the ledger began is not taken: the opening
@@ -93,14 +99,20 @@
     std::vector<customer_id> pressed_customers(instant now);
 
 private:
-    void reshape(token_bucket& bucket, plan_customer const& customer, per_mille part,
-                 instant now) const;
-    token_bucket& bucket_of(plan_customer const& customer, per_mille part, instant now);
+    struct account
+    {
+        token_bucket bucket;
+        expiring_requests ahead; ///< Admitted, and not known to have come.
+        millitokens most;        ///< What the customer may send at once.
+    };
+
+    void reshape(account& it, plan_customer const& customer, per_mille part, instant now) const;
+    account& account_of(plan_customer const& customer, per_mille part, instant now);
 
     requests pooled_;
     std::unique_ptr<opening_balance const> opening_;
     instant began_;
-    std::map<customer_id, token_bucket> buckets_;
+    std::map<customer_id, account> accounts_;
 };
 
 } // namespace mulberryrudder::control
--- a/plugins/control/roster/entry_table.cpp
+++ b/plugins/control/roster/entry_table.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-/// Demand added to each entry's reported demand, so that a customer that switches to another
-/// entry is not refused there immediately.
-constexpr millitokens_per_second base_demand{1000};
 /// Time between two whole notices of an entry that does not change, for receivers that missed one
 /// or forgot the entry during a partition.
 constexpr seconds whole_interval{2};
@@ -26,37 +23,15 @@
 
 } // namespace
 
-void entry_table::set_row(row replacement)
-{
-    auto& known = rows_[replacement.notice.who.id];
-    subtract_demand(known.notice);
-    known = std::move(replacement);
-    for (auto const& [customer, demand] : known.notice.demand)
-        total_demand_[customer] += demand;
-}
-
-void entry_table::subtract_demand(messages::entry_notice const& notice)
-{
-    for (auto const& [customer, demand] : notice.demand)
-    {
-        auto const total = total_demand_.find(customer);
-        if (total == total_demand_.end())
-            continue;
-        total->second -= demand;
-        if (total->second == millitokens_per_second())
-            total_demand_.erase(total);
-    }
-}
-
 void entry_table::update_from_entry(messages::entry_notice const& notice, instant now)
 {
     auto const known = rows_.find(notice.who.id);
     bool const same = known != rows_.end() && equal_except_time(notice, known->second.notice);
-    set_row({.notice = notice,
-             .last_update = now,
-             .last_own_report = now,
-             .unforwarded = true,
-             .whole_due = same ? known->second.whole_due : instant()});
+    rows_[notice.who.id] = {.notice = notice,
+                            .last_update = now,
+                            .last_own_report = now,
+                            .unforwarded = true,
+                            .whole_due = same ? known->second.whole_due : instant()};
 }
 
 void entry_table::update_from_control(messages::entry_notice const& notice, instant now)
@@ -64,11 +39,11 @@
     auto const update_time = now - notice.age;
     auto const known = rows_.find(notice.who.id);
     if (known == rows_.end() || known->second.last_update < update_time)
-        set_row(
-            {.notice = notice,
-             .last_update = update_time,
-             .last_own_report = known == rows_.end() ? instant() : known->second.last_own_report,
-             .unforwarded = false});
+        rows_[notice.who.id] = {
+            .notice = notice,
+            .last_update = update_time,
+            .last_own_report = known == rows_.end() ? instant() : known->second.last_own_report,
+            .unforwarded = false};
 }
 
 void entry_table::refresh(messages::unchanged_entry const& unchanged, instant now)
@@ -80,14 +55,7 @@
 
 void entry_table::expire(instant cutoff)
 {
-    std::erase_if(rows_,
-                  [&](auto const& it)
-                  {
-                      bool const expired = it.second.last_update < cutoff;
-                      if (expired)
-                          subtract_demand(it.second.notice);
-                      return expired;
-                  });
+    std::erase_if(rows_, [&](auto const& it) { return it.second.last_update < cutoff; });
 }
 
 outgoing_reports entry_table::take_unforwarded(instant now)
@@ -161,23 +129,4 @@
                      std::max<std::int64_t>(static_cast<std::int64_t>(rows_.size()), 1));
 }
 
-std::map<customer_id, per_mille> entry_table::shares_of(instance_id entry) const
-{
-    std::map<customer_id, per_mille> out;
-    auto const own = rows_.find(entry);
-    if (own == rows_.end())
-        return out;
-    auto const base = base_demand.count();
-    auto const total_base = base * static_cast<std::int64_t>(rows_.size());
-    for (auto const& [customer, sum] : total_demand_)
-    {
-        auto const found = own->second.notice.demand.find(customer);
-        auto const own_demand =
-            found == own->second.notice.demand.end() ? 0 : found->second.count();
-        out[customer] =
-            per_mille((own_demand + base) * whole_share.count() / (sum.count() + total_base));
-    }
-    return out;
-}
-
 } // namespace mulberryrudder::control
--- a/plugins/control/roster/entry_table.hpp
+++ b/plugins/control/roster/entry_table.hpp
@@ -49,17 +49,9 @@
     std::uint32_t ready_count() const;
     std::uint32_t ready_count_in(domain_id const& domain) const;
 
-    /// Returns an entry's share of each customer's rate, in proportion to the demand at all
-    /// entries. Omits customers that no entry lists in its demand.
-    std::map<customer_id, per_mille> shares_of(instance_id entry) const;
-
     /// Returns the part of the entries that reported to this instance themselves since `cutoff`.
     per_mille part_reported_since(instant cutoff) const;
 
-    /// Returns the demand of each customer, summed over all entries. Entries list only
-    /// customers with a high demand.
-    std::map<customer_id, millitokens_per_second> const& demand() const { return total_demand_; }
-
 private:
     struct row
     {
@@ -70,13 +62,7 @@
         instant whole_due = {};       ///< When it is forwarded whole although nothing changed.
     };
 
-    /// Replaces the row of an entry.
-    void set_row(row replacement);
-    /// Removes the demand of a notice from the sums.
-    void subtract_demand(messages::entry_notice const& notice);
-
     std::map<instance_id, row> rows_;
-    std::map<customer_id, millitokens_per_second> total_demand_;
 };
 
 } // namespace mulberryrudder::control
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -720,7 +720,7 @@
         if (state->generation > poll.generation)
             add_state(poll, state, out);
         if (poll.wants_fleet)
-            add_fleet(receiver, poll.self.who.domain, out, ctx);
+            add_fleet(poll.self.who.domain, out, ctx);
         ctx.send(receiver, std::move(out));
     }
 
@@ -737,16 +737,13 @@
             out.steering = state;
     }
 
-    void add_fleet(instance_id receiver, domain_id const& domain, messages::roster_update& out,
-                   context& ctx) const
+    void add_fleet(domain_id const& domain, messages::roster_update& out, context& ctx) const
     {
         out.control = controls_.instances_since(ctx.now - control_retention);
         out.control.push_back(ctx.self.self);
         out.entries_in_domain = std::max(entries_.ready_count_in(domain), 1U);
         out.entries_incomplete = ctx.now < entries_known_at_;
         out.entries = std::max(entries_.ready_count(), 1U);
-        out.shares = entries_.shares_of(receiver);
-        out.demand = entries_.demand();
     }
 
     void handle_look_up(operator_request_id requester, entry_question const& question, context& ctx)
--- a/plugins/entry/quota/admission_questions.hpp
+++ b/plugins/entry/quota/admission_questions.hpp
@@ -1,6 +1,7 @@
 #ifndef MULBERRYRUDDER_PLUGINS_ENTRY_QUOTA_ADMISSION_QUESTIONS_HPP
 #define MULBERRYRUDDER_PLUGINS_ENTRY_QUOTA_ADMISSION_QUESTIONS_HPP
 
+#include <mulberryrudder/core/expiring_requests.hpp>
 #include <mulberryrudder/core/time.hpp>
 #include <mulberryrudder/messages/quota.hpp>
 
@@ -36,8 +37,15 @@
     /// Adds a customer of which requests are expected to the next question.
     void expect(customer_id const& customer) { expecting_.insert(customer); }
 
-    /// Adds a request that this instance admitted alone to what the next question tells.
-    void add_spent(customer_id const& customer) { spent_[customer] += requests(1); }
+    /// Adds a request that this instance admitted alone to what questions tell until `deadline` or
+    /// an answer. Precondition: no earlier call had a later deadline.
+    void add_spent(customer_id const& customer, instant deadline)
+    {
+        spent_[customer].add(requests(1), deadline);
+    }
+
+    /// Adds a request that control admitted ahead to what the next question tells.
+    void add_used_ahead(customer_id const& customer) { used_ahead_[customer] += requests(1); }
 
     /// Returns whether there is something to ask and no question is on its way.
     bool can_ask() const { return !pending_ && (!waiting_.empty() || !expecting_.empty()); }
@@ -52,7 +60,7 @@
 
     /// Ends the question that an answer belongs to and returns it, or nothing if the answer
     /// belongs to no question that is on its way.
-    std::optional<answered_question> end(instance_id sender, sequence_id number);
+    std::optional<answered_question> end(instance_id sender, sequence_id number, instant now);
 
     /// Returns whether the question that is on its way has passed its deadline. An answer that
     /// arrives later must not be used: it admits requests of an earlier time.
@@ -86,12 +94,10 @@
         bool is_repeated = false;
     };
 
-    /// Ends the question that is on its way. What it told may not have arrived and is told again.
-    std::optional<question> take_back();
-
     request_lists waiting_;
     std::set<customer_id> expecting_;
-    std::map<customer_id, requests> spent_;
+    std::map<customer_id, expiring_requests> spent_;
+    std::map<customer_id, requests> used_ahead_;
     bool repeats_ = false; ///< Some requests that wait were asked for before.
     std::optional<question> pending_;
 };
--- a/plugins/entry/quota/quota_stage.cpp
+++ b/plugins/entry/quota/quota_stage.cpp
@@ -1,7 +1,7 @@
-#include "admission_credits.hpp"
 #include "admission_questions.hpp"
 #include "demand_average.hpp"
 
+#include <mulberryrudder/core/expiring_requests.hpp>
 #include <mulberryrudder/core/message_number.hpp>
 #include <mulberryrudder/core/token_bucket.hpp>
 #include <mulberryrudder/entry/plan_view.hpp>
@@ -22,7 +22,7 @@
 struct quota_settings
 {
     requests pooled{10};
-    milliseconds ahead_lifetime{250};
+    milliseconds ahead_horizon{500};
     milliseconds answer_timeout{250};
     milliseconds silence_interval{1000};
 };
@@ -34,10 +34,9 @@
                       "Requests of a customer beyond its burst that all instances together may "
                       "let through at once while each decides by its own part of the rate; below "
                       "what the operators tolerate."),
-        kernel::field("ahead_lifetime", &quota_settings::ahead_lifetime, {0, 10'000},
-                      "Milliseconds, from the question on, for which a request may come that "
-                      "control admitted before its arrival. What a customer may send in this time "
-                      "adds to its burst."),
+        kernel::field("ahead_horizon", &quota_settings::ahead_horizon, {0, 10'000},
+                      "Milliseconds whose requests of a customer control is asked to admit before "
+                      "they arrive; several round trips to the leader of control."),
         kernel::field("answer_limit", &quota_settings::answer_timeout, {1, 10'000},
                       "Milliseconds after which control is asked again about requests that it did "
                       "not admit or refuse, once; after as many more, they are decided by this "
@@ -52,9 +51,13 @@
                                .status = 429,
                                .meaning = "The customer asks for more than its rate allows."});
 
-/// Part of the rates of an instance that does not know how many others there are, as all instances
-/// that start at once. Fleets of up to this part's inverse keep the rates.
-constexpr per_mille share_in_unknown_fleet{1};
+/// Number of instances that one assumes which does not know how many others there are, as all
+/// instances that start at once. Fleets of up to this number keep the rates.
+constexpr std::int64_t entries_in_unknown_fleet = 1000;
+
+/// Time after an admission from its parts for which an instance tells of it. A leader does not
+/// count what was admitted before it began, and ignores what it is told in as long a time.
+constexpr milliseconds part_use_lifetime{1000};
 
 /// Recipient of a question that waits for a control instance.
 constexpr instance_id nobody{};
@@ -93,12 +96,13 @@
 /// one account, whichever way the callers choose among the entries.
 ///
 /// Thread safety: as stage.
-class quota_stage final : public stage
+class quota_stage final : public stage, private quota_view
 {
 public:
     explicit quota_stage(stage_parts const& parts)
         : config_(parts.config.get(quota_section)), services_(parts.services)
     {
+        parts.services.provide<quota_view>(*this);
     }
 
     step admit(request& what, context& with) override
@@ -109,9 +113,10 @@
         auto& it = accounts_[customer.id];
         if (what.attempts.empty())
             it.demand.add();
-        if (it.ahead.take(with.now))
+        if (it.ahead.take_up_to(requests(1), with.now) != requests())
         {
             with.counters.add(admitted_by_control_counter);
+            questions_.add_used_ahead(customer.id);
             if (it.ahead.left(with.now).count() * 2 < expected(it).count())
             {
                 questions_.expect(customer.id);
@@ -148,16 +153,19 @@
 private:
     struct account
     {
-        admission_credits ahead; ///< Admitted by control.
+        expiring_requests ahead; ///< Admitted by control.
         token_bucket part;       ///< This instance's part of the rate.
         bool uses_part = false;  ///< Since control's last decision.
         demand_average demand;
     };
 
-    /// Returns the requests of a customer that may come before an answer to the next question.
+    /// Returns the requests of a customer that are to be admitted ahead: those that come in the
+    /// horizon, and one in any case if it will probably come before it expires.
     requests expected(account const& it) const
     {
-        return it.demand.expected_in(config_.ahead_lifetime);
+        auto const soon = it.demand.expected_in(config_.ahead_horizon);
+        bool const comes = it.demand.expected_in(ahead_lifetime_) > requests();
+        return soon + requests(comes ? 1 : 0);
     }
 
     /// Returns whether there is no control instance, or it did not answer a question a moment ago.
@@ -195,11 +203,13 @@
         // After a pause of this process, the answer may have waited for it.
         if (end_overdue_question(with))
             return;
-        auto asked = questions_.end(sender, answer.number);
+        auto asked = questions_.end(sender, answer.number, with.now);
         if (!asked)
             return;
         silent_control_.reset();
-        auto const ahead_deadline = asked->sent + config_.ahead_lifetime;
+        if (answer.pressed)
+            ahead_lifetime_ = answer.ahead_lifetime;
+        auto const ahead_deadline = asked->sent + answer.ahead_lifetime;
         for (auto const& it : answer.grants)
         {
             auto& known = accounts_[it.customer];
@@ -289,7 +299,7 @@
             return proceed{};
         what.why = "rate=" + std::to_string(it.part.rate().count()) +
                    " burst=" + std::to_string(it.part.burst().count()) +
-                   " share=" + std::to_string(share().count()) + " because=" +
+                   " entries=" + std::to_string(divisor()) + " because=" +
                    std::string(own_decision_names.at(static_cast<std::size_t>(cause)));
         return refuse(over_quota, time_until_token(it, with));
     }
@@ -303,7 +313,8 @@
         if (!it.part.take(request_cost))
             return false;
         with.counters.add(admitted_alone_counter);
-        questions_.add_spent(customer.id);
+        uses_parts_until_ = with.now + part_use_lifetime;
+        questions_.add_spent(customer.id, uses_parts_until_);
         return true;
     }
 
@@ -317,21 +328,24 @@
         part.add(millitokens(rest(with.random)));
     }
 
-    /// Returns this instance's part of each rate.
-    per_mille share() const
+    per_mille part_in_use(instant now) const override
+    {
+        return now < uses_parts_until_ ? per_mille(whole_share.count() / divisor()) : per_mille();
+    }
+
+    /// Returns into how many parts this instance divides each rate.
+    std::int64_t divisor() const
     {
         auto const& view = services_.require<plan_view>();
-        return view.knows_entries() ? per_mille(whole_share.count() / view.entries())
-                                    : share_in_unknown_fleet;
+        return view.knows_entries() ? view.entries() : entries_in_unknown_fleet;
     }
 
     void reshape(token_bucket& part, plan_customer const& customer, instant now) const
     {
         auto const burst = customer.burst.count() + config_.pooled.count() * request_cost.count();
-        auto const own = share().count();
         // A bucket below one request would never let one through.
-        part.reshape(now, millitokens_per_second(customer.rate.count() * own / whole_share.count()),
-                     std::max(millitokens(burst * own / whole_share.count()), request_cost));
+        part.reshape(now, millitokens_per_second(customer.rate.count() / divisor()),
+                     std::max(millitokens(burst / divisor()), request_cost));
     }
 
     static milliseconds time_until_token(account const& it, context& with)
@@ -364,6 +378,8 @@
     sequence_id last_question_;
     std::optional<instance_id> silent_control_; ///< It did not answer the last overdue question.
     instant silent_until_;                      ///< Until then requests use their parts first.
+    milliseconds ahead_lifetime_{0};            ///< By the leader's last answer.
+    instant uses_parts_until_;                  ///< What was admitted from them is recent.
     instant window_ends_ = instant{} + demand_window;
 };
 
--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -179,18 +179,6 @@
     std::int64_t entries_in_domain() const override { return entries_in_domain_; }
     bool knows_entries() const override { return knows_entries_; }
 
-    per_mille share_of(customer_id const& customer) const override
-    {
-        auto const it = shares_.find(customer);
-        return it != shares_.end() ? it->second : per_mille(whole_share.count() / entries_);
-    }
-
-    millitokens_per_second fleet_demand(customer_id const& customer) const override
-    {
-        auto const it = demand_.find(customer);
-        return it == demand_.end() ? millitokens_per_second() : it->second;
-    }
-
     /// Returns the outcomes of a version in the rollout of a service to `next`.
     messages::version_outcomes& outcomes_of(service_id const& service, version_id const& next,
                                             version_id const& version)
@@ -232,7 +220,6 @@
                      .boot = ctx.self.boot,
                      .sequence = last_report_,
                      .ready = active_steering_ != nullptr && !accept_callers_at_ && !stopping_,
-                     .demand = {},
                      .outcomes = {}},
             .generation = steering_->generation,
             .known_boot = positions_[recipient].boot,
@@ -244,8 +231,8 @@
         // Control answers a report with a summary at once, so that the plan is confirmed sooner.
         if (recipient != current_control_ || currency_.is_slow(ctx.now))
             out.held = listed_.summary(ctx.now);
-        if (auto* const demand = services_.find<demand_view>())
-            out.self.demand = demand->demand(ctx.now);
+        if (auto const* const quota = services_.find<quota_view>())
+            out.self.part_in_use = quota->part_in_use(ctx.now);
         out.self.outcomes = outcomes_;
         for (auto& it : departures_)
         {
@@ -450,8 +437,6 @@
         // rates must not grow because of that.
         entries_ = std::max<std::int64_t>(update.entries, update.connected ? 1 : entries_);
         entries_in_domain_ = std::max<std::int64_t>(update.entries_in_domain, 1);
-        shares_ = update.shares;
-        demand_ = update.demand;
     }
 
     /// Makes a control instance the current one, which receives the next reports.
@@ -579,8 +564,6 @@
     bool knows_entries_ = false;
     std::int64_t entries_ = 1;
     std::int64_t entries_in_domain_ = 1;
-    std::map<customer_id, per_mille> shares_;
-    std::map<customer_id, millitokens_per_second> demand_;
     std::vector<messages::version_outcomes> outcomes_; ///< Of the rollouts that run.
     std::vector<departure> departures_;
     sequence_id last_report_;
--- a/plugins/peer/codecs/quota_codec.cpp
+++ b/plugins/peer/codecs/quota_codec.cpp
@@ -40,6 +40,7 @@
         to.setPart(static_cast<std::uint32_t>(from.part->count()));
     encode_counts(from.spent, to.initSpent(size_of(from.spent)));
     encode_counts(from.expected, to.initExpected(size_of(from.expected)));
+    encode_counts(from.used_ahead, to.initUsedAhead(size_of(from.used_ahead)));
 }
 
 messages::quota_question decode_question(Question::Reader from)
@@ -53,6 +54,7 @@
         out.part = per_mille(from.getPart());
     decode_counts(from.getSpent(), out.spent);
     decode_counts(from.getExpected(), out.expected);
+    decode_counts(from.getUsedAhead(), out.used_ahead);
     return out;
 }
 
@@ -69,6 +71,7 @@
         out.setRetryAfterMs(it.retry_after.count());
         out.setAhead(static_cast<std::uint32_t>(it.ahead.count()));
     }
+    to.setAheadLifetimeMs(from.ahead_lifetime.count());
     to.setHasPressed(from.pressed.has_value());
     if (from.pressed)
         encode_ids(*from.pressed, to.initPressed(size_of(*from.pressed)));
@@ -76,8 +79,10 @@
 
 messages::quota_answer decode_answer(Answer::Reader from)
 {
-    messages::quota_answer out{
-        .number = sequence_id(from.getNumber()), .grants = {}, .pressed = std::nullopt};
+    messages::quota_answer out{.number = sequence_id(from.getNumber()),
+                               .grants = {},
+                               .pressed = std::nullopt,
+                               .ahead_lifetime = milliseconds(from.getAheadLifetimeMs())};
     for (auto const it : from.getGrants())
         out.grants.push_back({.customer = customer_id(decode_text(it.getCustomer())),
                               .admitted = requests(it.getAdmitted()),
--- a/plugins/peer/codecs/roster_codec.cpp
+++ b/plugins/peer/codecs/roster_codec.cpp
@@ -19,26 +19,6 @@
 namespace
 {
 
-template <class Quantity>
-void encode_numbers(std::map<customer_id, Quantity> const& from,
-                    capnp::List<CustomerNumber>::Builder to)
-{
-    unsigned n = 0;
-    for (auto const& [customer, number] : from)
-    {
-        auto out = to[n++];
-        out.setCustomer(customer.value());
-        out.setNumber(number.count());
-    }
-}
-
-template <class Quantity>
-void decode_numbers(capnp::List<CustomerNumber>::Reader from, std::map<customer_id, Quantity>& out)
-{
-    for (auto const it : from)
-        out.emplace(customer_id(decode_text(it.getCustomer())), Quantity(it.getNumber()));
-}
-
 messages::target_standing decode_standing(std::uint8_t from)
 {
     if (from > static_cast<std::uint8_t>(messages::target_standing::gone))
@@ -107,7 +87,7 @@
     to.setSequence(from.sequence.value());
     to.setReady(from.ready);
     to.setAgeMs(from.age.count());
-    encode_numbers(from.demand, to.initDemand(size_of(from.demand)));
+    to.setPartInUse(static_cast<std::uint32_t>(from.part_in_use.count()));
     encode_list(from.outcomes, to.initOutcomes(size_of(from.outcomes)));
 }
 
@@ -118,9 +98,8 @@
                                .sequence = sequence_id(from.getSequence()),
                                .ready = from.getReady(),
                                .age = milliseconds(from.getAgeMs()),
-                               .demand = {},
+                               .part_in_use = per_mille(from.getPartInUse()),
                                .outcomes = {}};
-    decode_numbers(from.getDemand(), out.demand);
     decode_list(from.getOutcomes(), out.outcomes);
     return out;
 }
@@ -308,8 +287,6 @@
     to.setEntriesInDomain(from.entries_in_domain);
     to.setEntries(from.entries);
     to.setEntriesIncomplete(from.entries_incomplete);
-    encode_numbers(from.shares, to.initShares(size_of(from.shares)));
-    encode_numbers(from.demand, to.initDemand(size_of(from.demand)));
 }
 
 messages::roster_update decode_update(Update::Reader from)
@@ -328,17 +305,13 @@
                                 .control = {},
                                 .entries_in_domain = from.getEntriesInDomain(),
                                 .entries = from.getEntries(),
-                                .entries_incomplete = from.getEntriesIncomplete(),
-                                .shares = {},
-                                .demand = {}};
+                                .entries_incomplete = from.getEntriesIncomplete()};
     if (from.getHasSteering())
         out.steering = std::make_shared<steering_state const>(decode(from.getSteering()));
     if (from.getHasDifference())
         out.difference = decode(from.getDifference());
     decode_list(from.getTargets(), out.targets);
     decode_list(from.getControl(), out.control);
-    decode_numbers(from.getShares(), out.shares);
-    decode_numbers(from.getDemand(), out.demand);
     return out;
 }
 
--- a/schemas/quota.capnp
+++ b/schemas/quota.capnp
@@ -17,6 +17,7 @@
   hasPart @4 :Bool;
   part @5 :UInt32;
   expected @6 :List(Wanted);
+  usedAhead @7 :List(Wanted);
 }
 
 struct Grant {
@@ -31,4 +32,5 @@
   grants @1 :List(Grant);
   hasPressed @2 :Bool;
   pressed @3 :List(Text);
+  aheadLifetimeMs @4 :Int64;
 }
--- a/schemas/steering.capnp
+++ b/schemas/steering.capnp
@@ -172,8 +172,9 @@
   sequence @2 :UInt64;
   ready @3 :Bool;
   ageMs @4 :Int64;
-  demand @5 :List(CustomerNumber);
+  unusedDemand @5 :List(CustomerNumber);
   outcomes @6 :List(Outcomes);
+  partInUse @7 :UInt32;
 }
 
 struct UnchangedTarget {
@@ -242,8 +243,8 @@
   control @6 :List(Lease.InstanceDescription);
   entriesInDomain @7 :UInt32;
   entries @8 :UInt32;
-  shares @9 :List(CustomerNumber);
-  demand @10 :List(CustomerNumber);
+  unusedShares @9 :List(CustomerNumber);
+  unusedDemand @10 :List(CustomerNumber);
   connected @11 :Bool;
   current @12 :Bool = true;
   confirmed @13 :Bool;
--- a/tests/control/quota/question_relay_test.cpp
+++ b/tests/control/quota/question_relay_test.cpp
@@ -77,14 +77,22 @@
         CPPUNIT_ASSERT(replies[2].answer.grants.empty());
     }
 
+    // Guards against QUOTA: what entries admitted alone is told until it is answered; what they
+    // used of that which was admitted ahead is told once, so that it is never counted twice.
     void what_entries_admitted_alone_is_told_in_one_sum()
     {
         for (std::uint32_t const n : {50, 51})
             relay_.add(instance_id(n), {.number = sequence_id(7),
                                         .wanted = {{office, requests(1)}},
+                                        .used_ahead = {{office, requests(3)}},
                                         .spent = {{office, requests(2)}}});
         auto const joined = relay_.join(sequence_id(100), instance_id(3), instant(seconds(1001)));
         CPPUNIT_ASSERT(joined.spent.at(office) == requests(4));
+        CPPUNIT_ASSERT(joined.used_ahead.at(office) == requests(6));
+        relay_.put_back(relay_.take_joined(sequence_id(100)));
+        auto const again = relay_.join(sequence_id(101), instance_id(4), instant(seconds(1002)));
+        CPPUNIT_ASSERT(again.spent.at(office) == requests(4));
+        CPPUNIT_ASSERT(again.used_ahead.empty());
     }
 
     // Guards against requests that are admitted twice: a message may be delivered again.
--- a/tests/control/quota/quota_ledger_test.cpp
+++ b/tests/control/quota/quota_ledger_test.cpp
@@ -20,7 +20,9 @@
     CPPUNIT_TEST(beside_a_leader_half_of_the_burst_is_left_to_customers_that_are_not_pressed);
     CPPUNIT_TEST(beside_an_unknown_leader_no_burst_is_left);
     CPPUNIT_TEST(a_ledger_that_begins_anew_gives_nothing_back);
-    CPPUNIT_TEST(requests_are_admitted_ahead_from_the_upper_half);
+    CPPUNIT_TEST(requests_are_admitted_ahead_from_the_upper_third);
+    CPPUNIT_TEST(requests_that_were_admitted_ahead_count_until_they_have_come_or_expired);
+    CPPUNIT_TEST(requests_that_have_come_make_room_in_the_bucket);
     CPPUNIT_TEST(what_was_admitted_elsewhere_is_owed_for_a_second_at_most);
     CPPUNIT_TEST(what_was_admitted_before_a_ledger_began_is_not_taken);
     CPPUNIT_TEST_SUITE_END();
@@ -107,13 +109,35 @@
 
     // Guards against refusals below the rate: requests that are admitted ahead and never come must
     // not use up what those that wait need.
-    void requests_are_admitted_ahead_from_the_upper_half()
+    void requests_are_admitted_ahead_from_the_upper_third()
     {
-        CPPUNIT_ASSERT(ledger_.admit_ahead(office_, requests(100), now_) == requests(15));
-        CPPUNIT_ASSERT(ledger_.admit_ahead(office_, requests(100), now_) == requests(0));
-        CPPUNIT_ASSERT(ledger_.admit(office_, requests(100), now_) == requests(15));
-        CPPUNIT_ASSERT(ledger_.admit_ahead(office_, requests(100), now_ + milliseconds(500)) ==
-                       requests(0));
+        CPPUNIT_ASSERT(admit_ahead(100) == requests(10));
+        CPPUNIT_ASSERT(admit_ahead(100) == requests(0));
+        CPPUNIT_ASSERT(ledger_.admit(office_, requests(100), now_) == requests(20));
+        now_ += milliseconds(500);
+        CPPUNIT_ASSERT(admit_ahead(100) == requests(0));
+    }
+
+    // Guards against QUOTA: what entries hold and what the bucket holds must not add up to more
+    // than the burst, however long nothing is asked.
+    void requests_that_were_admitted_ahead_count_until_they_have_come_or_expired()
+    {
+        CPPUNIT_ASSERT(admit_ahead(8) == requests(8));
+        now_ += milliseconds(1900);
+        CPPUNIT_ASSERT(ledger_.admit(office_, requests(100), now_) == requests(22));
+        ledger_.settle_ahead(office_.id, requests(3), now_);
+        now_ += milliseconds(100);
+        ledger_.admit(office_, requests(0), now_);
+        now_ += seconds(100);
+        CPPUNIT_ASSERT(ledger_.admit(office_, requests(100), now_) == requests(30));
+    }
+
+    void requests_that_have_come_make_room_in_the_bucket()
+    {
+        admit_ahead(8);
+        ledger_.settle_ahead(office_.id, requests(5), now_);
+        now_ += milliseconds(1900);
+        CPPUNIT_ASSERT(ledger_.admit(office_, requests(100), now_) == requests(27));
     }
 
     // Guards against QUOTA: entries that decided alone admitted beside a ledger that was empty.
@@ -137,6 +161,11 @@
     }
 
 private:
+    requests admit_ahead(std::int64_t expected)
+    {
+        return ledger_.admit_ahead(office_, requests(expected), now_ + seconds(2), now_);
+    }
+
     plan_customer office_{.id = customer_id("office"),
                           .keys = {},
                           .rank = std::nullopt,
--- a/tests/control/roster/entry_table_test.cpp
+++ b/tests/control/roster/entry_table_test.cpp
@@ -9,7 +9,7 @@
 {
 
 messages::entry_notice entry(std::uint32_t id, std::string const& region, std::string const& domain,
-                             std::int64_t demand = 0, bool ready = true)
+                             bool ready = true)
 {
     messages::entry_notice out{.ready = ready};
     out.who = {.id = instance_id(id),
@@ -17,8 +17,6 @@
                .domain = domain_id(domain),
                .peer = {},
                .caller = {"10.0.0.1", static_cast<std::uint16_t>(id)}};
-    if (demand != 0)
-        out.demand[customer_id("c")] = millitokens_per_second(demand);
     return out;
 }
 
@@ -33,8 +31,6 @@
     CPPUNIT_TEST(each_notice_is_forwarded_once);
     CPPUNIT_TEST(an_unchanged_notice_is_forwarded_whole_only_now_and_then);
     CPPUNIT_TEST(an_entry_that_reports_elsewhere_without_a_change_does_not_expire);
-    CPPUNIT_TEST(rates_are_divided_in_proportion_to_demand);
-    CPPUNIT_TEST(demand_follows_the_newest_notices);
     CPPUNIT_TEST(the_own_part_counts_entries_that_report_to_this_instance);
     CPPUNIT_TEST(an_entry_that_changes_its_control_instance_leaves_the_own_part);
     CPPUNIT_TEST_SUITE_END();
@@ -57,7 +53,7 @@
 
     void look_ups_omit_entries_that_are_not_ready()
     {
-        table_.update_from_entry(entry(2, "m", "m-b", 0, false), now_);
+        table_.update_from_entry(entry(2, "m", "m-b", false), now_);
         expect_ready("m", "m-b", {1});
     }
 
@@ -71,7 +67,7 @@
 
     void an_older_forwarded_notice_is_ignored()
     {
-        auto old = entry(1, "m", "m-a", 0, false);
+        auto old = entry(1, "m", "m-a", false);
         old.age = milliseconds(500);
         table_.update_from_control(old, now_);
         expect_ready("m", "m-a", {1});
@@ -85,7 +81,7 @@
     {
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, table_.take_unforwarded(now_).notices.size());
         expect_nothing_to_forward();
-        table_.update_from_entry(entry(2, "m", "m-b", 0, false), now_);
+        table_.update_from_entry(entry(2, "m", "m-b", false), now_);
         table_.update_from_control(entry(3, "e", "e-a"), now_ + seconds(1));
         auto const forwarded = table_.take_unforwarded(now_ + milliseconds(70));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forwarded.notices.size());
@@ -116,31 +112,6 @@
         expect_ready("m", "m-b", {3});
     }
 
-    void rates_are_divided_in_proportion_to_demand()
-    {
-        table_.update_from_entry(entry(1, "m", "m-a", 8000), now_);
-        table_.update_from_entry(entry(2, "m", "m-b", 1000), now_);
-        per_mille sum;
-        for (std::uint32_t id = 1; id != 4; ++id)
-            sum += table_.shares_of(instance_id(id)).at(customer_id("c"));
-        CPPUNIT_ASSERT(sum <= whole_share);
-        CPPUNIT_ASSERT(sum >= per_mille(990));
-        CPPUNIT_ASSERT(table_.shares_of(instance_id(1)).at(customer_id("c")) == per_mille(750));
-        CPPUNIT_ASSERT(table_.shares_of(instance_id(3)).at(customer_id("c")) == per_mille(83));
-    }
-
-    // Guards against rates divided by what entries asked for earlier.
-    void demand_follows_the_newest_notices()
-    {
-        customer_id const customer("c");
-        table_.update_from_entry(entry(1, "m", "m-a", 8000), now_);
-        table_.update_from_entry(entry(2, "m", "m-b", 1000), now_);
-        table_.update_from_entry(entry(2, "m", "m-b", 3000), now_);
-        CPPUNIT_ASSERT(table_.demand().at(customer) == millitokens_per_second(11000));
-        table_.expire(now_ + seconds(1));
-        CPPUNIT_ASSERT(table_.demand().empty());
-    }
-
     void the_own_part_counts_entries_that_report_to_this_instance()
     {
         table_.update_from_control(entry(4, "e", "e-b"), now_);
--- a/tests/control/steering/steering_codec_test.cpp
+++ b/tests/control/steering/steering_codec_test.cpp
@@ -144,7 +144,7 @@
                              .sequence = sequence_id(3),
                              .ready = true,
                              .age = milliseconds(4),
-                             .demand = {{customer_id("c"), millitokens_per_second(5)}},
+                             .part_in_use = per_mille(91),
                              .outcomes = {{.service = service_id("s"),
                                            .rollout = version_id("v2"),
                                            .version = version_id("v1"),
@@ -178,14 +178,14 @@
                                          .confirmed_age = milliseconds(8),
                                          .steering = sample_state()};
         original.targets = {sample_notice()};
-        original.shares = {{customer_id("c"), per_mille(70)}};
+        original.entries = 182;
         auto const decoded = round_trip(original);
         CPPUNIT_ASSERT(decoded.newest == original.newest);
         CPPUNIT_ASSERT(!decoded.connected);
         CPPUNIT_ASSERT(!decoded.current);
         CPPUNIT_ASSERT(decoded.confirmed_age == milliseconds(8));
         CPPUNIT_ASSERT(decoded.targets == original.targets);
-        CPPUNIT_ASSERT(decoded.shares == original.shares);
+        CPPUNIT_ASSERT_EQUAL(original.entries, decoded.entries);
         CPPUNIT_ASSERT(decoded.steering->plan->routes == original.steering->plan->routes);
         CPPUNIT_ASSERT(decoded.steering->plan->source.empty());
     }
@@ -213,11 +213,10 @@
 
     void an_update_without_the_fleet_omits_its_figures()
     {
-        messages::roster_update const original{.has_fleet = false,
-                                               .shares = {{customer_id("c"), per_mille(70)}}};
+        messages::roster_update const original{.has_fleet = false, .entries = 182};
         auto const decoded = round_trip(original);
         CPPUNIT_ASSERT(!decoded.has_fleet);
-        CPPUNIT_ASSERT(decoded.shares.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, decoded.entries);
     }
 
     // Guards against old plans at entries with a full link: each change of the plan sent the
@@ -266,6 +265,7 @@
         messages::quota_question question{.number = sequence_id(7),
                                           .wanted = {{customer_id("c"), requests(3)}},
                                           .expected = {{customer_id("e"), requests(4)}},
+                                          .used_ahead = {{customer_id("f"), requests(2)}},
                                           .relayed = true,
                                           .part = per_mille(111),
                                           .spent = {{customer_id("d"), requests(5)}}};
@@ -273,6 +273,7 @@
         CPPUNIT_ASSERT(copy.number == question.number);
         CPPUNIT_ASSERT(copy.wanted == question.wanted);
         CPPUNIT_ASSERT(copy.expected == question.expected);
+        CPPUNIT_ASSERT(copy.used_ahead == question.used_ahead);
         CPPUNIT_ASSERT(copy.relayed);
         CPPUNIT_ASSERT(copy.part == question.part);
         CPPUNIT_ASSERT(copy.spent == question.spent);
@@ -287,8 +288,11 @@
                                                         .admitted = requests(3),
                                                         .ahead = requests(4),
                                                         .retry_after = milliseconds(5)}},
-                                            .pressed = std::nullopt};
-        CPPUNIT_ASSERT(round_trip(answer).grants == answer.grants);
+                                            .pressed = std::nullopt,
+                                            .ahead_lifetime = milliseconds(2000)};
+        auto const copy = round_trip(answer);
+        CPPUNIT_ASSERT(copy.grants == answer.grants);
+        CPPUNIT_ASSERT(copy.ahead_lifetime == answer.ahead_lifetime);
     }
 };
 
--- a/tests/entry/plan_stages/plan_bench.hpp
+++ b/tests/entry/plan_stages/plan_bench.hpp
@@ -29,8 +29,6 @@
     std::int64_t entries() const override { return entry_count; }
     std::int64_t entries_in_domain() const override { return domain_entry_count; }
     bool knows_entries() const override { return entries_known; }
-    per_mille share_of(customer_id const&) const override { return share; }
-    millitokens_per_second fleet_demand(customer_id const&) const override { return demand; }
 
     shared_steering current;
     bool is_outdated = false;
@@ -39,8 +37,6 @@
     bool entries_known = true;
     std::int64_t entry_count = 1;
     std::int64_t domain_entry_count = 1;
-    per_mille share = whole_share;
-    millitokens_per_second demand;
 };
 
 /// What the front end tells of a request beside its content.
--- a/tests/quota_fleet/quota_fleet.cpp
+++ b/tests/quota_fleet/quota_fleet.cpp
@@ -137,7 +137,6 @@
     plan.current = steering_;
     plan.current_control = control_id(n % config_.controls);
     plan.entry_count = static_cast<std::int64_t>(config_.entries);
-    plan.share = per_mille(whole_share.count() / plan.entry_count);
     return out;
 }
 
@@ -163,7 +162,6 @@
         auto& plan = *it->services().find<entry::testing::fake_plan>();
         plan.entries_known = false;
         plan.entry_count = 1;
-        plan.share = whole_share;
     }
     for (auto const& it : controls_)
         it->services().require<fake_fleet_state>().own_part.reset();
@@ -176,7 +174,6 @@
         auto& plan = *it->services().find<entry::testing::fake_plan>();
         plan.entries_known = true;
         plan.entry_count = static_cast<std::int64_t>(config_.entries);
-        plan.share = per_mille(whole_share.count() / plan.entry_count);
     }
     divide_rates();
 }
--- a/tests/quota_fleet/quota_fleet.hpp
+++ b/tests/quota_fleet/quota_fleet.hpp
@@ -60,7 +60,7 @@
     void restart_entries(std::set<std::size_t> const& entries);
     /// Leaves all instances without the number of entries, as after a start of all.
     void forget_entries();
-    /// Tells all instances how many entries there are, and to each its even part of the rates.
+    /// Tells all instances how many entries there are.
     void tell_entries();
     /// Suspends entries; their messages wait for them.
     void suspend(std::set<std::size_t> const& entries) { suspended_ = entries; }
--- a/tests/roster_fleet/roster_fleet.cpp
+++ b/tests/roster_fleet/roster_fleet.cpp
@@ -543,11 +543,11 @@
     return it != all.end() && it->second.what.standing == target_standing::serving;
 }
 
-std::optional<per_mille> roster_fleet::share_of(std::size_t entry, customer_id const& customer)
+std::optional<per_mille> roster_fleet::part_of(std::size_t entry)
 {
     if (!view(entry).knows_entries())
         return std::nullopt;
-    return view(entry).share_of(customer);
+    return per_mille(whole_share.count() / view(entry).entries());
 }
 
 std::optional<std::size_t> roster_fleet::control_of(std::size_t entry)
--- a/tests/roster_fleet/roster_fleet.hpp
+++ b/tests/roster_fleet/roster_fleet.hpp
@@ -138,9 +138,9 @@
     generation_id generation(std::size_t entry);
     /// Returns whether an entry acts by a plan: it has one, and does not refuse requests.
     bool acts_by_plan(std::size_t entry);
-    /// Returns the part of a customer's rate that an entry takes for its own, or nothing before it
-    /// knows how many entries there are.
-    std::optional<per_mille> share_of(std::size_t entry, customer_id const& customer);
+    /// Returns the part of the rates that an entry takes for its own, or nothing before it knows
+    /// how many entries there are.
+    std::optional<per_mille> part_of(std::size_t entry);
     /// Returns the control instance to which an entry reports, if there is one.
     std::optional<std::size_t> control_of(std::size_t entry);
     /// Returns whether an entry refuses requests because its plan is outdated.
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -111,10 +111,10 @@
             for (int n = 0; n != 500; ++n)
             {
                 fleet.run(milliseconds(10));
-                auto const total = known_shares(fleet).count();
+                auto const total = known_parts(fleet).count();
                 CPPUNIT_ASSERT_MESSAGE(std::to_string(total), total <= whole_share.count());
             }
-            CPPUNIT_ASSERT(known_shares(fleet).count() * 10 >= whole_share.count() * 9);
+            CPPUNIT_ASSERT(known_parts(fleet).count() * 10 >= whole_share.count() * 9);
         }
     }
 
@@ -682,13 +682,13 @@
             CPPUNIT_ASSERT(fleet_->acts_by_plan(n) && fleet_->generation(n) == generation_id(2));
     }
 
-    /// Returns the sum of the parts of a customer's rate of all entries that know theirs.
-    static per_mille known_shares(roster_fleet& fleet)
+    /// Returns the sum of the parts of the rates of all entries that know theirs.
+    static per_mille known_parts(roster_fleet& fleet)
     {
         per_mille out;
         for (std::size_t n = 0; n != fleet.entries(); ++n)
-            if (auto const share = fleet.share_of(n, customer_id("x")))
-                out += *share;
+            if (auto const part = fleet.part_of(n))
+                out += *part;
         return out;
     }
 
