Lend parts of the rates while nobody leads, also without questions

What callers saw: customers below their rates were refused as over the quota in the first second after the loss of a leader, and longer where their callers use a few of the entries: 69 of 876 requests of a customer with a rate of 9 and callers at 2 of 11 entries (rate_fleet_tests). Cause: a control instance lent its part with its questions only, and a loan ends after a second; the parts of instances whose entries were not asked stayed unused. The former leader, which is often the one that others lend to, did not know which customers were pressed, although it had told all others, and began with empty buckets. Change: a control instance that hears no leader lends its part every 400 ms; a leader remembers its own answer about pressed customers. Ruled out: the loans' gaps alone (56 of 866 refused, callers at 11 entries) and the former leader's memory alone (72 of 875, callers at 2).

--- a/plugins/control/quota/quota_keeper.cpp
+++ b/plugins/control/quota/quota_keeper.cpp
@@ -118,6 +118,10 @@
 /// exchange intervals.
 constexpr milliseconds substitute_silence{500};
 
+/// Time after a question in which a part counts as lent; less than a loan's lifetime and a round
+/// trip.
+constexpr milliseconds loan_interval{400};
+
 /// Admits requests of customers with a rate: as the leader from the rate itself, else by asking
 /// the leader. While no leader answers, the control instances lend their parts of the rates to the
 /// one with the lowest number that they hear; one that gets no answer there either admits from its
@@ -156,6 +160,7 @@
         for (auto& it : relay_.take_overdue(ctx.now))
             ask_elsewhere(it.recipient, std::move(it.parts), ctx);
         relay_questions(ctx);
+        renew_loan(ctx);
         if (ctx.now >= parts_check_due_)
             check_parts(ctx);
     }
@@ -199,12 +204,17 @@
     {
         if (charge_ && charge_->question == answer.number)
             charge_.reset();
-        pressed_ = {answer.pressed->begin(), answer.pressed->end()};
-        pressed_until_ = ctx.now + pressed_lifetime;
+        record_pressed(*answer.pressed, ctx.now);
         answering_leader_ = leader;
         change_authority(authority::leader, ctx);
     }
 
+    void record_pressed(std::vector<customer_id> const& customers, instant now)
+    {
+        pressed_ = {customers.begin(), customers.end()};
+        pressed_until_ = now + pressed_lifetime;
+    }
+
     /// Asks the next instance about questions that one did not decide.
     void ask_elsewhere(instance_id undecided, std::vector<question_relay::entry_question> questions,
                        context& ctx)
@@ -294,6 +304,7 @@
             ledger_->settle_ahead(customer, used, ctx.now);
         auto out = decide(question, admit, ctx);
         out.pressed = ledger_->pressed_customers(ctx.now);
+        record_pressed(*out.pressed, ctx.now);
         out.ahead_lifetime = config_.ahead_lifetime;
         return out;
     }
@@ -437,16 +448,39 @@
         auto const recipient = leader || !part ? leader : substitute(ctx);
         if (!recipient)
             return decide_alone(relay_.take_waiting(), ctx);
-        next_relay_at_ = ctx.now + config_.relay_interval;
-        last_question_ = next_message_number(last_question_, ctx.random);
-        ctx.counters.add(relayed_counter);
-        auto question = relay_.join(last_question_, *recipient, ctx.now + config_.answer_timeout);
+        auto question = join_questions(*recipient, ctx);
         question.part = part;
         if (leader)
             add_charge(question, *leader);
         ctx.send(*recipient, std::move(question));
     }
 
+    /// Lends this instance's part while nobody leads, also without questions of its entries: the
+    /// callers of a customer may all be at the entries of other instances.
+    void renew_loan(context& ctx)
+    {
+        if (ctx.now < loan_due_ || authority_ == authority::own || !relay_.is_empty() ||
+            acts_as_leader(ctx.now) || services_.require<leader_directory>().leader(ctx.now))
+            return;
+        auto const part = own_part(ctx.now);
+        auto const recipient = substitute(ctx);
+        if (!part || !recipient)
+            return;
+        change_authority(authority::substitute, ctx);
+        auto question = join_questions(*recipient, ctx);
+        question.part = part;
+        ctx.send(*recipient, std::move(question));
+    }
+
+    messages::quota_question join_questions(instance_id recipient, context& ctx)
+    {
+        next_relay_at_ = ctx.now + config_.relay_interval;
+        loan_due_ = ctx.now + loan_interval;
+        last_question_ = next_message_number(last_question_, ctx.random);
+        ctx.counters.add(relayed_counter);
+        return relay_.join(last_question_, recipient, ctx.now + config_.answer_timeout);
+    }
+
     kernel::service_map& services_;
     ledger_settings const& config_;
     std::optional<quota_ledger> ledger_; ///< While this instance leads.
@@ -454,14 +488,15 @@
     part_ledger parts_;
     std::optional<told_charge> charge_; ///< On its way to the leader.
     authority authority_ = authority::leader;
-    std::set<customer_id> pressed_;               ///< By the leader's last answer.
-    instant pressed_until_;                       ///< When that answer is too old.
+    std::set<customer_id> pressed_; ///< By the leader's last answer, also one of this instance.
+    instant pressed_until_;         ///< When that answer is too old.
     std::optional<instance_id> answering_leader_; ///< The last one that answered.
     /// Instances that did not decide a question, and until when they are not asked.
     std::map<instance_id, instant> silent_until_;
     question_relay relay_;
     sequence_id last_question_;
     instant next_relay_at_;
+    instant loan_due_; ///< When this instance's part is lent again without a question.
     instant parts_check_due_;
     bool parts_exceed_ = false; ///< As of the last check.
 };
