--- a/tests/entry/plan_stages/quota_test.cpp
+++ b/tests/entry/plan_stages/quota_test.cpp
@@ -147,6 +147,7 @@
         for (auto const& it : all)
             it->advance(answer_limit);
         std::vector<int> admitted; // Of those sent in each tenth of a second.
+        admitted.reserve(sent.size());
         for (auto const& tenth : sent)
             admitted.push_back(static_cast<int>(std::count_if(
                 tenth.begin(), tenth.end(),
