Draw the arrivals of both fleet models, and join lent parts, in one place

Cause: read again as a whole, the change had written the loop of quota_fleet.cpp that draws arrivals a second time in roster_fleet.cpp, and the end of relay_questions a second time in renew_loan; two comments misled. Change: draw_arrivals() and a part as a parameter of join_questions().

--- a/include/mulberryrudder/core/expiring_requests.hpp
+++ b/include/mulberryrudder/core/expiring_requests.hpp
@@ -10,7 +10,7 @@
 namespace mulberryrudder
 {
 
-/// Requests that were admitted before they arrived, each until a deadline.
+/// Counts requests, each until a deadline.
 ///
 /// Thread safety: one owner.
 class expiring_requests
--- a/plugins/control/quota/quota_keeper.cpp
+++ b/plugins/control/quota/quota_keeper.cpp
@@ -405,7 +405,7 @@
         auto const plan = services_.require<steering_view>().steering()->plan;
         if (!plan)
             return out;
-        // Requests that wait go before those that are expected, which are in both lists or alone.
+        // A customer may be in either list or in both.
         std::set<customer_id> customers;
         for (auto const* const list : {&question.wanted, &question.expected})
             for (auto const& [id, count] : *list)
@@ -452,8 +452,7 @@
         auto const recipient = leader || !part ? leader : substitute(ctx);
         if (!recipient)
             return decide_alone(relay_.take_waiting(), ctx);
-        auto question = join_questions(*recipient, ctx);
-        question.part = part;
+        auto question = join_questions(*recipient, part, ctx);
         if (leader)
             add_charge(question, *leader);
         ctx.send(*recipient, std::move(question));
@@ -471,18 +470,20 @@
         if (!part || !recipient)
             return;
         change_authority(authority::substitute, ctx);
-        auto question = join_questions(*recipient, ctx);
-        question.part = part;
-        ctx.send(*recipient, std::move(question));
+        ctx.send(*recipient, join_questions(*recipient, part, ctx));
     }
 
-    messages::quota_question join_questions(instance_id recipient, context& ctx)
+    /// Joins the questions that wait. `part` is lent with them, if there is one.
+    messages::quota_question join_questions(instance_id recipient, std::optional<per_mille> part,
+                                            context& ctx)
     {
         next_relay_at_ = ctx.now + config_.relay_interval;
         loan_due_ = ctx.now + loan_interval;
         last_question_ = next_message_number(last_question_, ctx.random);
         ctx.counters.add(relayed_counter);
-        return relay_.join(last_question_, recipient, ctx.now + config_.answer_timeout);
+        auto out = relay_.join(last_question_, recipient, ctx.now + config_.answer_timeout);
+        out.part = part;
+        return out;
     }
 
     kernel::service_map& services_;
--- a/tests/quota_fleet/quota_fleet.cpp
+++ b/tests/quota_fleet/quota_fleet.cpp
@@ -1,5 +1,7 @@
 #include "quota_fleet.hpp"
 
+#include "request_arrivals.hpp"
+
 #include <mulberryrudder/control/replicated_log.hpp>
 #include <mulberryrudder/control/roster.hpp>
 #include <mulberryrudder/control/steering.hpp>
@@ -18,8 +20,6 @@
 constexpr milliseconds within_domain{1};
 /// Time after which control instances notice which others they do not hear.
 constexpr milliseconds silence_notice_time{500};
-/// Slots of time within a step, each of which brings at most one request.
-constexpr int draws_per_step = 100;
 
 } // namespace
 
@@ -278,15 +278,10 @@
     }
 }
 
-/// Sends the requests of a step; their rate is in thousandths of a request a second. They arrive at
-/// random, so their number varies. Integer arithmetic gives the same schedule on all machines.
+/// Sends the requests of a step; their rate is in thousandths of a request a second.
 void quota_fleet::send_requests(std::int64_t rate, std::string const& key)
 {
-    std::uniform_int_distribution<std::int64_t> draw(0,
-                                                     std::int64_t{1'000'000} * draws_per_step - 1);
-    for (int n = 0; n != draws_per_step; ++n)
-        if (draw(random_) < rate * step.count())
-            send_request(key);
+    draw_arrivals(rate, random_, [&] { send_request(key); });
 }
 
 void quota_fleet::send_request(std::string const& key)
--- a/tests/roster_fleet/roster_fleet.cpp
+++ b/tests/roster_fleet/roster_fleet.cpp
@@ -1,6 +1,7 @@
 #include "roster_fleet.hpp"
 
 #include "tests/control/support/fake_log.hpp"
+#include "tests/quota_fleet/request_arrivals.hpp"
 
 #include <capnp/message.h>
 
@@ -15,8 +16,6 @@
 
 constexpr milliseconds step = admission_record::step;
 constexpr milliseconds latency{20};
-/// Slots of time within a step, each of which brings at most one request.
-constexpr int draws_per_step = 100;
 /// Time between two announcements of a target.
 constexpr milliseconds announcement_interval{1500};
 
@@ -269,18 +268,13 @@
     loaded_entries_ = std::move(entries);
 }
 
-/// Sends the requests of a step. They arrive at random, so their number varies. Integer arithmetic
-/// gives the same schedule on all machines.
 void roster_fleet::send_requests()
 {
     if (loaded_entries_.empty())
         return;
-    std::uniform_int_distribution<std::int64_t> draw(0,
-                                                     std::int64_t{1'000'000} * draws_per_step - 1);
     std::uniform_int_distribution<std::size_t> choose(0, loaded_entries_.size() - 1);
-    for (int n = 0; n != draws_per_step; ++n)
-        if (draw(random_) < config_.rate * load_.count() * step.count())
-            send_request(loaded_entries_.at(choose(random_)));
+    draw_arrivals(config_.rate * load_.count(), random_,
+                  [&] { send_request(loaded_entries_.at(choose(random_))); });
 }
 
 void roster_fleet::send_request(std::size_t entry)
