--- a/review/9/case.cpp
+++ b/review/9/case.cc
@@ -1,7 +1,7 @@
 // A server says that it leaves, and that is acknowledged. Right after it all processes of the
 // system are killed. A status report of the server from before its leave arrives late.
 
-#include "../stand_ins_2/deployment.hpp"
+#include "../stand_ins_2/deployment.hh"
 
 #include <algorithm>
 
@@ -28,8 +28,8 @@
     sleep_for(2);
     std::vector<std::unique_ptr<server>> servers;
     for (int n = 0; n != place_count; ++n)
-        servers.push_back(std::make_unique<server>(system, record, "desk", n,
-                                                   system.server_address(n, 0), 0.1));
+        servers.push_back(
+            std::make_unique<server>(system, record, "desk", n, system.server_address(n, 0), 0.1));
     if (system.order("POST", "/api/config/replace", "Base-Version: 0\r\n", desired_state(1), 10)
             .status() != 200)
         throw setup_failed{"the first desired state was not acknowledged"};
@@ -71,9 +71,9 @@
     system.check_alive();
 
     auto const sent = load.sent();
-    auto const served = std::count_if(sent.begin(), sent.end(),
-                                      [&](auto const& it)
-                                      { return it.second.at > in_touch && it.second.status == 200; });
+    auto const served = std::count_if(
+        sent.begin(), sent.end(),
+        [&](auto const& it) { return it.second.at > in_touch && it.second.status == 200; });
     if (served < 50)
         throw setup_failed{"hardly any request was served at the end"};
     int broken = 0;
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/{7,8,9,10}/case.cpp; do
+for source in review/{7,8,9,10}/case.cc; do
   [ -e "$source" ] || continue
   number=$(basename "$(dirname "$source")")
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-2/case-$number" "$source"
--- a/review/stand_ins_2/deployment.hpp
+++ b/review/stand_ins_2/deployment.hh
@@ -1,5 +1,5 @@
-#ifndef MULBERRYRUDDER_REVIEW_STAND_INS_2_DEPLOYMENT_HPP
-#define MULBERRYRUDDER_REVIEW_STAND_INS_2_DEPLOYMENT_HPP
+#ifndef MULBERRYRUDDER_REVIEW_STAND_INS_2_DEPLOYMENT_HH
+#define MULBERRYRUDDER_REVIEW_STAND_INS_2_DEPLOYMENT_HH
 
 // A small deployment for the cases of the second review: the project's daemons as separate
 // processes on loopback addresses, and stand-ins for servers, consumers and the operator.
@@ -226,10 +226,7 @@
     std::map<std::string, std::string> fields; ///< Names in lower case.
     std::string body;
 
-    int status() const
-    {
-        return first_line.size() > 12 ? std::atoi(first_line.c_str() + 9) : 0;
-    }
+    int status() const { return first_line.size() > 12 ? std::atoi(first_line.c_str() + 9) : 0; }
     std::string field(std::string const& name) const
     {
         auto const it = fields.find(name);
@@ -330,7 +327,8 @@
         for (int n = 0; n != place_count; ++n)
             control_.push_back({"control", n, ip(n, 10)});
         for (int n = 0; n != place_count * entries_a_zone; ++n)
-            entries_.push_back({"entry", n % place_count, ip(n % place_count, 20 + n / place_count)});
+            entries_.push_back(
+                {"entry", n % place_count, ip(n % place_count, 20 + n / place_count)});
     }
 
     ~deployment()
@@ -482,8 +480,7 @@
     {
         int const fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         auto const where = socket_address(at);
-        bool const out =
-            ::bind(fd, reinterpret_cast<sockaddr const*>(&where), sizeof where) == 0;
+        bool const out = ::bind(fd, reinterpret_cast<sockaddr const*>(&where), sizeof where) == 0;
         ::close(fd);
         return out;
     }
@@ -743,8 +740,8 @@
 /// those that were known before.
 inline std::vector<address> look_up(deployment& in, int zone, std::vector<address> known)
 {
-    auto const path = std::string("/api/resolve?Name=shop.example&Region=") +
-                      places[zone].region + "&Zone=" + places[zone].zone;
+    auto const path = std::string("/api/resolve?Name=shop.example&Region=") + places[zone].region +
+                      "&Zone=" + places[zone].zone;
     for (int tries = 0; tries != 3; ++tries)
     {
         auto const& from = in.control()[(zone + tries) % in.control().size()];
@@ -827,10 +824,9 @@
     {
         auto const attempt = random_id("");
         auto const begin = now();
-        auto const answer = call(to, "GET", "/look/1",
-                                 "Host: shop.example\r\nAttempt-Id: " + attempt +
-                                     "\r\nDeadline-Ms: 2000\r\n",
-                                 "", 2);
+        auto const answer = call(
+            to, "GET", "/look/1",
+            "Host: shop.example\r\nAttempt-Id: " + attempt + "\r\nDeadline-Ms: 2000\r\n", "", 2);
         record_.line("consumer sent " + attempt + " at " + std::to_string(begin) + " to " +
                      to.text() + ", answered " + std::to_string(answer.status()) + " seal \"" +
                      answer.field("server-seal") + "\" body \"" + answer.body + "\"");
@@ -856,10 +852,13 @@
 {
     return "{\"Version\":\"r" + std::to_string(version) +
            "\",\"Routes\":[{\"Name\":\"r-look\",\"Hostname\":\"shop.example\",\"PathPrefix\":"
-           "\"/look/\",\"Type\":\"safe\",\"Timeout\":\"" + timeout + "\",\"TargetLatency\":\"250ms\","
+           "\"/look/\",\"Type\":\"safe\",\"Timeout\":\"" +
+           timeout +
+           "\",\"TargetLatency\":\"250ms\","
            "\"Priority\":2,\"Service\":\"desk\",\"MaxAttempts\":2,\"Public\":true,\"Sticky\":false,"
            "\"AllowedRegions\":[]}" +
-           further_routes + "],\"Services\":[{\"Name\":\"desk\",\"HealthPath\":\"/healthz\","
+           further_routes +
+           "],\"Services\":[{\"Name\":\"desk\",\"HealthPath\":\"/healthz\","
            "\"MaxConnections\":390,\"Protocol\":\"h1\",\"Tls\":false,\"Warmup\":\"3s\","
            "\"WarmupPerS\":10.0}],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":67108864,"
            "\"HeaderTimeout\":\"3000ms\",\"IdleTimeout\":\"15000ms\"}}";
