Keep the extra bytes of review case 8 within their time

Cause: bytes that were due at the end of the 5 s could still be sent up to a second later.

Change: the stand-in drops them.

--- a/review/stand_ins_2/deployment.hh
+++ b/review/stand_ins_2/deployment.hh
@@ -683,7 +683,7 @@
         bool extra_due = false;
         while (!ended_ && read_message(from, asked, now() + 10))
         {
-            if (extra_due)
+            if (extra_due && extra_per_mille_ != 0)
             {
                 record_.line("server " + id_ + " sends extra bytes behind an answer, late");
                 from.send(extra_, now() + 1);
