--- a/plugins/control/replica/leading.cpp
+++ b/plugins/control/replica/leading.cpp
@@ -150,6 +150,7 @@
     auto entries =
         log_.slice(peer.next_index, static_cast<std::size_t>(config_.max_append_entries));
     peer.in_flight = !entries.empty();
+    ctx_->counters.add(replica_events::entries_sent, entries.size());
     // Sent without waiting for the own sync, which runs in parallel with the followers'.
     send_append(receiver, peer, index_before(peer.next_index), std::move(entries));
 }
--- a/plugins/control/replica/log_store.cpp
+++ b/plugins/control/replica/log_store.cpp
@@ -1,5 +1,6 @@
 #include "log_store.hpp"
 
+#include <mulberryrudder/control/command_size.hpp>
 #include <mulberryrudder/core/invariant.hpp>
 
 #include <algorithm>
@@ -21,25 +22,27 @@
 {
     base_ = base;
     entries_.clear();
+    bytes_ = {};
 }
 
 void log_store::append(log_entry entry)
 {
     check_invariant(entry.index == index_after(last().index), "log indexes are consecutive");
     check_invariant(entry.term >= last().term, "terms in the log do not decrease");
-    entries_.push_back(std::move(entry));
+    auto const bytes = memory_size(entry.command);
+    bytes_ += bytes;
+    entries_.push_back({.entry = std::move(entry), .bytes = bytes});
 }
 
 void log_store::truncate_from(log_index first)
 {
-    entries_.resize(offset(first));
+    erase(offset(first), entries_.size());
 }
 
 void log_store::compact(log_index base)
 {
     auto const term = *term_at(base);
-    auto const dropped = static_cast<std::ptrdiff_t>(base.value() - base_.index.value());
-    entries_.erase(entries_.begin(), entries_.begin() + dropped);
+    erase(0, base.value() - base_.index.value());
     base_ = {.term = term, .index = base};
 }
 
@@ -47,7 +50,8 @@
 {
     if (entries_.empty())
         return base_;
-    return {.term = entries_.back().term, .index = entries_.back().index};
+    auto const& newest = entries_.back().entry;
+    return {.term = newest.term, .index = newest.index};
 }
 
 std::optional<term_id> log_store::term_at(log_index index) const
@@ -61,15 +65,26 @@
 
 log_entry const& log_store::at(log_index index) const
 {
-    return entries_.at(offset(index));
+    return entries_.at(offset(index)).entry;
 }
 
 std::vector<log_entry> log_store::slice(log_index first, std::size_t max_count) const
 {
     auto const start = std::min(offset(first), entries_.size());
     auto const n = std::min(max_count, entries_.size() - start);
-    auto const begin = entries_.begin() + static_cast<std::ptrdiff_t>(start);
-    return {begin, begin + static_cast<std::ptrdiff_t>(n)};
+    std::vector<log_entry> out;
+    out.reserve(n);
+    for (std::size_t k = 0; k != n; ++k)
+        out.push_back(entries_[start + k].entry);
+    return out;
+}
+
+void log_store::erase(std::size_t first, std::size_t last)
+{
+    auto const begin = entries_.begin() + static_cast<std::ptrdiff_t>(first);
+    auto const end = entries_.begin() + static_cast<std::ptrdiff_t>(last);
+    std::for_each(begin, end, [this](stored_entry const& it) { bytes_ -= it.bytes; });
+    entries_.erase(begin, end);
 }
 
 std::size_t log_store::offset(log_index index) const
--- a/plugins/control/replica/log_store.hpp
+++ b/plugins/control/replica/log_store.hpp
@@ -2,6 +2,7 @@
 #define MULBERRYRUDDER_PLUGINS_CONTROL_REPLICA_LOG_STORE_HPP
 
 #include <mulberryrudder/control/log_types.hpp>
+#include <mulberryrudder/core/units.hpp>
 
 #include <cstddef>
 #include <deque>
@@ -46,6 +47,8 @@
     void compact(log_index base);
 
     log_position base() const { return base_; }
+    /// Returns about how many bytes the entries take.
+    byte_count bytes() const { return bytes_; }
     log_position last() const;
 
     /// Returns the term of the base or an entry; std::nullopt outside the log.
@@ -59,10 +62,19 @@
     std::vector<log_entry> slice(log_index first, std::size_t max_count) const;
 
 private:
+    struct stored_entry
+    {
+        log_entry entry;
+        byte_count bytes;
+    };
+
     std::size_t offset(log_index index) const;
+    /// Removes the entries from position `first` up to `last`.
+    void erase(std::size_t first, std::size_t last);
 
     log_position base_;
-    std::deque<log_entry> entries_;
+    std::deque<stored_entry> entries_;
+    byte_count bytes_; ///< Of all entries.
 };
 
 } // namespace mulberryrudder::control
--- a/plugins/control/replica/replica.cpp
+++ b/plugins/control/replica/replica.cpp
@@ -53,6 +53,7 @@
         append_entry(entry);
     }
     sync_queue_.reset(log_.last().index);
+    record_sizes();
     persist_term();
     report_peer_addresses();
     // This replica may have granted a leader its lease before the restart.
@@ -217,6 +218,7 @@
     ctx_->out.push_back(persist{.ticket = sync_queue_.issue(log_.last().index),
                                 .cut_from = cut_from,
                                 .entries = std::move(entries)});
+    record_sizes();
 }
 
 void replica::append_entry(log_entry const& entry)
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -250,6 +250,10 @@
 
     // snapshotting.cpp: taking, sending and installing snapshots.
     void take_snapshot_if_due();
+    /// Returns about how many bytes the newest snapshot takes in memory.
+    byte_count snapshot_size() const;
+    /// Updates the counters of the sizes of log and snapshot.
+    void record_sizes();
     void send_snapshot(instance_id receiver, progress& peer);
     void send_snapshot_piece(instance_id receiver, progress& peer);
     void handle_snapshot_piece(instance_id sender, messages::snapshot_piece const& piece,
--- a/plugins/control/replica/replica_events.cpp
+++ b/plugins/control/replica/replica_events.cpp
@@ -108,6 +108,14 @@
      .meaning = "This control instance stops as planned, and asked the voter `to` to lead.",
      .action = "None."});
 
+event_kind const snapshot_taken(
+    {.number = 514,
+     .name = "replica.snapshot_taken",
+     .level = severity::info,
+     .meaning = "A snapshot of the state up to `index` took the place of `entries` log entries of "
+                "about `log_bytes` in memory; the snapshot has about `snapshot_bytes`.",
+     .action = "None."});
+
 counter_kind const pre_votes("replica.trials", "Pre-vote rounds that this replica started.");
 counter_kind const elections("replica.elections",
                              "Elections that this replica started as a candidate.");
@@ -125,5 +133,11 @@
 counter_kind const snapshots_taken("replica.snapshots_taken",
                                    "Snapshots that this replica took of its state.");
 counter_kind const pieces_sent("replica.pieces_sent", "Snapshot pieces sent to other replicas.");
+counter_kind const entries_sent("replica.entries_sent",
+                                "Log entries sent to other replicas, repeated ones included.");
+counter_kind const log_bytes("replica.log_bytes",
+                             "About how many bytes the log takes in memory, without the snapshot.");
+counter_kind const snapshot_bytes("replica.snapshot_bytes",
+                                  "About how many bytes the newest snapshot takes in memory.");
 
 } // namespace mulberryrudder::control::replica_events
--- a/plugins/control/replica/replica_events.hpp
+++ b/plugins/control/replica/replica_events.hpp
@@ -21,6 +21,7 @@
 extern kernel::event_kind const election_ended;
 extern kernel::event_kind const leader_missing;
 extern kernel::event_kind const lead_handed_over;
+extern kernel::event_kind const snapshot_taken;
 
 extern kernel::counter_kind const pre_votes;
 extern kernel::counter_kind const elections;
@@ -31,6 +32,9 @@
 extern kernel::counter_kind const appends_rejected;
 extern kernel::counter_kind const snapshots_taken;
 extern kernel::counter_kind const pieces_sent;
+extern kernel::counter_kind const entries_sent;
+extern kernel::counter_kind const log_bytes;
+extern kernel::counter_kind const snapshot_bytes;
 
 } // namespace mulberryrudder::control::replica_events
 
--- a/plugins/control/replica/snapshotting.cpp
+++ b/plugins/control/replica/snapshotting.cpp
@@ -1,6 +1,7 @@
 #include "replica.hpp"
 #include "replica_events.hpp"
 
+#include <mulberryrudder/control/command_size.hpp>
 #include <mulberryrudder/core/invariant.hpp>
 
 #include <algorithm>
@@ -17,13 +18,37 @@
                          .index = applied_index_,
                          .members = memberships_.at(applied_index_),
                          .parts = ctx_->observers.collect_snapshot()};
+    auto const entries = applied_index_.value() - log_.base().index.value();
+    auto const bytes = log_.bytes();
     log_.compact(applied_index_);
     memberships_.compact(applied_index_);
     ctx_->counters.add(replica_events::snapshots_taken);
+    record_sizes();
+    ctx_->events.record(replica_events::snapshot_taken,
+                        {{"index", std::to_string(applied_index_.value())},
+                         {"entries", std::to_string(entries)},
+                         {"log_bytes", std::to_string(bytes.count())},
+                         {"snapshot_bytes", std::to_string(snapshot_size().count())}});
     ctx_->out.push_back(
         persist_snapshot{.ticket = sync_queue_.issue(log_.last().index), .base = *snapshot_});
 }
 
+byte_count replica::snapshot_size() const
+{
+    byte_count out;
+    if (snapshot_)
+        for (auto const& it : snapshot_->parts)
+            out += memory_size(it);
+    return out;
+}
+
+void replica::record_sizes()
+{
+    ctx_->counters.set(replica_events::log_bytes, static_cast<std::uint64_t>(log_.bytes().count()));
+    ctx_->counters.set(replica_events::snapshot_bytes,
+                       static_cast<std::uint64_t>(snapshot_size().count()));
+}
+
 void replica::send_snapshot(instance_id receiver, progress& peer)
 {
     // The reply to a piece that was received waits for the receiver's disk, and so do those to the
@@ -115,6 +140,7 @@
         persist_snapshot{.ticket = sync_queue_.issue(log_.last().index), .base = *snapshot_});
     if (!keeps_log_tail)
         persist_log(truncate_from, {});
+    record_sizes();
     report_peer_addresses();
     ctx_->events.record(replica_events::snapshot_installed,
                         {{"index", std::to_string(snapshot_->index.value())}});
