Send entries again only once their loss is known, and bound a message in bytes

Now a replica that has not answered gets heartbeats without entries. Its replies come in the order of the messages, so the reply to a later round shows that a message or its reply was lost; only then is it sent again. A reply to an earlier message no longer ends the wait. A message has entries of replica/append_bytes (1 MiB), or one larger entry.

--- a/plugins/control/replica/leading.cpp
+++ b/plugins/control/replica/leading.cpp
@@ -139,17 +139,37 @@
 
 void replica::send_next(instance_id receiver, progress& peer)
 {
-    if (peer.next_index <= log_.base().index)
-        send_snapshot(receiver, peer);
+    if (peer.in_flight)
+        send_append(receiver, peer, std::max(index_before(peer.next_index), log_.base().index), {});
+    else if (peer.next_index <= log_.base().index)
+        send_snapshot_piece(receiver, peer);
     else
         send_entries(receiver, peer);
 }
 
+void replica::begin_flight(progress& peer, log_index last)
+{
+    peer.in_flight = true;
+    peer.flight_round = lease_.round();
+    peer.flight_last = last;
+}
+
+void replica::end_flight_if_settled(progress& peer, messages::round_id round,
+                                    std::optional<log_index> last)
+{
+    // A replica replies in the order in which messages arrive, so the reply to a later round shows
+    // that the message or its reply was lost. Another message of the same round may be older.
+    bool const answers = round == peer.flight_round && (!last || *last >= peer.flight_last);
+    if (answers || round > peer.flight_round)
+        peer.in_flight = false;
+}
+
 void replica::send_entries(instance_id receiver, progress& peer)
 {
-    auto entries =
-        log_.slice(peer.next_index, static_cast<std::size_t>(config_.max_append_entries));
-    peer.in_flight = !entries.empty();
+    auto entries = log_.slice(peer.next_index, static_cast<std::size_t>(config_.max_append_entries),
+                              byte_count(config_.max_append_bytes));
+    if (!entries.empty())
+        begin_flight(peer, entries.back().index);
     ctx_->counters.add(replica_events::entries_sent, entries.size());
     // Sent without waiting for the own sync, which runs in parallel with the followers'.
     send_append(receiver, peer, index_before(peer.next_index), std::move(entries));
@@ -235,7 +255,7 @@
 void replica::record_match(progress& peer, log_index match_index, messages::round_id round)
 {
     check_invariant(match_index <= log_.last().index, "match index within the leader's log");
-    peer.in_flight = false;
+    end_flight_if_settled(peer, round, match_index);
     if (round > peer.matched_round)
         peer.syncs_until = after_rounds(max_syncing_rounds);
     peer.matched_round = std::max(peer.matched_round, round);
@@ -247,7 +267,7 @@
 void replica::handle_mismatch(instance_id sender, progress& peer,
                               messages::append_reply const& reply)
 {
-    peer.in_flight = false;
+    end_flight_if_settled(peer, reply.round, std::nullopt);
     if (reply.round <= peer.matched_round)
         return;
     if (reply.last >= peer.match_index)
--- a/plugins/control/replica/log_store.cpp
+++ b/plugins/control/replica/log_store.cpp
@@ -4,6 +4,7 @@
 #include <mulberryrudder/core/invariant.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace mulberryrudder::control
 {
@@ -68,17 +69,26 @@
     return entries_.at(offset(index)).entry;
 }
 
-std::vector<log_entry> log_store::slice(log_index first, std::size_t max_count) const
+std::vector<log_entry> log_store::slice(log_index first, std::size_t max_count,
+                                        byte_count max_bytes) const
 {
-    auto const start = std::min(offset(first), entries_.size());
-    auto const n = std::min(max_count, entries_.size() - start);
     std::vector<log_entry> out;
-    out.reserve(n);
-    for (std::size_t k = 0; k != n; ++k)
-        out.push_back(entries_[start + k].entry);
+    byte_count bytes;
+    for (auto n = offset(first); n < entries_.size() && out.size() != max_count; ++n)
+    {
+        bytes += entries_[n].bytes;
+        if (!out.empty() && bytes > max_bytes)
+            break;
+        out.push_back(entries_[n].entry);
+    }
     return out;
 }
 
+std::vector<log_entry> log_store::tail(log_index first) const
+{
+    return slice(first, entries_.size(), byte_count(std::numeric_limits<std::int64_t>::max()));
+}
+
 void log_store::erase(std::size_t first, std::size_t last)
 {
     auto const begin = entries_.begin() + static_cast<std::ptrdiff_t>(first);
--- a/plugins/control/replica/log_store.hpp
+++ b/plugins/control/replica/log_store.hpp
@@ -57,9 +57,13 @@
     /// Precondition: the entry is in the log.
     log_entry const& at(log_index index) const;
 
-    /// Returns at most `max_count` entries from `first` on. Precondition: `first` is greater
-    /// than the base's index.
-    std::vector<log_entry> slice(log_index first, std::size_t max_count) const;
+    /// Returns the entries from `first` on: at most `max_count`, and of these as many as take about
+    /// `max_bytes`, but at least one. Precondition: `first` is greater than the base's index.
+    std::vector<log_entry> slice(log_index first, std::size_t max_count,
+                                 byte_count max_bytes) const;
+
+    /// Returns all entries from `first` on. Precondition: as for slice().
+    std::vector<log_entry> tail(log_index first) const;
 
 private:
     struct stored_entry
--- a/plugins/control/replica/replica.cpp
+++ b/plugins/control/replica/replica.cpp
@@ -6,7 +6,6 @@
 #include <mulberryrudder/messages/roster.hpp>
 
 #include <array>
-#include <limits>
 
 namespace mulberryrudder::control
 {
@@ -117,7 +116,7 @@
         ctx.out.push_back(
             persist_snapshot{.ticket = sync_queue_.issue(log_.last().index), .base = *snapshot_});
     auto const first = index_after(log_.base().index);
-    persist_log(first, log_.slice(first, std::numeric_limits<std::size_t>::max()));
+    persist_log(first, log_.tail(first));
     restoring_ticket_ = sync_queue_.newest_ticket();
 }
 
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -34,8 +34,9 @@
     instant answers_until;            ///< Counts as answering until then, without a newer reply.
     instant syncs_until;              ///< Its disk counts as hanging then, without a newer match.
     std::uint32_t next_piece = 0;     ///< Position of the next snapshot piece to send.
-    messages::round_id piece_round;   ///< In which the newest piece was sent.
     bool in_flight = false;           ///< Entries or a piece were sent and not yet answered.
+    messages::round_id flight_round;  ///< In which they were sent.
+    log_index flight_last;            ///< Last of the entries that were sent.
 };
 
 /// An election in which this replica is the candidate.
@@ -180,8 +181,15 @@
     void append_command(any_message command);
     void open_round();
     void send_to_idle_peers();
+    /// Sends what the replica needs next; a heartbeat while it has not answered what was sent.
     void send_next(instance_id receiver, progress& peer);
     void send_entries(instance_id receiver, progress& peer);
+    /// Records that entries up to `last`, or a piece of a snapshot, are under way.
+    void begin_flight(progress& peer, log_index last);
+    /// Ends the flight if a reply to a message of `round` answers it, or shows that it was lost.
+    /// `last` is the last entry that the reply confirms, if it confirms any.
+    static void end_flight_if_settled(progress& peer, messages::round_id round,
+                                      std::optional<log_index> last);
     void send_append(instance_id receiver, progress const& peer, log_index previous,
                      std::vector<log_entry> entries);
     /// Returns whether a reply is for this leader's term and the tracked disk of the sender;
@@ -254,7 +262,6 @@
     byte_count snapshot_size() const;
     /// Updates the counters of the sizes of log and snapshot.
     void record_sizes();
-    void send_snapshot(instance_id receiver, progress& peer);
     void send_snapshot_piece(instance_id receiver, progress& peer);
     void handle_snapshot_piece(instance_id sender, messages::snapshot_piece const& piece,
                                context& ctx);
--- a/plugins/control/replica/replica_settings.cpp
+++ b/plugins/control/replica/replica_settings.cpp
@@ -42,6 +42,10 @@
               "Entries applied since the last snapshot after which a new one is taken."),
         field("append_batch", &replica_settings::max_append_entries, {1, 4096},
               "Maximum number of entries in one message to another replica."),
+        field(
+            "append_bytes", &replica_settings::max_append_bytes, {1, 1 << 30},
+            "About how many bytes of entries one message to another replica has at most. A larger "
+            "entry is sent alone."),
     },
     check_replica};
 
--- a/plugins/control/replica/replica_settings.hpp
+++ b/plugins/control/replica/replica_settings.hpp
@@ -15,6 +15,7 @@
     milliseconds lease_margin{100};
     std::int64_t snapshot_threshold = 1000;
     std::int64_t max_append_entries = 64;
+    std::int64_t max_append_bytes = 1 << 20;
 };
 
 extern kernel::section<replica_settings> const replica_section;
--- a/plugins/control/replica/snapshotting.cpp
+++ b/plugins/control/replica/snapshotting.cpp
@@ -49,25 +49,12 @@
                        static_cast<std::uint64_t>(snapshot_size().count()));
 }
 
-void replica::send_snapshot(instance_id receiver, progress& peer)
-{
-    // The reply to a piece that was received waits for the receiver's disk, and so do those to the
-    // heartbeats behind it. If the reply is lost, theirs let the leader go on.
-    bool const is_received =
-        peer.piece_round != messages::round_id() && peer.heard_round >= peer.piece_round;
-    if (peer.in_flight && is_received)
-        send_append(receiver, peer, log_.base().index, {});
-    else
-        send_snapshot_piece(receiver, peer);
-}
-
 void replica::send_snapshot_piece(instance_id receiver, progress& peer)
 {
     auto const count = std::max<std::size_t>(snapshot_->parts.size(), 1);
     if (peer.next_piece >= count)
         peer.next_piece = 0;
-    peer.in_flight = true;
-    peer.piece_round = lease_.round();
+    begin_flight(peer, snapshot_->index);
     ctx_->counters.add(replica_events::pieces_sent);
     ctx_->send(receiver, messages::snapshot_piece{.term = state_.term,
                                                   .to_disk = peer.disk,
@@ -153,7 +140,7 @@
     if (!accept_reply(sender, reply.disk, reply.term, reply.round))
         return;
     auto& peer = peers_.at(sender);
-    peer.in_flight = false;
+    end_flight_if_settled(peer, reply.round, std::nullopt);
     if (reply.installed)
     {
         peer.next_piece = 0;
--- a/tests/control/replica/fake_group.cpp
+++ b/tests/control/replica/fake_group.cpp
@@ -1,5 +1,6 @@
 #include "fake_group.hpp"
 
+#include <mulberryrudder/control/command_size.hpp>
 #include <mulberryrudder/core/invariant.hpp>
 #include <mulberryrudder/messages/replica.hpp>
 
@@ -21,6 +22,17 @@
     return entry.command.type().hash_code();
 }
 
+byte_count size_on_network(any_message const& message)
+{
+    byte_count out(64);
+    if (auto const* const append = message.get<messages::append_request>())
+        for (auto const& it : append->entries)
+            out += memory_size(it.command);
+    if (auto const* const piece = message.get<messages::snapshot_piece>())
+        out += memory_size(piece->part);
+    return out;
+}
+
 } // namespace
 
 fake_group::fake_group(std::size_t size, std::uint64_t seed, replica_settings config)
@@ -282,9 +294,10 @@
                                                    network.max_delay.count());
     if (chance(random_) < network.loss_probability)
         return;
+    auto const sent_at = end_of_sending(message);
     int const copies = chance(random_) < network.duplicate_probability ? 2 : 1;
     for (int n = 0; n != copies; ++n)
-        schedule(now_ + span(delay(random_)),
+        schedule(sent_at + span(delay(random_)),
                  [=, this]
                  {
                      if (cut_links_.count({message.from.value(), receiver}) == 0)
@@ -293,6 +306,18 @@
                  });
 }
 
+instant fake_group::end_of_sending(envelope const& message)
+{
+    auto const size = size_on_network(message.body);
+    bytes_sent += size;
+    if (!network.bandwidth)
+        return now_;
+    auto& free_at = links_free_at_[{message.from.value(), message.to.value()}];
+    span const duration = seconds(1) * size.count() / network.bandwidth->count();
+    free_at = std::max(free_at, now_) + duration;
+    return free_at;
+}
+
 void fake_group::write(fake_instance& instance, fake_disk::write data)
 {
     if (instance.disk.fails)
@@ -408,12 +433,13 @@
     check(at(id));
 }
 
-bool fake_group::propose(std::uint64_t value)
+bool fake_group::propose(std::uint64_t value, byte_count size)
 {
     bool accepted = false;
     act_as_leader(
-        [&](std::uint32_t id, instant)
-        { accepted = log_of(id).propose(any_message::of(test_command{value})).has_value(); });
+        [&](std::uint32_t id, instant) {
+            accepted = log_of(id).propose(any_message::of(test_command{value, size})).has_value();
+        });
     return accepted;
 }
 
--- a/tests/control/replica/fake_group.hpp
+++ b/tests/control/replica/fake_group.hpp
@@ -56,6 +56,9 @@
     span max_delay = milliseconds(20);
     double loss_probability = 0;
     double duplicate_probability = 0;
+    /// Of the link from one instance to another, which carries one message after the other; without
+    /// one, a message takes its delay only.
+    std::optional<bytes_per_second> bandwidth;
 };
 
 /// Runs several decision cores in virtual time and checks the group's invariants after each
@@ -105,12 +108,13 @@
     /// Calls a function with the id of the acting leader and its local time, if there is one.
     void act_as_leader(std::function<void(std::uint32_t id, instant now)> const& act);
     /// Proposes a value on the acting leader; returns whether it was accepted.
-    bool propose(std::uint64_t value);
+    bool propose(std::uint64_t value, byte_count size = byte_count(8));
     /// Returns whether the replica runs and its state contains the value.
     bool has_value(std::uint32_t id, std::uint64_t value);
 
     instant now() const { return now_; }
     random_source& random() { return random_; }
+    byte_count bytes_sent;            ///< By all instances.
     std::vector<any_message> answers; ///< All of them, the oldest first.
     network_options network;
     span sync_delay = milliseconds(2); ///< Of a batch of writes.
@@ -137,6 +141,8 @@
     void tick(std::uint32_t id, std::uint64_t start);
     void perform(fake_instance& instance, effects const& out);
     void transmit(envelope const& message);
+    /// Returns when the last byte of a message that is sent now has been sent.
+    instant end_of_sending(envelope const& message);
     void write(fake_instance& instance, fake_disk::write data);
     void end_process(std::uint32_t id, std::uint64_t start);
     /// Syncs all writes that wait, one batch after the other as the disk duty does.
@@ -157,6 +163,8 @@
     std::uint64_t next_request_ = 0;
     std::map<operator_request_id, any_message> answer_by_request_;
     std::set<std::pair<std::uint32_t, std::uint32_t>> cut_links_;
+    /// When each link has sent all messages; by sender and receiver.
+    std::map<std::pair<std::uint32_t, std::uint32_t>, instant> links_free_at_;
 
     std::map<term_id, instance_id> leaders_;
     std::map<std::pair<term_id, log_index>, std::uint64_t> entries_;
--- a/tests/control/replica/recorder.cpp
+++ b/tests/control/replica/recorder.cpp
@@ -1,5 +1,6 @@
 #include "recorder.hpp"
 
+#include <mulberryrudder/control/command_size.hpp>
 #include <mulberryrudder/core/invariant.hpp>
 
 namespace mulberryrudder::control::testing
@@ -10,6 +11,17 @@
 
 constexpr int recorder_order = component_order::replica + 1;
 component_registrar<recorder> const registered{"recorder", recorder_order};
+component_registrar<padding> const padding_registered{"padding", recorder_order + 1};
+
+template <class T>
+byte_count stated_size(T const& it)
+{
+    return it.size;
+}
+
+command_size_registrar<test_command, &stated_size<test_command>> const command_entered;
+command_size_registrar<recorder_state, &stated_size<recorder_state>> const state_entered;
+command_size_registrar<padding_state, &stated_size<padding_state>> const padding_entered;
 
 constexpr std::uint64_t mixing_factor = 0x9e3779b97f4a7c15;
 
@@ -23,7 +35,10 @@
     state.last = entry.index;
     state.digest = (state.digest ^ value ^ entry.term.value()) * mixing_factor + 1;
     if (command != nullptr)
+    {
         state.values.push_back(value);
+        state.size = command->size;
+    }
     digests[entry.index] = state.digest;
 }
 
--- a/tests/control/replica/recorder.hpp
+++ b/tests/control/replica/recorder.hpp
@@ -2,6 +2,7 @@
 #define MULBERRYRUDDER_TESTS_CONTROL_REPLICA_RECORDER_HPP
 
 #include <mulberryrudder/control/component.hpp>
+#include <mulberryrudder/core/units.hpp>
 
 #include <cstdint>
 #include <map>
@@ -14,6 +15,7 @@
 struct test_command
 {
     std::uint64_t value = 0;
+    byte_count size{8}; ///< In memory and on the network.
 };
 
 /// A recorder's part of a snapshot.
@@ -22,6 +24,7 @@
     log_index last;
     std::uint64_t digest = 0;
     std::vector<std::uint64_t> values;
+    byte_count size; ///< Of the newest command, which replaced those before it.
 };
 
 /// Replaces the other components: computes a digest over all applied entries.
@@ -42,6 +45,26 @@
     std::map<log_index, std::uint64_t> digests;
 };
 
+/// A part of a snapshot that holds nothing.
+struct padding_state
+{
+    byte_count size;
+};
+
+/// Adds a part of a given size to each snapshot.
+class padding final : public component
+{
+public:
+    explicit padding(component_parts const& parts) { parts.services.provide<padding>(*this); }
+
+    any_message save() const override
+    {
+        return size == byte_count() ? any_message() : any_message::of(padding_state{size});
+    }
+
+    byte_count size; ///< No part if it is 0.
+};
+
 } // namespace mulberryrudder::control::testing
 
 #endif
