--- a/plugins/control/replica/leading.cpp
+++ b/plugins/control/replica/leading.cpp
@@ -144,7 +144,10 @@
     else if (peer.next_index <= log_.base().index)
         send_snapshot_piece(receiver, peer);
     else
+    {
+        peer.transfer.reset();
         send_entries(receiver, peer);
+    }
 }
 
 void replica::begin_flight(progress& peer, log_index last)
--- a/plugins/control/replica/log_store.cpp
+++ b/plugins/control/replica/log_store.cpp
@@ -69,6 +69,14 @@
     return entries_.at(offset(index)).entry;
 }
 
+byte_count log_store::bytes_after(log_index index) const
+{
+    byte_count out;
+    for (auto it = entries_.rbegin(); it != entries_.rend() && it->entry.index > index; ++it)
+        out += it->bytes;
+    return out;
+}
+
 std::vector<log_entry> log_store::slice(log_index first, std::size_t max_count,
                                         byte_count max_bytes) const
 {
--- a/plugins/control/replica/log_store.hpp
+++ b/plugins/control/replica/log_store.hpp
@@ -49,6 +49,8 @@
     log_position base() const { return base_; }
     /// Returns about how many bytes the entries take.
     byte_count bytes() const { return bytes_; }
+    /// Returns about how many bytes the entries behind `index` take.
+    byte_count bytes_after(log_index index) const;
     log_position last() const;
 
     /// Returns the term of the base or an entry; std::nullopt outside the log.
--- a/plugins/control/replica/replica.cpp
+++ b/plugins/control/replica/replica.cpp
@@ -2,6 +2,7 @@
 
 #include "replica_events.hpp"
 
+#include <mulberryrudder/control/command_size.hpp>
 #include <mulberryrudder/core/invariant.hpp>
 #include <mulberryrudder/messages/roster.hpp>
 
@@ -37,7 +38,7 @@
     init_disk_identity(recovery);
     if (recovery.base)
     {
-        snapshot_ = recovery.base;
+        hold_snapshot(std::make_shared<snapshot const>(*recovery.base));
         log_.reset({.term = snapshot_->term, .index = snapshot_->index});
         memberships_.reset(snapshot_->index, snapshot_->members);
         commit_index_ = applied_index_ = snapshot_->index;
@@ -113,9 +114,8 @@
     // The memory holds all that was acknowledged, while the end of the log on the disk is unknown.
     persist_state();
     if (snapshot_)
-        ctx.out.push_back(
-            persist_snapshot{.ticket = sync_queue_.issue(log_.last().index), .base = *snapshot_});
-    auto const first = index_after(log_.base().index);
+        persist_newest_snapshot();
+    auto const first = index_after(snapshot_index());
     persist_log(first, log_.tail(first));
     restoring_ticket_ = sync_queue_.newest_ticket();
 }
@@ -189,7 +189,9 @@
 
 std::optional<log_index> replica::propose(any_message command)
 {
-    if (ctx_ == nullptr || !may_act(now()) || hands_over_)
+    // Entries that cannot be committed, such as while disks hang, must not fill the memory.
+    bool const is_full = log_.bytes_after(commit_index_) > log_byte_limit();
+    if (ctx_ == nullptr || !may_act(now()) || hands_over_ || is_full)
     {
         if (ctx_ != nullptr)
             ctx_->counters.add(replica_events::proposals_refused);
@@ -271,6 +273,7 @@
 void replica::apply_entry(log_entry const& entry)
 {
     ctx_->counters.add(replica_events::entries_applied);
+    applied_bytes_ += memory_size(entry.command);
     if (entry.command.get<messages::membership_changed>() != nullptr)
         ctx_->events.record(
             replica_events::membership_changed,
--- a/plugins/control/replica/replica.hpp
+++ b/plugins/control/replica/replica.hpp
@@ -15,6 +15,7 @@
 #include <mulberryrudder/messages/replica.hpp>
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <vector>
@@ -33,10 +34,13 @@
     messages::round_id heard_round;   ///< Newest round that it received, synced or not.
     instant answers_until;            ///< Counts as answering until then, without a newer reply.
     instant syncs_until;              ///< Its disk counts as hanging then, without a newer match.
-    std::uint32_t next_piece = 0;     ///< Position of the next snapshot piece to send.
-    bool in_flight = false;           ///< Entries or a piece were sent and not yet answered.
-    messages::round_id flight_round;  ///< In which they were sent.
-    log_index flight_last;            ///< Last of the entries that were sent.
+    /// The snapshot whose pieces are sent. It stays until it has arrived, also if a newer one is
+    /// taken, so that the transfer ends.
+    std::shared_ptr<snapshot const> transfer;
+    std::uint32_t next_piece = 0;    ///< Position of the next of its pieces to send.
+    bool in_flight = false;          ///< Entries or a piece were sent and not yet answered.
+    messages::round_id flight_round; ///< In which they were sent.
+    log_index flight_last;           ///< Last of the entries that were sent.
 };
 
 /// An election in which this replica is the candidate.
@@ -258,8 +262,15 @@
 
     // snapshotting.cpp: taking, sending and installing snapshots.
     void take_snapshot_if_due();
-    /// Returns about how many bytes the newest snapshot takes in memory.
-    byte_count snapshot_size() const;
+    bool is_snapshot_due() const;
+    /// Makes a snapshot the newest one. Precondition: it is not null.
+    void hold_snapshot(std::shared_ptr<snapshot const> it);
+    /// Returns the index of the newest snapshot; 0 without one.
+    log_index snapshot_index() const { return snapshot_ ? snapshot_->index : log_index(); }
+    /// Returns about how many bytes of entries may be applied until a snapshot is due, and how many
+    /// may wait for their commit.
+    byte_count log_byte_limit() const;
+    void persist_newest_snapshot();
     /// Updates the counters of the sizes of log and snapshot.
     void record_sizes();
     void send_snapshot_piece(instance_id receiver, progress& peer);
@@ -279,12 +290,14 @@
     hard_state state_;
     log_store log_;
     membership_history memberships_;
-    std::optional<snapshot> snapshot_;
+    std::shared_ptr<snapshot const> snapshot_; ///< The newest; null before the first one.
+    byte_count snapshot_size_;                 ///< About how many bytes it takes.
     sync_queue sync_queue_;
     /// After a failure of the disk: it holds the whole state once this write is synced.
     std::optional<disk_ticket> restoring_ticket_;
     log_index commit_index_;
     log_index applied_index_;
+    byte_count applied_bytes_; ///< About how many the entries applied since the snapshot take.
     bool applying_ = false;
     bool had_vote_ = false;
 
--- a/plugins/control/replica/replica_settings.cpp
+++ b/plugins/control/replica/replica_settings.cpp
@@ -40,6 +40,11 @@
               "run at different rates."),
         field("snapshot_threshold", &replica_settings::snapshot_threshold, {1, 1'000'000},
               "Entries applied since the last snapshot after which a new one is taken."),
+        field(
+            "snapshot_bytes", &replica_settings::snapshot_bytes, {1, 1 << 30},
+            "About how many bytes of entries are applied since the last snapshot before a new one "
+            "is taken, and how many may wait for their commit; the size of the last snapshot if "
+            "that is greater."),
         field("append_batch", &replica_settings::max_append_entries, {1, 4096},
               "Maximum number of entries in one message to another replica."),
         field(
--- a/plugins/control/replica/replica_settings.hpp
+++ b/plugins/control/replica/replica_settings.hpp
@@ -14,6 +14,7 @@
     milliseconds lease_duration{1000};
     milliseconds lease_margin{100};
     std::int64_t snapshot_threshold = 1000;
+    std::int64_t snapshot_bytes = 4 << 20;
     std::int64_t max_append_entries = 64;
     std::int64_t max_append_bytes = 1 << 20;
 };
--- a/plugins/control/replica/snapshotting.cpp
+++ b/plugins/control/replica/snapshotting.cpp
@@ -11,62 +11,86 @@
 
 void replica::take_snapshot_if_due()
 {
-    auto const threshold = static_cast<std::uint64_t>(config_.snapshot_threshold);
-    if (applied_index_.value() - log_.base().index.value() < threshold)
+    if (!is_snapshot_due())
         return;
-    snapshot_ = snapshot{.term = *log_.term_at(applied_index_),
-                         .index = applied_index_,
-                         .members = memberships_.at(applied_index_),
-                         .parts = ctx_->observers.collect_snapshot()};
-    auto const entries = applied_index_.value() - log_.base().index.value();
-    auto const bytes = log_.bytes();
-    log_.compact(applied_index_);
+    // The entries behind the snapshot before stay, for replicas that are a little behind or have
+    // just received that one.
+    auto const previous = snapshot_index();
+    auto const bytes = applied_bytes_;
+    hold_snapshot(
+        std::make_shared<snapshot const>(snapshot{.term = *log_.term_at(applied_index_),
+                                                  .index = applied_index_,
+                                                  .members = memberships_.at(applied_index_),
+                                                  .parts = ctx_->observers.collect_snapshot()}));
+    if (previous > log_.base().index)
+        log_.compact(previous);
     memberships_.compact(applied_index_);
     ctx_->counters.add(replica_events::snapshots_taken);
     record_sizes();
     ctx_->events.record(replica_events::snapshot_taken,
                         {{"index", std::to_string(applied_index_.value())},
-                         {"entries", std::to_string(entries)},
+                         {"entries", std::to_string(applied_index_.value() - previous.value())},
                          {"log_bytes", std::to_string(bytes.count())},
-                         {"snapshot_bytes", std::to_string(snapshot_size().count())}});
-    ctx_->out.push_back(
-        persist_snapshot{.ticket = sync_queue_.issue(log_.last().index), .base = *snapshot_});
+                         {"snapshot_bytes", std::to_string(snapshot_size_.count())}});
+    persist_newest_snapshot();
+}
+
+bool replica::is_snapshot_due() const
+{
+    auto const count = applied_index_.value() - snapshot_index().value();
+    return count >= static_cast<std::uint64_t>(config_.snapshot_threshold) ||
+           applied_bytes_ > log_byte_limit();
+}
+
+byte_count replica::log_byte_limit() const
+{
+    // A large state is not written more often than as much has changed.
+    return std::max(byte_count(config_.snapshot_bytes), snapshot_size_);
 }
 
-byte_count replica::snapshot_size() const
+void replica::hold_snapshot(std::shared_ptr<snapshot const> it)
 {
-    byte_count out;
-    if (snapshot_)
-        for (auto const& it : snapshot_->parts)
-            out += memory_size(it);
-    return out;
+    snapshot_ = std::move(it);
+    snapshot_size_ = {};
+    applied_bytes_ = {};
+    for (auto const& part : snapshot_->parts)
+        snapshot_size_ += memory_size(part);
+}
+
+void replica::persist_newest_snapshot()
+{
+    ctx_->out.push_back(
+        persist_snapshot{.ticket = sync_queue_.issue(log_.last().index), .base = *snapshot_});
 }
 
 void replica::record_sizes()
 {
     ctx_->counters.set(replica_events::log_bytes, static_cast<std::uint64_t>(log_.bytes().count()));
     ctx_->counters.set(replica_events::snapshot_bytes,
-                       static_cast<std::uint64_t>(snapshot_size().count()));
+                       static_cast<std::uint64_t>(snapshot_size_.count()));
 }
 
 void replica::send_snapshot_piece(instance_id receiver, progress& peer)
 {
-    auto const count = std::max<std::size_t>(snapshot_->parts.size(), 1);
+    if (peer.transfer == nullptr || peer.next_piece == 0)
+        peer.transfer = snapshot_;
+    auto const& sent = *peer.transfer;
+    auto const count = std::max<std::size_t>(sent.parts.size(), 1);
     if (peer.next_piece >= count)
         peer.next_piece = 0;
-    begin_flight(peer, snapshot_->index);
+    begin_flight(peer, sent.index);
     ctx_->counters.add(replica_events::pieces_sent);
-    ctx_->send(receiver, messages::snapshot_piece{.term = state_.term,
-                                                  .to_disk = peer.disk,
-                                                  .round = lease_.round(),
-                                                  .base_term = snapshot_->term,
-                                                  .base_index = snapshot_->index,
-                                                  .members = snapshot_->members,
-                                                  .position = peer.next_piece,
-                                                  .count = static_cast<std::uint32_t>(count),
-                                                  .part = snapshot_->parts.empty()
-                                                              ? any_message()
-                                                              : snapshot_->parts[peer.next_piece]});
+    ctx_->send(receiver,
+               messages::snapshot_piece{.term = state_.term,
+                                        .to_disk = peer.disk,
+                                        .round = lease_.round(),
+                                        .base_term = sent.term,
+                                        .base_index = sent.index,
+                                        .members = sent.members,
+                                        .position = peer.next_piece,
+                                        .count = static_cast<std::uint32_t>(count),
+                                        .part = sent.parts.empty() ? any_message()
+                                                                   : sent.parts[peer.next_piece]});
 }
 
 void replica::handle_snapshot_piece(instance_id sender, messages::snapshot_piece const& piece,
@@ -103,9 +127,9 @@
 
 void replica::install_snapshot()
 {
-    auto& parts = incoming_snapshot_->parts;
-    std::erase_if(parts, [](any_message const& it) { return it.type() == typeid(void); });
-    snapshot_ = std::move(incoming_snapshot_);
+    std::erase_if(incoming_snapshot_->parts,
+                  [](any_message const& it) { return it.type() == typeid(void); });
+    hold_snapshot(std::make_shared<snapshot const>(std::move(*incoming_snapshot_)));
     incoming_snapshot_.reset();
     bool const keeps_log_tail = log_.term_at(snapshot_->index) == snapshot_->term;
     auto const truncate_from = index_after(snapshot_->index);
@@ -123,8 +147,7 @@
     check_invariant(snapshot_->index >= commit_index_,
                     "an installed snapshot covers all committed entries");
     commit_index_ = applied_index_ = snapshot_->index;
-    ctx_->out.push_back(
-        persist_snapshot{.ticket = sync_queue_.issue(log_.last().index), .base = *snapshot_});
+    persist_newest_snapshot();
     if (!keeps_log_tail)
         persist_log(truncate_from, {});
     record_sizes();
@@ -144,9 +167,10 @@
     if (reply.installed)
     {
         peer.next_piece = 0;
+        peer.transfer.reset();
         record_match(peer, reply.base_index, reply.round);
     }
-    else if (snapshot_ && reply.base_index == snapshot_->index)
+    else if (peer.transfer && reply.base_index == peer.transfer->index)
         peer.next_piece = reply.next;
     if (is_leader() && peers_.count(sender) != 0)
         send_next(sender, peers_.at(sender));
--- a/tests/control/replica/long_log_test.cpp
+++ b/tests/control/replica/long_log_test.cpp
@@ -19,6 +19,10 @@
 constexpr byte_count large_command{600'000};
 /// Time between two changes of the plan in a series.
 constexpr milliseconds change_interval{300};
+/// What the link and the processor of a small machine carry.
+constexpr bytes_per_second small_link{16'000'000};
+/// Time after which an instance with a blank disk may no longer count as lost.
+constexpr seconds catch_up_limit{4};
 
 std::uint64_t counter(fake_group& group, std::uint32_t id, kernel::counter_kind const& kind)
 {
@@ -54,6 +58,23 @@
 
     std::uint32_t follower() { return acting_leader() == 1 ? 2 : 1; }
 
+    bool votes(std::uint32_t id)
+    {
+        auto const disk = at(id).disk.contents().state.disk;
+        auto const& group = at(acting_leader()).decision_core->services().require<voter_group>();
+        return group.membership().counts(instance_id(id), disk);
+    }
+
+    /// Replaces a follower's disk by a blank one; returns the follower.
+    std::uint32_t replace_follower_disk()
+    {
+        auto const id = follower();
+        kill(id);
+        at(id).disk.replace_contents({});
+        start(id);
+        return id;
+    }
+
     std::uint64_t proposed = 0;
     std::uint64_t most_log_bytes = 0; ///< Of one instance, after any interval so far.
 };
@@ -61,11 +82,54 @@
 class long_log_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(long_log_test);
+    CPPUNIT_TEST(a_blank_disk_gets_a_vote_behind_many_large_commands);
+    CPPUNIT_TEST(large_commands_keep_the_log_short);
     CPPUNIT_TEST(entries_are_not_sent_again_while_they_are_under_way);
     CPPUNIT_TEST(lost_entries_are_sent_again);
+    CPPUNIT_TEST(entries_that_cannot_be_committed_do_not_fill_the_memory);
+    CPPUNIT_TEST(a_snapshot_arrives_although_newer_ones_are_taken);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against CONFIG: control instances that are replaced one after the other did not get a
+    // vote in time behind a log of many large plans, until no majority was left.
+    void a_blank_disk_gets_a_vote_behind_many_large_commands()
+    {
+        long_log_group group(
+            {.election_timeout = milliseconds(700), .lease_duration = milliseconds(700)});
+        group.network.bandwidth = small_link;
+        group.propose_series(90, large_command);
+        auto const leader = group.acting_leader();
+        for (int n = 0; n != 3; ++n)
+        {
+            auto const id = group.replace_follower_disk();
+            auto const deadline = group.now() + catch_up_limit;
+            CPPUNIT_ASSERT(
+                group.propose_series(100, large_command, [&] { return group.votes(id); }));
+            CPPUNIT_ASSERT(group.now() <= deadline);
+            CPPUNIT_ASSERT_EQUAL(leader, group.acting_leader());
+        }
+    }
+
+    // Guards against control instances that exceed their memory together: the log kept every plan
+    // until a number of entries, whatever their size.
+    void large_commands_keep_the_log_short()
+    {
+        replica_settings const config;
+        long_log_group group(config);
+        group.propose_series(90, large_command);
+        auto const allowed = 2 * (config.snapshot_bytes + large_command.count());
+        CPPUNIT_ASSERT(group.most_log_bytes <= static_cast<std::uint64_t>(allowed));
+        // A start reads back one snapshot and the entries behind it.
+        for (std::uint32_t id = 1; id <= group.size(); ++id)
+        {
+            std::int64_t held = 0;
+            for (auto const& it : group.at(id).disk.contents().entries)
+                held += memory_size(it.command).count();
+            CPPUNIT_ASSERT(held <= config.snapshot_bytes + large_command.count());
+        }
+    }
+
     // Guards against a leader whose memory fills with messages: each heartbeat sent all entries
     // again to an instance that had not answered yet.
     void entries_are_not_sent_again_while_they_are_under_way()
@@ -92,6 +156,43 @@
         group.run_for(milliseconds(400));
         CPPUNIT_ASSERT(group.has_value(id, group.proposed));
     }
+
+    // Guards against a leader whose memory fills while the disks of the voters hang.
+    void entries_that_cannot_be_committed_do_not_fill_the_memory()
+    {
+        replica_settings const config;
+        long_log_group group(config);
+        group.sync_delay = seconds(8);
+        auto const leader = group.acting_leader();
+        for (int n = 0; n != 50; ++n)
+        {
+            group.propose(++group.proposed, large_command);
+            group.run_for(milliseconds(100));
+        }
+        auto const allowed = 2 * (config.snapshot_bytes + large_command.count());
+        CPPUNIT_ASSERT(counter(group, leader, replica_events::log_bytes) <=
+                       static_cast<std::uint64_t>(allowed));
+        group.sync_delay = milliseconds(2);
+        group.run_for(seconds(30));
+        CPPUNIT_ASSERT(group.propose(++group.proposed, large_command));
+    }
+
+    // Guards against a transfer without end: a newer snapshot took the place of the one whose
+    // pieces were under way, and the receiver began anew each time.
+    void a_snapshot_arrives_although_newer_ones_are_taken()
+    {
+        long_log_group group({.snapshot_threshold = 4});
+        for (std::uint32_t id = 1; id <= group.size(); ++id)
+            group.at(id).decision_core->services().require<padding>().size = byte_count(16'000'000);
+        group.propose_series(8, byte_count(16'000'000));
+        auto const id = group.follower();
+        group.kill(id);
+        group.at(id).disk.replace_contents({});
+        group.network.bandwidth = small_link;
+        group.start(id);
+        group.at(id).decision_core->services().require<padding>().size = byte_count(16'000'000);
+        CPPUNIT_ASSERT(group.propose_series(30, byte_count(8), [&] { return group.votes(id); }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(long_log_test);
