Recover a log of which a loss of power brought back a segment

A loss of power while segments are removed may undo the removal of some of them, since removed names are on the disk with the folder's sync only.

disk_store_test::a_segment_whose_removal_was_undone_is_removed_again failed on the commit before ("records with right checksums up to the last sync"). disk_tests passes its 32 cases.

--- a/plugins/control_io/disk/disk_store.cpp
+++ b/plugins/control_io/disk/disk_store.cpp
@@ -133,7 +133,9 @@
                                                    [](auto it) { return wire::decode(it); }));
     }
     entry_collector entries(out.recovered);
-    BOOST_LEAF_AUTO(found, log_.recover([&](std::string_view it) { return entries.take(it); }));
+    auto const covered = out.recovered.base ? out.recovered.base->index : log_index();
+    BOOST_LEAF_AUTO(found,
+                    log_.recover(covered, [&](std::string_view it) { return entries.take(it); }));
     out.cut = found.cut;
     bool const has_log = out.recovered.base || !out.recovered.entries.empty();
     if (out.recovered.blank && has_log)
--- a/plugins/control_io/disk/segment_log.cpp
+++ b/plugins/control_io/disk/segment_log.cpp
@@ -59,9 +59,12 @@
 }
 
 result<segment_log::recovery>
-segment_log::recover(std::function<result<log_index>(std::string_view)> const& take)
+segment_log::recover(log_index covered,
+                     std::function<result<log_index>(std::string_view)> const& take)
 {
     recovery out;
+    std::size_t leftover_count = 0;
+    log_index highest;
     BOOST_LEAF_ASSIGN(segments_, find_segments());
     for (auto& it : segments_)
     {
@@ -70,13 +73,18 @@
         BOOST_LEAF_AUTO(bytes, files_.read(it.name));
         auto const found = scan(bytes, it.before);
         bool const gap = !first && it.before != batch_;
-        if (gap || found.corrupt || (found.torn && !newest))
+        if (gap && highest <= covered)
+            leftover_count = static_cast<std::size_t>(&it - segments_.data());
+        else if (gap)
+            return corrupted(it.name);
+        if (found.corrupt || (found.torn && !newest))
             return corrupted(it.name);
         for (auto const body : found.bodies)
         {
             BOOST_LEAF_AUTO(index, take(body));
             it.highest = std::max(it.highest, index);
         }
+        highest = std::max(highest, it.highest);
         batch_ = found.newest;
         it.size = found.good_bytes;
         if (found.torn)
@@ -85,6 +93,7 @@
             BOOST_LEAF_CHECK(files_.truncate(it.name, found.good_bytes));
         }
     }
+    BOOST_LEAF_CHECK(remove_first(leftover_count));
     if (segments_.empty())
     {
         BOOST_LEAF_CHECK(begin_segment());
@@ -152,9 +161,17 @@
         BOOST_LEAF_CHECK(begin_segment());
     auto const is_needed = [&](segment const& it) { return it.highest > index; };
     auto const needed = std::find_if(segments_.begin(), segments_.end() - 1, is_needed);
-    for (auto it = segments_.begin(); it != needed; ++it)
+    return remove_first(static_cast<std::size_t>(needed - segments_.begin()));
+}
+
+result<void> segment_log::remove_first(std::size_t count)
+{
+    if (count == 0)
+        return {};
+    auto const end = segments_.begin() + static_cast<std::ptrdiff_t>(count);
+    for (auto it = segments_.begin(); it != end; ++it)
         BOOST_LEAF_CHECK(files_.remove(it->name));
-    segments_.erase(segments_.begin(), needed);
+    segments_.erase(segments_.begin(), end);
     return files_.sync_folder();
 }
 
--- a/plugins/control_io/disk/segment_log.hpp
+++ b/plugins/control_io/disk/segment_log.hpp
@@ -32,9 +32,12 @@
     };
 
     /// Reads all records in order, cuts an unsynced batch off the newest segment and
-    /// opens it. `take` returns the log index that the record belongs to. Fails on a
-    /// damaged record that had been synced.
-    result<recovery> recover(std::function<result<log_index>(std::string_view)> const& take);
+    /// opens it. `take` returns the log index that the record belongs to. Entries up to `covered`
+    /// are not needed: segments of these alone that stand before a missing one are removed, since a
+    /// loss of power may undo a part of what remove_up_to() did. Fails on a damaged record that had
+    /// been synced, and on another missing segment.
+    result<recovery> recover(log_index covered,
+                             std::function<result<log_index>(std::string_view)> const& take);
 
     /// Drops the added records, cuts off what a failed sync may have left behind and begins a new
     /// segment, so that no record follows bytes whose sync failed.
@@ -61,6 +64,8 @@
 
     result<std::vector<segment>> find_segments();
     result<void> begin_segment();
+    /// Removes the first `count` segments.
+    result<void> remove_first(std::size_t count);
 
     file_system& files_;
     std::vector<segment> segments_; ///< The last one is open.
--- a/tests/control_io/disk/disk_store_test.cpp
+++ b/tests/control_io/disk/disk_store_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(a_cut_removes_entries_for_good);
     CPPUNIT_TEST(a_snapshot_replaces_the_entries_up_to_its_index);
     CPPUNIT_TEST(segments_before_a_snapshot_are_removed);
+    CPPUNIT_TEST(a_segment_whose_removal_was_undone_is_removed_again);
     CPPUNIT_TEST(a_torn_tail_is_cut_off_and_the_log_goes_on);
     CPPUNIT_TEST(a_damaged_synced_record_is_refused);
     CPPUNIT_TEST(a_damaged_state_file_is_refused);
@@ -111,6 +112,36 @@
         CPPUNIT_ASSERT_EQUAL(std::string("3"), indexes());
     }
 
+    // Guards against a disk that is refused although nothing was lost: a loss of power while
+    // segments were removed undid the removal of one, and the next one was missing.
+    void a_segment_whose_removal_was_undone_is_removed_again()
+    {
+        write({.state = some_state(), .entries = {entry(1)}});
+        auto const oldest = files_.newest_segment();
+        auto const bytes = files_.contents(oldest);
+        for (std::uint64_t index = 2; index != 4; ++index)
+        {
+            CPPUNIT_ASSERT_EQUAL(done, store_reopened());
+            write({.entries = {entry(index)}});
+        }
+        save_snapshot(3);
+        write({.entries = {entry(4)}});
+        outcome(
+            [&]() -> result<void>
+            {
+                BOOST_LEAF_AUTO(file, files_.open(oldest));
+                BOOST_LEAF_CHECK(file->append(bytes));
+                return file->sync();
+            });
+        for (int n = 0; n != 2; ++n)
+        {
+            reopen();
+            CPPUNIT_ASSERT(log_index(3) == found_.recovered.base->index);
+            CPPUNIT_ASSERT_EQUAL(std::string("4"), indexes());
+            CPPUNIT_ASSERT_THROW(files_.contents(oldest), std::out_of_range);
+        }
+    }
+
     void segments_before_a_snapshot_are_removed()
     {
         write({.state = some_state(), .entries = {entry(1), entry(2)}});
