Keep steering states for differences by their bytes

Plans beyond 8 MiB are dropped now, but for the state before the newest one; an entry that is further behind receives the whole state. Tested by state_history_test::large_plans_are_kept_by_bytes, which the code before had no figure for: it kept 32 plans of 600,000 bytes.

--- a/plugins/control/roster/state_history.hpp
+++ b/plugins/control/roster/state_history.hpp
@@ -1,6 +1,7 @@
 #ifndef MULBERRYRUDDER_PLUGINS_CONTROL_ROSTER_STATE_HISTORY_HPP
 #define MULBERRYRUDDER_PLUGINS_CONTROL_ROSTER_STATE_HISTORY_HPP
 
+#include <mulberryrudder/core/units.hpp>
 #include <mulberryrudder/messages/steering_difference.hpp>
 
 #include <deque>
@@ -9,8 +10,8 @@
 namespace mulberryrudder::control
 {
 
-/// Keeps the latest steering states, so that entries which hold one of them receive only how
-/// the newest differs from it.
+/// Keeps the latest steering states, as many as a limited number of bytes holds, so that entries
+/// which hold one of them receive only how the newest differs from it.
 ///
 /// Thread safety: one owner.
 class state_history
@@ -25,8 +26,21 @@
     /// of a member function.
     messages::steering_difference const* difference_from(generation_id base);
 
+    /// Returns about how many bytes the plans of the states take.
+    byte_count bytes() const { return bytes_; }
+
 private:
-    std::deque<shared_steering> states_; ///< By generation.
+    struct kept_state
+    {
+        shared_steering state;
+        byte_count bytes; ///< Of its plan; 0 if the state before has the same one.
+    };
+
+    /// Precondition: there is another state.
+    void drop_oldest();
+
+    std::deque<kept_state> states_; ///< By generation.
+    byte_count bytes_;              ///< Of all.
     /// Differences of the newest state, by the generation of the older one.
     std::map<generation_id, messages::steering_difference> differences_;
 };
