--- a/control/core.cpp
+++ b/control/core.cpp
@@ -126,6 +126,12 @@
         component->reopened(it, context_);
 }
 
+void core::take(record_kept const& it)
+{
+    for (auto& component : components_)
+        component->kept(it, context_);
+}
+
 void core::take(stop_requested const&)
 {
     if (!has_recovered_)
--- a/include/mulberryrudder/control/component.hpp
+++ b/include/mulberryrudder/control/component.hpp
@@ -96,11 +96,12 @@
 public:
     virtual ~component() = default;
 
-    /// Takes what the disk held; only the replicated log does something with it.
+    /// Takes what the disk held; each component picks out its own part.
     virtual void recovered(disk_recovered const&, context&) {}
     virtual void synced(disk_synced const&, context&) {}
     virtual void disk_lost(disk_failed const&, context&) {}
     virtual void reopened(disk_reopened const&, context&) {}
+    virtual void kept(record_kept const&, context&) {}
 
     /// Takes a message; each component picks out its own types.
     virtual void received(envelope const&, context&) {}
--- a/include/mulberryrudder/control/core.hpp
+++ b/include/mulberryrudder/control/core.hpp
@@ -54,6 +54,7 @@
     void take(disk_synced const& it);
     void take(disk_failed const& it);
     void take(disk_reopened const& it);
+    void take(record_kept const& it);
     void take(stop_requested const& it);
 
     void publish_applied(log_entry const& it) override;
--- a/include/mulberryrudder/control/inputs.hpp
+++ b/include/mulberryrudder/control/inputs.hpp
@@ -19,6 +19,9 @@
 /// Numbers a write to the disk.
 using disk_ticket = strong_id<struct disk_ticket_tag, std::uint64_t>;
 
+/// Numbers the versions of the record that is kept on the disk beside the log.
+using record_version = strong_id<struct record_version_tag, std::uint64_t>;
+
 /// A message of another instance arrived.
 struct message_arrived
 {
@@ -43,6 +46,7 @@
     hard_state state;
     std::optional<snapshot> base;
     std::vector<log_entry> entries; ///< Behind the snapshot, without gaps.
+    any_message record;             ///< The newest that was kept; empty without one.
 };
 
 /// Everything up to this ticket is synced.
@@ -63,6 +67,12 @@
 {
 };
 
+/// A record is on the disk.
+struct record_kept
+{
+    record_version version;
+};
+
 /// The operating system asked for a planned stop.
 struct stop_requested
 {
@@ -70,7 +80,7 @@
 
 /// All that the control's decision core is told.
 using input = std::variant<message_arrived, operator_asked, disk_recovered, disk_synced,
-                           disk_failed, disk_reopened, stop_requested>;
+                           disk_failed, disk_reopened, record_kept, stop_requested>;
 
 /// Writes to the disk in this order: state, then cut the log from an index on,
 /// then append entries; then sync and tell disk_synced with the ticket.
@@ -89,6 +99,13 @@
     snapshot base;
 };
 
+/// Writes a record beside the log in the place of the one before, syncs it, and tells record_kept.
+struct keep_record
+{
+    record_version version;
+    any_message contents; ///< Any struct with a codec.
+};
+
 /// Asks for a disk that failed to be opened again. Writes asked for earlier are ignored.
 struct reopen_disk
 {
@@ -121,8 +138,8 @@
 };
 
 /// All that the control's decision core can ask for.
-using effect = std::variant<persist, persist_snapshot, reopen_disk, answer_operator, send_message,
-                            learn_instance, stop_completed>;
+using effect = std::variant<persist, persist_snapshot, keep_record, reopen_disk, answer_operator,
+                            send_message, learn_instance, stop_completed>;
 using effects = std::vector<effect>;
 
 } // namespace mulberryrudder::control
--- a/include/mulberryrudder/messages/roster.hpp
+++ b/include/mulberryrudder/messages/roster.hpp
@@ -52,7 +52,10 @@
     /// It asks for whole notices of the targets that announce themselves to the receiver, since it
     /// does not know all of them.
     bool missed_notices = false;
-    bool intact = false; ///< It held every leave at a time since its start.
+    bool intact = false;       ///< It held every leave at a time since its start, or its disk does.
+    bool keeps_leaves = false; ///< `kept` is set.
+    /// Newest number of the receiver whose leaves are on the disk of the sender.
+    sequence_id kept;
     /// Time since the steering state of the sender was confirmed to contain every
     /// acknowledged order; nothing if it never was.
     std::optional<milliseconds> confirmed_age;
@@ -65,6 +68,15 @@
     std::vector<instance_id> heard;
 };
 
+/// What a control instance keeps on its disk, so that a leave that it acknowledged to the others
+/// outlives a restart of all of them.
+struct kept_roster
+{
+    bool intact = false;                       ///< As in a roster_exchange.
+    std::vector<target_notice> targets;        ///< Those that leave or are gone.
+    std::vector<instance_description> control; ///< Other control instances that are known.
+};
+
 /// A start of a target that said in an answer to an entry instance that it leaves.
 struct departed_target
 {
--- a/plugins/control/roster/control_table.cpp
+++ b/plugins/control/roster/control_table.cpp
@@ -29,6 +29,11 @@
     return true;
 }
 
+void control_table::restore(instance_id id, instant now)
+{
+    rows_.at(id).restored_at = now;
+}
+
 void control_table::record_exchange(instance_id sender, messages::roster_exchange const& exchange,
                                     boot_id own_boot, sequence_id newest_sent, instant now)
 {
@@ -47,6 +52,10 @@
     bool const is_acknowledged = exchange.acknowledged_boot == own_boot &&
                                  exchange.acknowledged > known.last_to_earlier_start;
     known.acknowledged = is_acknowledged ? exchange.acknowledged : sequence_id();
+    // An instance of an earlier version keeps leaves in memory only, and says no more.
+    auto const kept = exchange.keeps_leaves ? exchange.kept : exchange.acknowledged;
+    bool const is_kept = is_acknowledged && kept > known.last_to_earlier_start;
+    known.kept = is_kept ? std::min(kept, exchange.acknowledged) : sequence_id();
     known.generation = exchange.generation;
     known.wants_steering = exchange.wants_steering;
     known.wants_targets = exchange.wants_targets;
@@ -58,7 +67,11 @@
 void control_table::expire(instant cutoff, instant named_cutoff)
 {
     auto const is_gone = [&](row const& it)
-    { return it.is_heard ? it.last_message < cutoff : it.last_named < named_cutoff; };
+    {
+        if (it.is_heard)
+            return it.last_message < cutoff;
+        return it.restored_at ? *it.restored_at < cutoff : it.last_named < named_cutoff;
+    };
     for (auto& [id, it] : rows_)
         if (is_gone(it))
             it.is_counted = it.intact = false;
@@ -90,14 +103,10 @@
     return state_spread{.holders = count, .total = total()}.is_majority();
 }
 
-bool control_table::acknowledged_by_majority(sequence_id number) const
-{
-    return is_majority(acknowledged_count(number));
-}
-
-std::size_t control_table::acknowledged_count(sequence_id number) const
+std::size_t control_table::kept_count(sequence_id number, bool is_kept_here) const
 {
-    return count_others([number](row const& it) { return it.acknowledged >= number; }) + 1;
+    auto const others = count_others([number](row const& it) { return it.kept >= number; });
+    return others + (is_kept_here ? 1 : 0);
 }
 
 std::size_t control_table::holder_count(generation_id generation, generation_id own) const
@@ -165,7 +174,7 @@
 {
     std::vector<instance_description> out;
     for (auto const& [id, it] : rows_)
-        if (it.is_heard && it.is_counted)
+        if ((it.is_heard || it.restored_at) && it.is_counted)
             out.push_back(it.description);
     return out;
 }
--- a/plugins/control/roster/control_table.hpp
+++ b/plugins/control/roster/control_table.hpp
@@ -23,14 +23,18 @@
         instance_description description;
         endpoint operator_address; ///< Where it accepts operators' requests.
         bool leads = false;
-        bool is_contact = false;        ///< Named in the settings; messages to it never end.
-        bool is_counted = true;         ///< False for a contact that is gone.
-        bool is_heard = false;          ///< A message of its own arrived.
-        instant last_message;           ///< When its last message arrived.
-        instant last_named;             ///< When another instance named it last.
-        boot_id boot;                   ///< Start of that instance to which `received` belongs.
-        sequence_id received;           ///< Newest number of its messages that arrived here.
-        sequence_id acknowledged;       ///< Newest number of this instance's messages it received.
+        bool is_contact = false; ///< Named in the settings; messages to it never end.
+        bool is_counted = true;  ///< False for a contact that is gone.
+        bool is_heard = false;   ///< A message of its own arrived.
+        instant last_message;    ///< When its last message arrived.
+        instant last_named;      ///< When another instance named it last.
+        /// When an earlier start's knowledge of it was restored; nothing if it was not.
+        std::optional<instant> restored_at;
+        boot_id boot;             ///< Start of that instance to which `received` belongs.
+        sequence_id received;     ///< Newest number of its messages that arrived here.
+        sequence_id acknowledged; ///< Newest number of this instance's messages it received.
+        /// Newest number of this instance's messages whose leaves it will not forget.
+        sequence_id kept;
         generation_id generation;       ///< Of its steering state.
         bool wants_steering = false;    ///< It requested the steering state.
         bool wants_targets = false;     ///< It requested all targets.
@@ -45,6 +49,10 @@
     /// Adds an instance; returns whether its address is new.
     bool add(instance_description const& description, bool is_contact, instant now);
 
+    /// Records that an earlier start of this instance knew an instance. It counts as long as one
+    /// whose last message arrived now, but is not heard. Precondition: the instance was added.
+    void restore(instance_id id, instant now);
+
     /// Records the content of an instance's message. `own_boot` is the boot id of this
     /// instance, `newest_sent` the number of its newest message. Precondition: the sender was
     /// added.
@@ -64,13 +72,12 @@
 
     std::map<instance_id, row>& rows() { return rows_; }
 
-    /// Returns whether more than half of the known instances, including this one, received
-    /// the message with this number.
-    bool acknowledged_by_majority(sequence_id number) const;
+    /// Returns how many of the known instances will not forget the leaves in the message with this
+    /// number. `is_kept_here` is whether this instance counts.
+    std::size_t kept_count(sequence_id number, bool is_kept_here) const;
 
-    /// Returns how many of the known instances, including this one, received the message
-    /// with this number.
-    std::size_t acknowledged_count(sequence_id number) const;
+    /// Returns whether `count` is more than half of the known instances.
+    bool is_majority(std::size_t count) const;
 
     /// Returns the number of known instances, including this one.
     std::size_t size() const;
@@ -106,8 +113,9 @@
     /// Returns the instances whose last message arrived at or after `cutoff`.
     std::vector<instance_description> instances_since(instant cutoff) const;
 
-    /// Returns the instances of which a message arrived and that are not removed. These are named
-    /// to other instances: one that restarts while it is cut off from the rest must count the rest.
+    /// Returns the instances of which a message arrived, here or at an earlier start, and that are
+    /// not removed. These are named to other instances: one that restarts while it is cut off from
+    /// the rest must count the rest.
     std::vector<instance_description> known_instances() const;
 
     /// Returns the ids of the instances whose last message arrived at or after `cutoff`.
@@ -117,7 +125,6 @@
     /// Returns the number of other instances that count and have a property.
     template <class Property>
     std::size_t count_others(Property const& property) const;
-    bool is_majority(std::size_t count) const;
 
     std::map<instance_id, row> rows_;
     bool members_received_ = false;
--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -1,5 +1,6 @@
 #include "control_table.hpp"
 #include "entry_table.hpp"
+#include "leave_keeper.hpp"
 #include "state_confirmation.hpp"
 #include "state_history.hpp"
 #include "table_sync.hpp"
@@ -108,8 +109,10 @@
      .name = "roster.leave_answered",
      .level = kernel::severity::info,
      .meaning = "A leaving target got its answer; `held` is whether a majority of the control "
-                "instances knows that it leaves, `holders` how many of them do.",
-     .action = "If `held` is false often, check the connections between control instances."}};
+                "instances keeps on its disks that it leaves, `holders` how many of them do, and "
+                "`kept_here` whether this one does.",
+     .action = "If `held` is false often, check the connections between control instances and "
+               "their disks."}};
 kernel::event_kind const pause_event{
     {.number = 722,
      .name = "roster.stood_still",
@@ -150,6 +153,15 @@
                "`roster.synchronized`; otherwise check the connections between control instances "
                "and whether `of` counts some that are gone."}};
 
+kernel::event_kind const restored_event{
+    {.number = 727,
+     .name = "roster.restored",
+     .level = kernel::severity::info,
+     .meaning = "The leaves of targets that an earlier start of this instance acknowledged, and "
+                "the control instances that it knew, were read from the disk. `intact` is whether "
+                "its table counts for other instances.",
+     .action = "None."}};
+
 kernel::counter_kind const refused_counter{
     "roster.refused", "Announcements that could not be read or held values out of bounds."};
 kernel::event_kind const refused_event{
@@ -188,6 +200,35 @@
         parts.services.provide<rate_division>(*this);
     }
 
+    void recovered(disk_recovered const& recovery, context& ctx) override
+    {
+        begin_input(ctx);
+        if (recovery.failed)
+            return;
+        auto const* const record = recovery.record.get<messages::kept_roster>();
+        // A copy may lack leaves that the disk it was made from acknowledged later.
+        if (record != nullptr && !recovery.copied)
+            restore(*record, ctx);
+        keeper_.enable();
+        keep_leaves(ctx);
+    }
+
+    void disk_lost(disk_failed const&, context&) override { keeper_.disk_lost(); }
+
+    void reopened(disk_reopened const&, context& ctx) override
+    {
+        keeper_.disk_reopened();
+        keep_leaves(ctx);
+    }
+
+    void kept(record_kept const& kept, context& ctx) override
+    {
+        begin_input(ctx);
+        keeper_.written(kept.version);
+        keep_leaves(ctx);
+        answer_leaves(ctx);
+    }
+
     bool asked(operator_asked const& request, context& ctx) override
     {
         begin_input(ctx);
@@ -221,6 +262,7 @@
         bool const steering_changed = steering().steering()->generation != sent_generation_;
         if (steering_changed || ctx.now >= exchange_due_)
         {
+            keep_leaves(ctx);
             send_exchanges(ctx);
             expire(ctx);
         }
@@ -299,10 +341,21 @@
     {
         operator_request_id requester;
         target_id target;
-        sequence_id number; ///< Of the first exchange that contains the leave.
+        sequence_id number;     ///< Of the first exchange that contains the leave.
+        record_version version; ///< Of the record on the own disk that contains it.
         instant deadline;
     };
 
+    /// What the record on the disk depends on.
+    struct record_contents
+    {
+        std::uint64_t leaves = 0; ///< Version of the leaves.
+        std::vector<instance_description> control;
+        bool intact = false;
+
+        friend bool operator==(record_contents const&, record_contents const&) = default;
+    };
+
     steering_view& steering() { return services_.require<steering_view>(); }
 
     /// Must come before all else for each input, since messages may wait for this process while
@@ -363,6 +416,53 @@
                                {"of", std::to_string(controls_.size())}});
     }
 
+    /// Takes over what an earlier start of this instance kept on the disk.
+    void restore(messages::kept_roster const& record, context& ctx)
+    {
+        for (auto const& it : record.targets)
+            targets_.restore(it, ctx.now);
+        for (auto const& it : record.control)
+            if (it.id != ctx.self.self.id)
+            {
+                add_control(it, false, ctx);
+                controls_.restore(it.id, ctx.now);
+            }
+        // Without them, an instance that hears few others would take these for all.
+        if (!record.control.empty())
+            controls_.mark_members_received();
+        if (record.intact)
+            sync_.restore();
+        ctx.events.record(restored_event, {{"leaves", std::to_string(record.targets.size())},
+                                           {"control", std::to_string(record.control.size())},
+                                           {"intact", record.intact ? "true" : "false"}});
+    }
+
+    /// Marks what the record on the disk does not contain yet.
+    void mark_changes()
+    {
+        record_contents contents{.leaves = targets_.leaves_version(),
+                                 .control = controls_.known_instances(),
+                                 .intact = sync_.is_intact()};
+        if (contents == marked_contents_)
+            return;
+        marked_contents_ = std::move(contents);
+        keeper_.mark_changed();
+    }
+
+    /// Writes the leaves to the disk if there are new ones.
+    void keep_leaves(context& ctx)
+    {
+        mark_changes();
+        auto const version = keeper_.begin_write();
+        if (!version)
+            return;
+        messages::kept_roster record{.intact = marked_contents_.intact,
+                                     .targets = targets_.leaves(ctx.now),
+                                     .control = marked_contents_.control};
+        ctx.out.emplace_back(
+            keep_record{.version = *version, .contents = any_message::of(std::move(record))});
+    }
+
     bool leads(instant now) const
     {
         auto const* const log = services_.find<replicated_log>();
@@ -471,8 +571,12 @@
     {
         exchange_due_ =
             std::min(exchange_due_, std::max(last_exchange_ + leave_exchange_interval, ctx.now));
-        pending_leaves_.push_back(
-            {requester, target, next_exchange_number(), ctx.now + config_.leave_timeout});
+        keep_leaves(ctx);
+        pending_leaves_.push_back({.requester = requester,
+                                   .target = target,
+                                   .number = next_exchange_number(),
+                                   .version = keeper_.current(),
+                                   .deadline = ctx.now + config_.leave_timeout});
         answer_leaves(ctx);
     }
 
@@ -483,15 +587,17 @@
         std::erase_if(pending_leaves_,
                       [&](pending_leave const& it)
                       {
-                          bool const held = controls_.acknowledged_by_majority(it.number);
+                          bool const is_kept_here = keeper_.is_kept(it.version);
+                          auto const holders = controls_.kept_count(it.number, is_kept_here);
+                          bool const held = controls_.is_majority(holders);
                           if (!held && ctx.now < it.deadline)
                               return false;
-                          ctx.events.record(
-                              leave_event,
-                              {{"target", it.target.value()},
-                               {"held", held ? "true" : "false"},
-                               {"holders", std::to_string(controls_.acknowledged_count(it.number))},
-                               {"of", std::to_string(controls_.size())}});
+                          ctx.events.record(leave_event,
+                                            {{"target", it.target.value()},
+                                             {"held", held ? "true" : "false"},
+                                             {"holders", std::to_string(holders)},
+                                             {"of", std::to_string(controls_.size())},
+                                             {"kept_here", is_kept_here ? "true" : "false"}});
                           ctx.answer(it.requester, announcement_taken{held});
                           return true;
                       });
@@ -521,6 +627,7 @@
         common.confirmed_age = confirmed_age(ctx.now);
         confirmation_.record_sent(exchange_number_, ctx.now);
         common.intact = sync_.is_intact();
+        common.keeps_leaves = keeper_.is_enabled();
         auto reports = entries_.take_unforwarded(ctx.now);
         common.entries = std::move(reports.notices);
         common.unchanged_entries = std::move(reports.unchanged);
@@ -537,6 +644,7 @@
             auto out = common;
             out.acknowledged_boot = it.boot;
             out.acknowledged = it.received;
+            out.kept = keeper_.kept_of(id, it.boot);
             out.wants_steering = it.generation > state->generation;
             if (std::exchange(it.wants_steering, false) && it.generation < state->generation)
                 out.steering = state;
@@ -613,6 +721,8 @@
             if (targets_.refresh(target, sender, ctx.now))
                 record_target_change(*targets_.find(target.id), ctx);
         }
+        keep_leaves(ctx);
+        keeper_.record_message(sender, exchange.boot, exchange.number);
         for (auto const& entry : exchange.entries)
             entries_.update_from_control(entry, ctx.now);
         for (auto const& entry : exchange.unchanged_entries)
@@ -767,6 +877,8 @@
     entry_table entries_;
     control_table controls_;
     table_sync sync_;
+    leave_keeper keeper_;
+    record_contents marked_contents_; ///< Of the newest version of the record.
     /// Instances that know targets of which no whole notice arrived here.
     std::set<instance_id> missed_notices_;
     state_confirmation confirmation_;
--- a/plugins/control/roster/table_sync.hpp
+++ b/plugins/control/roster/table_sync.hpp
@@ -36,10 +36,14 @@
     /// known. Returns whether the synchronization ended with this call.
     bool finish(std::optional<std::size_t> instances, instant now);
 
+    /// Records that the disk holds every leave that an earlier start of this instance acknowledged,
+    /// so that its table counts for others.
+    void restore() { intact_ = true; }
+
     bool is_synchronized() const { return synchronized_; }
 
-    /// Returns whether this instance was synchronized at some time since its start, so that its
-    /// table counts for others.
+    /// Returns whether this instance was synchronized at some time since its start, or restored, so
+    /// that its table counts for others.
     bool is_intact() const { return intact_; }
 
     /// Returns whether the next message to an instance is to request its table. A request is
--- a/plugins/control/roster/target_table.cpp
+++ b/plugins/control/roster/target_table.cpp
@@ -98,6 +98,7 @@
         known.last_notice = std::max(known.last_notice, notice_time);
         return false;
     }
+    note_leave(known, notice);
     bool const cold_changed =
         notice.cold_for > milliseconds(0) || known.notice.cold_for > milliseconds(0);
     auto comparable = notice;
@@ -152,6 +153,8 @@
     if (start && *start < known.notice.start)
         return &known.notice;
     end_start(known.notice, start.value_or(known.notice.start));
+    known.has_left = true;
+    ++leaves_version_;
     known.last_notice = now;
     known.source.reset();
     if (known.notice.standing != target_standing::gone)
@@ -177,6 +180,33 @@
     return &known.notice;
 }
 
+void target_table::note_leave(row& known, target_notice const& notice)
+{
+    bool const has_left = notice.standing != target_standing::serving;
+    // A target that repeats that it leaves has other sequences only.
+    bool const is_repeated = known.has_left == has_left && known.notice.start == notice.start &&
+                             known.notice.standing == notice.standing &&
+                             notice.sequence != final_sequence;
+    if ((has_left || known.has_left) && !is_repeated)
+        ++leaves_version_;
+    known.has_left = has_left;
+}
+
+std::vector<target_notice> target_table::leaves(instant now) const
+{
+    std::vector<target_notice> out;
+    for (auto const& [id, it] : rows_)
+        if (it.has_left)
+            out.push_back(forwarded_notice(it, now));
+    return out;
+}
+
+void target_table::restore(target_notice leave, instant now)
+{
+    leave.age = milliseconds(0);
+    update(leave, std::nullopt, now);
+}
+
 target_notice const* target_table::find(target_id const& id) const
 {
     auto const it = rows_.find(id);
--- a/plugins/control/roster/target_table.hpp
+++ b/plugins/control/roster/target_table.hpp
@@ -58,6 +58,15 @@
     /// it serves does not change its standing with each report.
     messages::target_notice const* depart(target_id const& id, start_id start, instant now);
 
+    /// Returns the targets that said that they leave, or were said to have left.
+    std::vector<messages::target_notice> leaves(instant now) const;
+
+    /// Returns a number that increases with each change of leaves().
+    std::uint64_t leaves_version() const { return leaves_version_; }
+
+    /// Takes over a leave that an earlier start of this instance knew, as if it had just come.
+    void restore(messages::target_notice leave, instant now);
+
     /// Marks targets as gone whose last notice is older than `cutoff`, and removes those
     /// whose last notice is older than the retention time of gone targets.
     void expire(instant cutoff, instant now);
@@ -105,10 +114,13 @@
         std::optional<sequence_id> first_exchange;
         std::optional<instance_id> source; ///< Of the newest notice.
         std::optional<start_id> departed;  ///< Start that an entry reported to leave.
+        bool has_left = false;             ///< The target, or an instance, said that it leaves.
         instant whole_due; ///< When the notice is forwarded whole although nothing changed.
     };
 
     void set_notice(row& it, messages::target_notice const& notice);
+    /// Records whether a notice that is to be applied tells of a leave.
+    void note_leave(row& known, messages::target_notice const& notice);
     void forget_address(messages::target_notice const& notice);
     void retire_replaced_targets(messages::target_notice const& replacement, instant now);
     bool is_superseded(messages::target_notice const& notice) const;
@@ -122,6 +134,7 @@
     std::map<endpoint, std::set<target_id>> ids_at_; ///< Targets by the address of their notice.
     std::set<target_id> unforwarded_;
     sequence_id newest_change_;
+    std::uint64_t leaves_version_ = 0;
 };
 
 } // namespace mulberryrudder::control
--- a/plugins/control_io/decision/decision_duty.cpp
+++ b/plugins/control_io/decision/decision_duty.cpp
@@ -82,6 +82,7 @@
 private:
     void pass_on(control::persist&, control::effect& it) { to_disk_.post(std::move(it)); }
     void pass_on(control::persist_snapshot&, control::effect& it) { to_disk_.post(std::move(it)); }
+    void pass_on(control::keep_record&, control::effect& it) { to_disk_.post(std::move(it)); }
     void pass_on(control::reopen_disk&, control::effect& it) { to_disk_.post(std::move(it)); }
     void pass_on(control::answer_operator&, control::effect& it)
     {
--- a/plugins/control_io/disk/disk_duty.cpp
+++ b/plugins/control_io/disk/disk_duty.cpp
@@ -61,6 +61,14 @@
                                          .meaning = "The data folder can be written again.",
                                          .action = "None."});
 
+kernel::event_kind const record_damaged(
+    {.number = 555,
+     .name = "disk.record_damaged",
+     .level = kernel::severity::warning,
+     .meaning = "The record beside the log, which holds the leaves of targets, could not be read. "
+                "This instance takes them over from the others.",
+     .action = "Check the disk."});
+
 kernel::event_kind const slow_sync({.number = 554,
                                     .name = "disk.slow_sync",
                                     .level = kernel::severity::warning,
@@ -72,6 +80,8 @@
 
 kernel::counter_kind const syncs("disk.syncs", "Syncs of the log.");
 kernel::counter_kind const writes("disk.writes", "Writes asked for; several share one sync.");
+kernel::counter_kind const records_kept("disk.records_kept",
+                                        "Records written and synced beside the log.");
 kernel::counter_kind const reopen_failures("disk.reopen_failures",
                                            "Attempts to open a failed data folder again that "
                                            "failed.");
@@ -151,6 +161,8 @@
         BOOST_LEAF_AUTO(found, store_->recover());
         if (found.cut.count() != 0)
             events().record(tail_cut, {{"bytes", std::to_string(found.cut.count())}});
+        if (found.is_record_damaged)
+            events().record(record_damaged, {});
         events().record(recovered_event,
                         {{"blank", found.recovered.blank ? "yes" : "no"},
                          {"entries", std::to_string(found.recovered.entries.size())}});
@@ -201,6 +213,16 @@
             return write(*asked);
         if (auto const* const asked = std::get_if<control::persist_snapshot>(&it))
             return write(*asked);
+        if (auto const* const asked = std::get_if<control::keep_record>(&it))
+            return keep(*asked);
+        return {};
+    }
+
+    result<void> keep(control::keep_record const& it)
+    {
+        parts().counters.add(records_kept);
+        BOOST_LEAF_CHECK(store_->apply(it));
+        tell(control::record_kept{it.version});
         return {};
     }
 
--- a/plugins/control_io/disk/disk_store.cpp
+++ b/plugins/control_io/disk/disk_store.cpp
@@ -17,6 +17,7 @@
 namespace wired = schema::replica;
 
 constexpr char const* state_name = "state";
+constexpr char const* record_name = "record";
 constexpr char const* snapshot_name = "snapshot";
 constexpr char const* origin_name = "origin";
 constexpr char const* probe_name = "probe";
@@ -107,7 +108,8 @@
 
 } // namespace
 
-disk_store::disk_store(file_system& files) : files_(files), state_(files, state_name), log_(files)
+disk_store::disk_store(file_system& files)
+    : files_(files), state_(files, state_name), record_(files, record_name), log_(files)
 {
 }
 
@@ -125,6 +127,13 @@
     out.recovered.blank = !exists(state_name);
     if (exists(state_name))
         BOOST_LEAF_CHECK(read_state(out.recovered));
+    if (exists(record_name))
+    {
+        auto found = read_record();
+        out.is_record_damaged = !found;
+        if (found)
+            out.recovered.record = std::move(*found);
+    }
     if (exists(snapshot_name))
     {
         BOOST_LEAF_AUTO(body, read_whole(snapshot_name));
@@ -174,6 +183,17 @@
     return log_.remove_up_to(it.base.index);
 }
 
+result<void> disk_store::apply(control::keep_record const& it)
+{
+    return record_.write(encoded<wired::Command>(it.contents));
+}
+
+result<any_message> disk_store::read_record()
+{
+    BOOST_LEAF_AUTO(body, record_.recover());
+    return decoded<wired::Command>(record_name, body, [](auto it) { return wire::decode(it); });
+}
+
 result<void> disk_store::sync()
 {
     // The state comes first, so that the log holds no entry of a term that the state does not
@@ -189,6 +209,7 @@
     BOOST_LEAF_CHECK(probe());
     unsynced_state_.reset();
     state_.reopen();
+    record_.reopen();
     return log_.reopen();
 }
 
--- a/plugins/control_io/disk/disk_store.hpp
+++ b/plugins/control_io/disk/disk_store.hpp
@@ -26,7 +26,8 @@
     struct contents
     {
         control::disk_recovered recovered;
-        byte_count cut; ///< Bytes of writes that were never synced and are cut off.
+        byte_count cut;                 ///< Bytes of writes that were never synced and are cut off.
+        bool is_record_damaged = false; ///< The record beside the log cannot be read.
     };
 
     /// Reads the folder. Fails if something that had been synced is damaged.
@@ -40,12 +41,15 @@
     /// Takes a write; it is on the disk after the next sync().
     result<void> apply(control::persist const& it);
     result<void> apply(control::persist_snapshot const& it);
+    /// Writes a record; it is on the disk when this returns.
+    result<void> apply(control::keep_record const& it);
 
     /// Writes the newest state and then the log; several writes of the state take one.
     result<void> sync();
 
 private:
     result<void> read_state(control::disk_recovered& out);
+    result<any_message> read_record();
     result<void> write_state(control::hard_state const& it);
     result<void> make_origin();
     /// Writes and removes a file, to find out whether the folder takes writes.
@@ -54,6 +58,7 @@
 
     file_system& files_;
     state_file state_;
+    state_file record_;
     segment_log log_;
     std::optional<control::hard_state> unsynced_state_;
     std::uint64_t origin_ = 0; ///< Of the folder, known once it was recovered.
--- a/plugins/peer/codecs/roster_codec.cpp
+++ b/plugins/peer/codecs/roster_codec.cpp
@@ -178,6 +178,8 @@
     to.setHasAllTargets(from.has_all_targets);
     to.setMissedNotices(from.missed_notices);
     to.setIntact(from.intact);
+    to.setKeepsLeaves(from.keeps_leaves);
+    to.setKept(from.kept.value());
     encode_confirmed_age(from.confirmed_age, to);
     encode_list(from.entries, to.initEntries(size_of(from.entries)));
     encode_list(from.control, to.initControl(size_of(from.control)));
@@ -204,6 +206,8 @@
                                   .has_all_targets = from.getHasAllTargets(),
                                   .missed_notices = from.getMissedNotices(),
                                   .intact = from.getIntact(),
+                                  .keeps_leaves = from.getKeepsLeaves(),
+                                  .kept = sequence_id(from.getKept()),
                                   .confirmed_age = decode_confirmed_age(from),
                                   .entries = {},
                                   .unchanged_entries = {},
@@ -220,6 +224,21 @@
     return out;
 }
 
+void encode_kept(messages::kept_roster const& from, KeptRoster::Builder to)
+{
+    to.setIntact(from.intact);
+    encode_list(from.targets, to.initTargets(size_of(from.targets)));
+    encode_list(from.control, to.initControl(size_of(from.control)));
+}
+
+messages::kept_roster decode_kept(KeptRoster::Reader from)
+{
+    messages::kept_roster out{.intact = from.getIntact(), .targets = {}, .control = {}};
+    decode_list(from.getTargets(), out.targets);
+    decode_list(from.getControl(), out.control);
+    return out;
+}
+
 void encode_poll(messages::roster_poll const& from, Poll::Builder to)
 {
     encode(from.self, to.initSelf());
@@ -347,6 +366,8 @@
 
 codec_registrar<messages::roster_exchange, Exchange, &encode_exchange, &decode_exchange> const
     exchange_entered{210};
+codec_registrar<messages::kept_roster, KeptRoster, &encode_kept, &decode_kept> const kept_entered{
+    218};
 codec_registrar<messages::roster_poll, Poll, &encode_poll, &decode_poll> const poll_entered{211};
 codec_registrar<messages::roster_update, Update, &encode_update, &decode_update> const
     update_entered{212};
--- a/schemas/steering.capnp
+++ b/schemas/steering.capnp
@@ -213,6 +213,14 @@
   unchangedTargets @21 :List(UnchangedTarget);
   unchangedEntries @22 :List(UnchangedEntry);
   missedNotices @23 :Bool;
+  keepsLeaves @24 :Bool;
+  kept @25 :UInt64;
+}
+
+struct KeptRoster {
+  intact @0 :Bool;
+  targets @1 :List(TargetNotice);
+  control @2 :List(Lease.InstanceDescription);
 }
 
 struct DepartedTarget {
--- a/tests/control/roster/control_table_test.cpp
+++ b/tests/control/roster/control_table_test.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(an_instance_that_sent_no_message_is_not_reachable);
     CPPUNIT_TEST(a_contact_that_is_gone_does_not_count);
     CPPUNIT_TEST(a_contact_that_is_back_counts_again);
+    CPPUNIT_TEST(an_instance_that_was_restored_counts_until_it_is_forgotten);
+    CPPUNIT_TEST(a_leave_counts_where_it_is_kept);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -94,6 +96,50 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, table.size());
     }
 
+    // Guards against an instance that takes the few others that it hears after a restart for all,
+    // and against members that are gone and count for good.
+    void an_instance_that_was_restored_counts_until_it_is_forgotten()
+    {
+        auto& table = tables_[0];
+        table.add(description_of(gone), false, now_);
+        table.restore(instance_id(gone), now_);
+        run_for(naming_retention + seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, table.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.reachable_count(now_ - seconds(1)));
+        run_for(retention);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.size());
+    }
+
+    void a_leave_counts_where_it_is_kept()
+    {
+        control_table table;
+        auto const count = [&](messages::roster_exchange exchange)
+        {
+            exchange.who = description_of(2);
+            exchange.acknowledged_boot = boot_id(1);
+            table.add(exchange.who, false, now_);
+            table.record_exchange(exchange.who.id, exchange, boot_id(1), sequence_id(9), now_);
+            return table.kept_count(sequence_id(5), true);
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count({.boot = boot_id(7),
+                                                    .acknowledged = sequence_id(6),
+                                                    .keeps_leaves = true,
+                                                    .kept = sequence_id(4)}));
+        // The start that `boot` names was noticed with message 9 of this instance.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count({.boot = boot_id(7),
+                                                    .acknowledged = sequence_id(9),
+                                                    .keeps_leaves = true,
+                                                    .kept = sequence_id(9)}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, count({.boot = boot_id(7),
+                                                    .acknowledged = sequence_id(10),
+                                                    .keeps_leaves = true,
+                                                    .kept = sequence_id(10)}));
+        // An earlier version keeps leaves in memory only.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                             count({.boot = boot_id(7), .acknowledged = sequence_id(10)}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.kept_count(sequence_id(5), false));
+    }
+
 private:
     static constexpr std::uint32_t gone = 9;
 
--- a/tests/control/roster/target_table_test.cpp
+++ b/tests/control/roster/target_table_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 namespace mulberryrudder::control
 {
 
@@ -50,9 +52,64 @@
     CPPUNIT_TEST(a_departure_that_an_entry_reports_is_forwarded_until_it_is_acknowledged);
     CPPUNIT_TEST(a_departure_of_an_earlier_start_is_ignored);
     CPPUNIT_TEST(a_target_that_contradicts_its_departure_serves_until_it_announces_that_it_leaves);
+    CPPUNIT_TEST(leaves_are_those_that_targets_or_instances_told_of);
+    CPPUNIT_TEST(each_new_leave_changes_the_version);
+    CPPUNIT_TEST(a_restored_leave_is_as_good_as_a_new_one);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void leaves_are_those_that_targets_or_instances_told_of()
+    {
+        for (auto const* const id : {"left", "leaving", "silent", "serving"})
+            update(notice(id, 1, 1));
+        table_.deregister(target_id("left"), start_id(1), now_);
+        auto leaving = notice("leaving", 1, 2);
+        leaving.standing = target_standing::leaving;
+        update(leaving);
+        now_ += seconds(1);
+        update(notice("serving", 1, 2));
+        table_.expire(now_, now_);
+        std::vector<std::string> found;
+        for (auto const& it : table_.leaves(now_))
+            found.push_back(it.id.value());
+        CPPUNIT_ASSERT((found == std::vector<std::string>{"leaving", "left"}));
+    }
+
+    void each_new_leave_changes_the_version()
+    {
+        std::set<std::uint64_t> versions{table_.leaves_version()};
+        auto const is_new = [&] { return versions.insert(table_.leaves_version()).second; };
+        update(notice("a", 1, 1));
+        CPPUNIT_ASSERT(!is_new());
+        auto leaving = notice("a", 1, 2);
+        leaving.standing = target_standing::leaving;
+        update(leaving);
+        CPPUNIT_ASSERT(is_new());
+        leaving.sequence = sequence_id(3);
+        update(leaving);
+        CPPUNIT_ASSERT_MESSAGE("a target that repeats its leave", !is_new());
+        table_.deregister(target_id("a"), start_id(1), now_);
+        CPPUNIT_ASSERT(is_new());
+        update(notice("a", 2, 1));
+        CPPUNIT_ASSERT_MESSAGE("a new start", is_new());
+    }
+
+    void a_restored_leave_is_as_good_as_a_new_one()
+    {
+        update(notice("a", 1, 1));
+        table_.deregister(target_id("a"), start_id(1), now_);
+        auto const kept = table_.leaves(now_);
+        target_table next;
+        for (auto const& it : kept)
+            next.restore(it, now_);
+        CPPUNIT_ASSERT(!next.update(notice("a", 1, 7), std::nullopt, now_));
+        CPPUNIT_ASSERT(target_standing::gone == next.find(target_id("a"))->standing);
+        CPPUNIT_ASSERT_EQUAL(kept.size(), next.leaves(now_).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.take_unforwarded(sequence_id(1), now_).size());
+        CPPUNIT_ASSERT(next.update(notice("a", 2, 1), std::nullopt, now_));
+        CPPUNIT_ASSERT(next.leaves(now_).empty());
+    }
+
     // Guards against traffic between control instances that repeats what all of them know.
     void an_unchanged_notice_is_forwarded_whole_only_now_and_then()
     {
--- a/tests/control/steering/steering_codec_test.cpp
+++ b/tests/control/steering/steering_codec_test.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(a_plan_command_round_trips);
     CPPUNIT_TEST(a_snapshot_round_trips);
     CPPUNIT_TEST(an_exchange_round_trips);
+    CPPUNIT_TEST(a_kept_roster_round_trips);
     CPPUNIT_TEST(an_update_for_an_entry_omits_the_source_of_the_plan);
     CPPUNIT_TEST(a_difference_for_an_entry_round_trips);
     CPPUNIT_TEST(an_update_tells_that_its_number_of_entries_is_incomplete);
@@ -133,6 +134,16 @@
         CPPUNIT_ASSERT(decoded.accepted == original.accepted);
     }
 
+    void a_kept_roster_round_trips()
+    {
+        messages::kept_roster original{
+            .intact = true, .targets = {sample_notice()}, .control = {{.id = instance_id(3)}}};
+        auto const decoded = round_trip(original);
+        CPPUNIT_ASSERT(decoded.intact);
+        CPPUNIT_ASSERT(decoded.targets == original.targets);
+        CPPUNIT_ASSERT(decoded.control == original.control);
+    }
+
     void an_exchange_round_trips()
     {
         messages::roster_exchange original{.leads = true, .number = sequence_id(3)};
@@ -155,6 +166,8 @@
         original.wants_targets = true;
         original.has_all_targets = true;
         original.intact = true;
+        original.keeps_leaves = true;
+        original.kept = sequence_id(8);
         original.confirmed_age = milliseconds(7);
         original.heard = {instance_id(4), instance_id(9)};
         auto const decoded = round_trip(original);
@@ -165,6 +178,8 @@
         CPPUNIT_ASSERT(decoded.wants_targets);
         CPPUNIT_ASSERT(decoded.has_all_targets);
         CPPUNIT_ASSERT(decoded.intact);
+        CPPUNIT_ASSERT(decoded.keeps_leaves);
+        CPPUNIT_ASSERT(decoded.kept == original.kept);
         CPPUNIT_ASSERT(decoded.confirmed_age == milliseconds(7));
         CPPUNIT_ASSERT(decoded.heard == original.heard);
         CPPUNIT_ASSERT(decoded.entries == original.entries);
--- a/tests/control_io/disk/disk_store_test.cpp
+++ b/tests/control_io/disk/disk_store_test.cpp
@@ -65,6 +65,9 @@
     CPPUNIT_TEST(a_batch_read_after_a_crash_survives_a_loss_of_power);
     CPPUNIT_TEST(a_state_in_a_file_read_after_a_crash_survives_a_loss_of_power);
     CPPUNIT_TEST(a_batch_in_a_segment_read_after_a_crash_survives_a_loss_of_power);
+    CPPUNIT_TEST(a_kept_record_is_recovered);
+    CPPUNIT_TEST(a_record_that_was_torn_leaves_the_one_before);
+    CPPUNIT_TEST(a_damaged_record_leaves_the_log);
     CPPUNIT_TEST(a_copied_folder_is_recovered_as_copied);
     CPPUNIT_TEST(a_missing_segment_is_refused);
     CPPUNIT_TEST(what_was_synced_survives_a_failure_at_any_operation);
@@ -316,6 +319,58 @@
         CPPUNIT_ASSERT_EQUAL(std::string("1 2"), indexes());
     }
 
+    void a_kept_record_is_recovered()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, kept_record());
+        for (std::uint64_t n = 1; n != 4; ++n)
+        {
+            CPPUNIT_ASSERT_EQUAL(done, keep(n));
+            files_.crash([](std::size_t) { return 0; });
+            reopen();
+            CPPUNIT_ASSERT_EQUAL(n, kept_record());
+        }
+        write({.state = some_state(), .entries = {entry(1)}});
+        CPPUNIT_ASSERT_EQUAL(done, store_reopened());
+        CPPUNIT_ASSERT_EQUAL(done, keep(9));
+        reopen();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, kept_record());
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), indexes());
+    }
+
+    void a_record_that_was_torn_leaves_the_one_before()
+    {
+        for (std::size_t kept = 0; kept != 200; ++kept)
+        {
+            files_ = {};
+            reopen();
+            keep(1);
+            keep(2);
+            files_.fail_after(1);
+            CPPUNIT_ASSERT(keep(3) != done);
+            files_.crash([&](std::size_t unsynced) { return std::min(kept, unsynced); });
+            reopen();
+            CPPUNIT_ASSERT(kept_record() == 2 || kept_record() == 3);
+            CPPUNIT_ASSERT_EQUAL(done, keep(4));
+            reopen();
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, kept_record());
+        }
+    }
+
+    void a_damaged_record_leaves_the_log()
+    {
+        write({.state = some_state(), .entries = {entry(1)}});
+        keep(1);
+        files_.contents("record").assign(8192, 'x');
+        reopen();
+        CPPUNIT_ASSERT(found_.is_record_damaged);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, kept_record());
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), indexes());
+        CPPUNIT_ASSERT_EQUAL(done, keep(2));
+        reopen();
+        CPPUNIT_ASSERT(!found_.is_record_damaged);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, kept_record());
+    }
+
     void a_copied_folder_is_recovered_as_copied()
     {
         write({.state = some_state(), .entries = {entry(1)}});
@@ -446,6 +501,20 @@
             });
     }
 
+    /// Keeps a record that tells a number.
+    std::string keep(std::uint64_t n)
+    {
+        return outcome(
+            [&] { return store_->apply(control::keep_record{.contents = entry(n).command}); });
+    }
+
+    /// Returns the number of the record that was recovered; 0 without one.
+    std::uint64_t kept_record() const
+    {
+        auto const* const it = found_.recovered.record.get<messages::membership_changed>();
+        return it == nullptr ? 0 : it->members.group.value();
+    }
+
     std::string save_snapshot(std::uint64_t index)
     {
         control::snapshot const base{
--- a/tests/roster_fleet/roster_fleet.cpp
+++ b/tests/roster_fleet/roster_fleet.cpp
@@ -16,6 +16,8 @@
 
 constexpr milliseconds step = admission_record::step;
 constexpr milliseconds latency{20};
+/// Time for which a disk writes and syncs a record.
+constexpr milliseconds sync_time{20};
 /// Time between two announcements of a target.
 constexpr milliseconds announcement_interval{1500};
 
@@ -90,31 +92,34 @@
 } // namespace
 
 roster_fleet::roster_fleet(options const& config)
-    : config_(config), random_(config.seed), link_free_at_(config.entries)
+    : config_(config), random_(config.seed), disks_(config.controls), link_free_at_(config.entries)
 {
+    controls_.resize(config.controls);
     for (std::size_t n = 0; n != config.controls; ++n)
-        controls_.push_back(make_control(n, n == 0));
+        start_control(n, n == 0);
     for (std::size_t n = 0; n != config.entries; ++n)
         entries_.push_back(make_entry(n));
 }
 
-std::unique_ptr<control::core> roster_fleet::make_control(std::size_t n, bool leads)
+void roster_fleet::start_control(std::size_t n, bool leads)
 {
     control::identity self;
     self.self = describe(control_id(n), n, n);
     self.operators = address(1000 + n);
     for (std::size_t k = 0; k != 3; ++k)
         self.contacts[control_id(k)] = address(k);
-    auto out = std::make_unique<control::core>(control::core::options{.config = settings_,
-                                                                      .counters = counters_,
-                                                                      .events = events_,
-                                                                      .self = self,
-                                                                      .seed = next_seed()});
-    out->services().require<fake_log>().leads = leads;
-    control::effects first;
-    out->handle(now_, control::disk_recovered{}, first);
-    process(first);
-    return out;
+    auto& started = controls_.at(n);
+    started = std::make_unique<control::core>(control::core::options{.config = settings_,
+                                                                     .counters = counters_,
+                                                                     .events = events_,
+                                                                     .self = self,
+                                                                     .seed = next_seed()});
+    started->services().require<fake_log>().leads = leads;
+    auto& disk = disks_.at(n);
+    disk.unsynced.reset();
+    if (!without_disk_.contains(n))
+        handle(n, control::disk_recovered{.blank = disk.record.type() == typeid(void),
+                                          .record = disk.record});
 }
 
 std::unique_ptr<entry::core> roster_fleet::make_entry(std::size_t n)
@@ -136,12 +141,12 @@
 
 void roster_fleet::restart_control(std::size_t control)
 {
-    controls_.at(control) = make_control(control, control == 0);
+    start_control(control, control == 0);
 }
 
 void roster_fleet::restart_follower(std::size_t control, std::size_t held)
 {
-    controls_.at(control) = make_control(control, false);
+    start_control(control, false);
     apply_committed(control, held);
 }
 
@@ -171,9 +176,7 @@
 
 void roster_fleet::stop_control(std::size_t control)
 {
-    control::effects out;
-    controls_.at(control)->handle(now_, control::stop_requested{}, out);
-    process(out);
+    handle(control, control::stop_requested{});
 }
 
 void roster_fleet::restart_entry(std::size_t entry)
@@ -246,12 +249,13 @@
         deliver();
         announce_targets();
         send_requests();
+        sync_disks();
         for (std::size_t n = 0; n != controls_.size(); ++n)
         {
             control::effects out;
             if (!frozen_.contains(n))
                 controls_.at(n)->tick(now_, out);
-            process(out);
+            process(n, out);
         }
         for (auto const& it : entries_)
         {
@@ -295,19 +299,29 @@
     process(out);
 }
 
-template <class Effects>
-void roster_fleet::process(Effects const& effects)
+void roster_fleet::process(std::size_t control, control::effects const& effects)
 {
+    auto& disk = disks_.at(control);
     for (auto const& it : effects)
     {
-        if constexpr (std::is_same_v<Effects, control::effects>)
+        if (auto const* const sent = std::get_if<control::send_message>(&it))
+            transmit(sent->message);
+        else if (auto const* const answer = std::get_if<control::answer_operator>(&it))
+            answers_.emplace(answer->id, answer->body);
+        else if (auto const* const kept = std::get_if<control::keep_record>(&it);
+                 kept && !disk.fails)
         {
-            if (auto const* const sent = std::get_if<control::send_message>(&it))
-                transmit(sent->message);
-            else if (auto const* const answer = std::get_if<control::answer_operator>(&it))
-                answers_.emplace(answer->id, answer->body);
+            disk.unsynced = *kept;
+            disk.synced_at = now_ + sync_time;
         }
-        else if (auto const* const sent = std::get_if<entry::send_message>(&it))
+    }
+}
+
+void roster_fleet::process(entry::effects const& effects)
+{
+    for (auto const& it : effects)
+    {
+        if (auto const* const sent = std::get_if<entry::send_message>(&it))
             transmit(sent->message);
         // Without a stage that chooses targets, an admitted request ends with another refusal.
         else if (auto const* const ended = std::get_if<entry::answer_caller>(&it))
@@ -315,6 +329,58 @@
     }
 }
 
+void roster_fleet::handle(std::size_t control, control::input const& what)
+{
+    control::effects out;
+    controls_.at(control)->handle(now_, what, out);
+    process(control, out);
+}
+
+void roster_fleet::sync_disks()
+{
+    for (std::size_t n = 0; n != disks_.size(); ++n)
+    {
+        auto& disk = disks_.at(n);
+        if (!disk.unsynced || disk.synced_at > now_ || hanging_disks_.contains(n))
+            continue;
+        auto const synced = *std::exchange(disk.unsynced, std::nullopt);
+        disk.record = synced.contents;
+        if (!frozen_.contains(n))
+            handle(n, control::record_kept{synced.version});
+    }
+}
+
+void roster_fleet::clear_disk(std::size_t control)
+{
+    disks_.at(control) = {};
+}
+
+void roster_fleet::hang_disks(std::set<std::size_t> const& controls)
+{
+    hanging_disks_ = controls;
+}
+
+void roster_fleet::fail_disk(std::size_t control)
+{
+    auto& disk = disks_.at(control);
+    disk.fails = true;
+    disk.unsynced.reset();
+    handle(control, control::disk_failed{"test"});
+}
+
+void roster_fleet::mend_disk(std::size_t control)
+{
+    disks_.at(control).fails = false;
+    handle(control, control::disk_reopened{});
+}
+
+void roster_fleet::remove_disks(std::set<std::size_t> const& controls)
+{
+    without_disk_ = controls;
+    for (auto const n : controls)
+        clear_disk(n);
+}
+
 bool roster_fleet::is_dropped(envelope const& message) const
 {
     auto const isolated = [&](instance_id id)
@@ -389,10 +455,7 @@
         }
         else
         {
-            control::effects out;
-            controls_.at(index_of(it.message.to))
-                ->handle(now_, control::message_arrived{it.message}, out);
-            process(out);
+            handle(index_of(it.message.to), control::message_arrived{it.message});
         }
     }
 }
@@ -400,9 +463,7 @@
 control::operator_request_id roster_fleet::request(std::size_t control, any_message body)
 {
     control::operator_request_id const id(++last_);
-    control::effects out;
-    controls_.at(control)->handle(now_, control::operator_asked{id, std::move(body)}, out);
-    process(out);
+    handle(control, control::operator_asked{id, std::move(body)});
     return id;
 }
 
@@ -411,6 +472,14 @@
     targets_[target] = {sequence_id(), now_};
 }
 
+void roster_fleet::start_anew(int target, int at_address_of)
+{
+    auto announcement = notice(target, sequence_id(1));
+    announcement.start = start_id(1 + ++starts_);
+    announcement.where = notice(at_address_of, sequence_id(1)).where;
+    request(0, any_message::of(control::target_announced{announcement}));
+}
+
 void roster_fleet::announce_targets()
 {
     for (auto& [target, it] : targets_)
--- a/tests/roster_fleet/roster_fleet.hpp
+++ b/tests/roster_fleet/roster_fleet.hpp
@@ -64,6 +64,10 @@
     /// reachable.
     void start_target(int target);
 
+    /// Starts a target anew at the address that another one had, later than all starts before, and
+    /// announces it once to control instance 0.
+    void start_anew(int target, int at_address_of);
+
     /// Announces that a target leaves; returns the id of the request, for answer().
     control::operator_request_id leave(std::size_t control, int target);
 
@@ -116,9 +120,20 @@
 
     /// Requests a planned stop of a control instance, which runs on in this fleet.
     void stop_control(std::size_t control);
-    /// Starts an instance again, without any state of its earlier start.
+    /// Starts an instance again, without any state of its earlier start but what its disk holds.
     void restart_control(std::size_t control);
     void restart_entry(std::size_t entry);
+    /// Gives a control instance a blank disk, from its next start on.
+    void clear_disk(std::size_t control);
+    /// Lets the disks of these control instances hang: what they are asked to keep is not synced,
+    /// and is lost with the next start. An empty set lets all work.
+    void hang_disks(std::set<std::size_t> const& controls);
+    /// Lets the disk of a control instance fail, or work again.
+    void fail_disk(std::size_t control);
+    void mend_disk(std::size_t control);
+    /// Lets control instances run that keep no leaves, from their next start on, as an earlier
+    /// version.
+    void remove_disks(std::set<std::size_t> const& controls);
     /// Starts a control instance again that does not lead, with the state after the first `held`
     /// commands that were committed, as of its last snapshot.
     void restart_follower(std::size_t control, std::size_t held);
@@ -162,8 +177,14 @@
     instant now() const { return now_; }
 
 private:
-    struct control_node;
-    struct entry_node;
+    /// The disk of a control instance.
+    struct control_disk
+    {
+        any_message record;                           ///< The newest that was synced.
+        std::optional<control::keep_record> unsynced; ///< The write that is under way.
+        instant synced_at;                            ///< When it is synced.
+        bool fails = false;
+    };
     struct transfer
     {
         instant due;
@@ -176,7 +197,7 @@
         messages::target_standing standing = messages::target_standing::serving;
     };
 
-    std::unique_ptr<control::core> make_control(std::size_t n, bool leads);
+    void start_control(std::size_t n, bool leads);
     /// Lets a control instance apply the first `count` commands that were committed, but for those
     /// that it has applied.
     void apply_committed(std::size_t control, std::size_t count);
@@ -189,8 +210,11 @@
     static std::size_t index_of(instance_id id);
     static bool is_entry(instance_id id);
 
-    template <class Effects>
-    void process(Effects const& effects);
+    void process(std::size_t control, control::effects const& effects);
+    void process(entry::effects const& effects);
+    /// Completes the writes to the disks that are due.
+    void sync_disks();
+    void handle(std::size_t control, control::input const& what);
     void transmit(envelope const& message);
     void count_traffic(envelope const& message);
     void deliver();
@@ -210,6 +234,9 @@
     kernel::counter_set counters_;
     kernel::null_event_sink events_;
     std::vector<std::unique_ptr<control::core>> controls_;
+    std::vector<control_disk> disks_; ///< Of the control instances.
+    std::set<std::size_t> hanging_disks_;
+    std::set<std::size_t> without_disk_;
     std::vector<std::unique_ptr<entry::core>> entries_;
     std::vector<instant> link_free_at_; ///< When each entry's link has sent all queued messages.
     per_mille link_wait_growth_;
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -79,6 +79,14 @@
     CPPUNIT_TEST(a_restart_of_all_control_instances_removes_no_target);
     CPPUNIT_TEST(entries_learn_of_a_leave_that_all_control_instances_forgot);
     CPPUNIT_TEST(a_report_older_than_a_leave_restores_no_target_after_all_control_restarted);
+    CPPUNIT_TEST(a_leave_of_a_bare_majority_survives_a_restart_of_all);
+    CPPUNIT_TEST(a_disk_that_is_lost_at_a_restart_of_all_forgets_no_leave);
+    CPPUNIT_TEST(a_leave_right_after_the_first_start_survives_a_restart_of_all);
+    CPPUNIT_TEST(old_reports_at_any_time_after_a_restart_of_all_restore_no_target);
+    CPPUNIT_TEST(a_new_start_of_a_target_that_left_serves_after_a_restart_of_all);
+    CPPUNIT_TEST(a_leave_is_acknowledged_while_few_disks_hang);
+    CPPUNIT_TEST(a_leave_that_few_disks_hold_is_not_acknowledged);
+    CPPUNIT_TEST(a_leave_is_acknowledged_by_instances_that_keep_none);
     CPPUNIT_TEST(an_announcement_reaches_each_control_instance_once);
     CPPUNIT_TEST(a_leave_is_forwarded_until_it_is_acknowledged);
     CPPUNIT_TEST(announcements_reach_control_instances_that_do_not_hear_their_recipient);
@@ -104,7 +112,11 @@
             fleet.apply_first_plan();
             fleet.run(seconds(5));
             for (std::size_t n = 0; n != 9; ++n)
+            {
+                if (seed % 2 == 0)
+                    fleet.clear_disk(n);
                 fleet.restart_control(n);
+            }
             for (std::size_t n = 0; n != entries; ++n)
                 fleet.restart_entry(n);
             fleet.apply_first_plan();
@@ -358,6 +370,8 @@
             start(small_total, seed);
             leave_without(1);
             fleet_->isolate({});
+            if (seed % 2 == 0)
+                fleet_->clear_disk(1);
             fleet_->restart_control(1);
             fleet_->run(seconds(1));
             fleet_->disconnect({});
@@ -415,6 +429,8 @@
             start(small_total, seed);
             leave_without(1);
             fleet_->isolate({});
+            if (seed % 2 == 0)
+                fleet_->clear_disk(1);
             fleet_->restart_control(1);
             fleet_->run(seconds(1));
             fleet_->deliver_old_announcement(1, 11);
@@ -445,13 +461,20 @@
     // them knows a target before its next announcement.
     void a_restart_of_all_control_instances_removes_no_target()
     {
-        for (std::size_t n = 0; n != 9; ++n)
-            fleet_->restart_control(n);
-        for (int n = 0; n != 100; ++n)
+        for (bool const keeps_disks : {true, false})
         {
-            fleet_->run(milliseconds(100));
-            for (std::size_t k = 0; k != fleet_->entries(); ++k)
-                CPPUNIT_ASSERT_EQUAL(std::size_t{total_targets}, fleet_->serving_count(k));
+            for (std::size_t n = 0; n != 9; ++n)
+            {
+                if (!keeps_disks)
+                    fleet_->clear_disk(n);
+                fleet_->restart_control(n);
+            }
+            for (int n = 0; n != 100; ++n)
+            {
+                fleet_->run(milliseconds(100));
+                for (std::size_t k = 0; k != fleet_->entries(); ++k)
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{total_targets}, fleet_->serving_count(k));
+            }
         }
     }
 
@@ -471,7 +494,10 @@
             fleet_->run(milliseconds(400));
             CPPUNIT_ASSERT_MESSAGE("the leave is acknowledged", is_held(id));
             for (std::size_t n = 0; n != 9; ++n)
+            {
+                fleet_->clear_disk(n);
                 fleet_->restart_control(n);
+            }
             fleet_->disconnect({});
             fleet_->run(contact);
             CPPUNIT_ASSERT_EQUAL_MESSAGE("entries that still send requests", 0,
@@ -506,6 +532,147 @@
         }
     }
 
+    // Guards against a violation of DRAIN: the only instance that is left of those that
+    // acknowledged a leave is outvoted by those that never knew of it.
+    void a_leave_of_a_bare_majority_survives_a_restart_of_all()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            start(small_total, seed);
+            leave_at_bare_majority();
+            restart_all_control_twice();
+            fleet_->partition({});
+            fleet_->isolate({5, 6, 7, 8});
+            expect_no_request_after_old_reports(seed);
+        }
+    }
+
+    // Guards against the same where a disk was lost with the power, so that its instance must not
+    // count as one that holds every leave.
+    void a_disk_that_is_lost_at_a_restart_of_all_forgets_no_leave()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            start(small_total, seed);
+            leave_at_bare_majority();
+            restart_all_control_twice();
+            fleet_->clear_disk(8);
+            fleet_->restart_follower(8, 1);
+            fleet_->partition({});
+            fleet_->isolate({5, 6, 7});
+            expect_no_request_after_old_reports(seed);
+        }
+    }
+
+    void a_leave_right_after_the_first_start_survives_a_restart_of_all()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            fleet_ = std::make_unique<roster_fleet>(roster_fleet::options{.seed = seed});
+            fleet_->start_target(11);
+            fleet_->run(seconds(2));
+            auto const id = fleet_->deregister(7, 11);
+            fleet_->run(milliseconds(500));
+            CPPUNIT_ASSERT_MESSAGE("the leave is acknowledged", is_held(id));
+            restart_all_control();
+            expect_no_request_after_old_reports(seed);
+        }
+    }
+
+    void old_reports_at_any_time_after_a_restart_of_all_restore_no_target()
+    {
+        for (std::uint64_t seed = 1; seed != seeds; ++seed)
+        {
+            start(small_total, seed);
+            auto const id = fleet_->deregister(7, 11);
+            fleet_->run(milliseconds(500));
+            CPPUNIT_ASSERT_MESSAGE("the leave is acknowledged", is_held(id));
+            restart_all_control();
+            for (std::size_t n = 0; n != fleet_->entries(); ++n)
+                fleet_->restart_entry(n);
+            for (std::size_t n = 0; n != 60; ++n)
+            {
+                fleet_->deliver_old_announcement((seed + n) % 9, 11);
+                fleet_->run(milliseconds(100));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE("entries that still send requests", 0,
+                                             entries_serving(11));
+            }
+        }
+    }
+
+    // Guards against a leave that outlives what it is about.
+    void a_new_start_of_a_target_that_left_serves_after_a_restart_of_all()
+    {
+        start(small_total, 1);
+        for (int const target : {11, 12})
+            fleet_->deregister(7, target);
+        fleet_->run(milliseconds(500));
+        restart_all_control();
+        fleet_->run(seconds(1));
+        fleet_->start_anew(11, 11);
+        fleet_->start_anew(70, 12);
+        fleet_->run(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(fleet_->entries()), entries_serving(11));
+        CPPUNIT_ASSERT_EQUAL(0, entries_serving(12));
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(fleet_->entries()), entries_serving(70));
+    }
+
+    // Guards against leaves that wait for the slowest disk, also that of the instance that took
+    // them.
+    void a_leave_is_acknowledged_while_few_disks_hang()
+    {
+        start(small_total, 1);
+        fleet_->hang_disks({4, 5, 6, 7});
+        auto const id = fleet_->deregister(7, 11);
+        fleet_->run(milliseconds(500));
+        CPPUNIT_ASSERT(is_held(id));
+        fleet_->hang_disks({});
+        for (std::size_t n = 4; n != 8; ++n)
+            fleet_->fail_disk(n);
+        auto const next = fleet_->deregister(7, 12);
+        fleet_->run(milliseconds(500));
+        CPPUNIT_ASSERT(is_held(next));
+    }
+
+    // Guards against an acknowledgement that no majority of disks holds.
+    void a_leave_that_few_disks_hold_is_not_acknowledged()
+    {
+        start(small_total, 1);
+        fleet_->hang_disks({4, 5, 6, 7, 8});
+        auto const hanging = fleet_->deregister(7, 11);
+        fleet_->run(seconds(1));
+        CPPUNIT_ASSERT(fleet_->answer(hanging) != nullptr && !is_held(hanging));
+        fleet_->hang_disks({});
+        fleet_->run(seconds(1));
+        for (std::size_t n = 4; n != 9; ++n)
+            fleet_->fail_disk(n);
+        auto const failed = fleet_->deregister(7, 12);
+        fleet_->run(seconds(1));
+        CPPUNIT_ASSERT(fleet_->answer(failed) != nullptr && !is_held(failed));
+        for (std::size_t n = 4; n != 9; ++n)
+            fleet_->mend_disk(n);
+        auto const repeated = fleet_->deregister(7, 12);
+        fleet_->run(milliseconds(500));
+        CPPUNIT_ASSERT(is_held(repeated));
+    }
+
+    // Guards against an update of the control instances in turn during which no leave is
+    // acknowledged.
+    void a_leave_is_acknowledged_by_instances_that_keep_none()
+    {
+        start(small_total, 1);
+        fleet_->remove_disks({3, 4, 5, 6, 7, 8});
+        for (std::size_t n = 3; n != 9; ++n)
+            fleet_->restart_control(n);
+        fleet_->run(seconds(2));
+        for (std::size_t const control : {1, 7})
+        {
+            auto const id = fleet_->deregister(control, static_cast<int>(control));
+            fleet_->run(milliseconds(500));
+            CPPUNIT_ASSERT(is_held(id));
+        }
+    }
+
     // Guards against a violation of AckTimeout: each control instance forwarded the announcements
     // that others had forwarded to it, and with many targets had no time left to decide orders.
     void an_announcement_reaches_each_control_instance_once()
@@ -785,6 +952,49 @@
         return out;
     }
 
+    void restart_all_control()
+    {
+        for (std::size_t n = 0; n != 9; ++n)
+            fleet_->restart_control(n);
+    }
+
+    /// Starts all control instances with the first plan, and once more right after that.
+    void restart_all_control_twice()
+    {
+        for (int count = 0; count != 2; ++count)
+        {
+            for (std::size_t n = 0; n != 9; ++n)
+                fleet_->restart_follower(n, 1);
+            fleet_->run(milliseconds(100));
+        }
+    }
+
+    /// Deregisters target 11 while control instances 0 to 3 are cut off from the others.
+    void leave_at_bare_majority()
+    {
+        fleet_->partition({0, 1, 2, 3});
+        fleet_->run(seconds(1));
+        auto const id = fleet_->deregister(7, 11);
+        fleet_->run(milliseconds(700));
+        CPPUNIT_ASSERT_MESSAGE("the leave is acknowledged", is_held(id));
+    }
+
+    /// Starts all entries anew and delivers reports that target 11 sent before it left.
+    void expect_no_request_after_old_reports(std::uint64_t seed)
+    {
+        for (std::size_t n = 0; n != fleet_->entries(); ++n)
+            fleet_->restart_entry(n);
+        fleet_->run(drain_limit);
+        for (int n = 0; n != 100; ++n)
+        {
+            if (n % 25 == 0)
+                fleet_->deliver_old_announcement((seed + n / 25) % 5, 11);
+            fleet_->run(milliseconds(100));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("entries that still send requests", 0,
+                                         entries_serving(11));
+        }
+    }
+
     int entries_serving(int target)
     {
         int out = 0;
