Let an entry begin to serve only on the word of a connected control instance

Now the answer must also say that the instance is connected. An entry that hears no such instance goes on after entry_roster/first_plan_limit, as before.

With the code before, an entry sends requests to the target that left in a_leave_of_a_bare_majority_survives_a_restart_of_all and a_disk_that_is_lost_at_a_restart_of_all_forgets_no_leave, which now also check the time before the last instance that keeps the leave is back.

--- a/plugins/entry/roster/roster_stage.cpp
+++ b/plugins/entry/roster/roster_stage.cpp
@@ -296,7 +296,7 @@
         if (currency_.awaits_leader(ctx.now))
             await_confirmation(ctx.now);
         // A late answer tells what held when it was sent.
-        bool const confirms = update.current && is_recent(answer, ctx.now);
+        bool const confirms = update.connected && update.current && is_recent(answer, ctx.now);
         if (confirms && generation_of(update) <= steering_->generation)
             accept_callers_once(ctx);
         if (!attaches)
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -542,7 +542,7 @@
             leave_at_bare_majority();
             restart_all_control_twice();
             fleet_->partition({});
-            fleet_->isolate({5, 6, 7, 8});
+            expect_no_request_before_holder_returns({5, 6, 7, 8});
             expect_no_request_after_old_reports(seed);
         }
     }
@@ -559,7 +559,7 @@
             fleet_->clear_disk(8);
             fleet_->restart_follower(8, 1);
             fleet_->partition({});
-            fleet_->isolate({5, 6, 7});
+            expect_no_request_before_holder_returns({5, 6, 7});
             expect_no_request_after_old_reports(seed);
         }
     }
@@ -979,6 +979,29 @@
         CPPUNIT_ASSERT_MESSAGE("the leave is acknowledged", is_held(id));
     }
 
+    /// Lets control instance 4, the last one that holds the leave of target 11, come back after the
+    /// others but those that stay away. Meanwhile a report arrives that the target sent before.
+    void expect_no_request_before_holder_returns(std::set<std::size_t> const& away)
+    {
+        auto all_away = away;
+        all_away.insert(4);
+        fleet_->isolate(all_away);
+        for (std::size_t n = 0; n != fleet_->entries(); ++n)
+            fleet_->restart_entry(n);
+        fleet_->run(milliseconds(100));
+        fleet_->lead(0);
+        for (int n = 0; n != 20; ++n)
+        {
+            if (n == 5)
+                fleet_->deliver_old_announcement(0, 11);
+            fleet_->run(milliseconds(100));
+            for (std::size_t k = 0; k != fleet_->entries(); ++k)
+                CPPUNIT_ASSERT_MESSAGE("an entry sends requests too early",
+                                       !fleet_->acts_by_plan(k) || !fleet_->is_serving(k, 11));
+        }
+        fleet_->isolate(away);
+    }
+
     /// Starts all entries anew and delivers reports that target 11 sent before it left.
     void expect_no_request_after_old_reports(std::uint64_t seed)
     {
