--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -203,13 +203,13 @@
     void recovered(disk_recovered const& recovery, context& ctx) override
     {
         begin_input(ctx);
+        keeper_.enable();
         if (recovery.failed)
-            return;
+            return keeper_.disk_lost();
         auto const* const record = recovery.record.get<messages::kept_roster>();
         // A copy may lack leaves that the disk it was made from acknowledged later.
         if (record != nullptr && !recovery.copied)
             restore(*record, ctx);
-        keeper_.enable();
         keep_leaves(ctx);
     }
 
--- a/tests/roster_fleet/roster_fleet.cpp
+++ b/tests/roster_fleet/roster_fleet.cpp
@@ -117,9 +117,19 @@
     started->services().require<fake_log>().leads = leads;
     auto& disk = disks_.at(n);
     disk.unsynced.reset();
-    if (!without_disk_.contains(n))
-        handle(n, control::disk_recovered{.blank = disk.record.type() == typeid(void),
-                                          .record = disk.record});
+    disk.was_read = !disk.fails;
+    if (disk.fails)
+        handle(n, control::disk_recovered{.failed = true});
+    else if (!without_disk_.contains(n))
+        read_disk(n);
+}
+
+void roster_fleet::read_disk(std::size_t n)
+{
+    auto& disk = disks_.at(n);
+    disk.was_read = true;
+    handle(n, control::disk_recovered{.blank = disk.record.type() == typeid(void),
+                                      .record = disk.record});
 }
 
 std::unique_ptr<entry::core> roster_fleet::make_entry(std::size_t n)
@@ -371,7 +381,10 @@
 void roster_fleet::mend_disk(std::size_t control)
 {
     disks_.at(control).fails = false;
-    handle(control, control::disk_reopened{});
+    if (disks_.at(control).was_read)
+        handle(control, control::disk_reopened{});
+    else
+        read_disk(control);
 }
 
 void roster_fleet::remove_disks(std::set<std::size_t> const& controls)
--- a/tests/roster_fleet/roster_fleet.hpp
+++ b/tests/roster_fleet/roster_fleet.hpp
@@ -128,7 +128,8 @@
     /// Lets the disks of these control instances hang: what they are asked to keep is not synced,
     /// and is lost with the next start. An empty set lets all work.
     void hang_disks(std::set<std::size_t> const& controls);
-    /// Lets the disk of a control instance fail, or work again.
+    /// Lets the disk of a control instance fail, or work again. One that starts while its disk
+    /// fails reads it once it works.
     void fail_disk(std::size_t control);
     void mend_disk(std::size_t control);
     /// Lets control instances run that keep no leaves, from their next start on, as an earlier
@@ -184,6 +185,7 @@
         std::optional<control::keep_record> unsynced; ///< The write that is under way.
         instant synced_at;                            ///< When it is synced.
         bool fails = false;
+        bool was_read = false; ///< By the running process.
     };
     struct transfer
     {
@@ -198,6 +200,8 @@
     };
 
     void start_control(std::size_t n, bool leads);
+    /// Tells a control instance what its disk holds.
+    void read_disk(std::size_t n);
     /// Lets a control instance apply the first `count` commands that were committed, but for those
     /// that it has applied.
     void apply_committed(std::size_t control, std::size_t count);
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -86,6 +86,7 @@
     CPPUNIT_TEST(a_new_start_of_a_target_that_left_serves_after_a_restart_of_all);
     CPPUNIT_TEST(a_leave_is_acknowledged_while_few_disks_hang);
     CPPUNIT_TEST(a_leave_that_few_disks_hold_is_not_acknowledged);
+    CPPUNIT_TEST(instances_that_cannot_read_their_disks_acknowledge_no_leave);
     CPPUNIT_TEST(a_leave_is_acknowledged_by_instances_that_keep_none);
     CPPUNIT_TEST(an_announcement_reaches_each_control_instance_once);
     CPPUNIT_TEST(a_leave_is_forwarded_until_it_is_acknowledged);
@@ -656,6 +657,27 @@
         CPPUNIT_ASSERT(is_held(repeated));
     }
 
+    // Guards against a leave that is held in memory only, by instances that took the failure to
+    // read their disks for having none.
+    void instances_that_cannot_read_their_disks_acknowledge_no_leave()
+    {
+        start(small_total, 1);
+        for (std::size_t n = 4; n != 9; ++n)
+        {
+            fleet_->fail_disk(n);
+            fleet_->restart_control(n);
+        }
+        fleet_->run(seconds(2));
+        auto const id = fleet_->deregister(7, 11);
+        fleet_->run(seconds(1));
+        CPPUNIT_ASSERT(fleet_->answer(id) != nullptr && !is_held(id));
+        fleet_->mend_disk(4);
+        fleet_->run(seconds(1));
+        auto const repeated = fleet_->deregister(7, 11);
+        fleet_->run(milliseconds(500));
+        CPPUNIT_ASSERT(is_held(repeated));
+    }
+
     // Guards against an update of the control instances in turn during which no leave is
     // acknowledged.
     void a_leave_is_acknowledged_by_instances_that_keep_none()
