--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -3,6 +3,7 @@
 #include "leave_keeper.hpp"
 #include "state_confirmation.hpp"
 #include "state_history.hpp"
+#include "state_requests.hpp"
 #include "table_sync.hpp"
 #include "target_table.hpp"
 
@@ -638,6 +639,9 @@
         }
         // Tables that come while too few instances can be reached do not end the synchronization.
         bool const wants_tables = is_majority_reachable(ctx.now);
+        auto const state_source =
+            state_requests_.next(controls_.rows(), state->generation, ctx.self.self.region,
+                                 ctx.now - control_timeout, ctx.now);
         auto const notices = targets_.take_unforwarded(exchange_number_, ctx.now);
         for (auto& [id, it] : controls_.rows())
         {
@@ -645,7 +649,7 @@
             out.acknowledged_boot = it.boot;
             out.acknowledged = it.received;
             out.kept = keeper_.kept_of(id, it.boot);
-            out.wants_steering = it.generation > state->generation;
+            out.wants_steering = state_source == id;
             if (std::exchange(it.wants_steering, false) && it.generation < state->generation)
                 out.steering = state;
             out.missed_notices = missed_notices_.erase(id) != 0;
@@ -731,7 +735,10 @@
             sync_.record_table(sender, exchange.acknowledged);
         finish_synchronization(ctx);
         if (exchange.steering)
+        {
+            state_requests_.record_answer(sender);
             steering().learn(exchange.steering);
+        }
         answer_leaves(ctx);
         // An instance with an older state requests the newer one in its next exchange. That
         // exchange, or the one that answers a request, is sent with the next tick.
@@ -883,6 +890,7 @@
     std::set<instance_id> missed_notices_;
     state_confirmation confirmation_;
     state_history history_;
+    state_requests state_requests_;
     std::optional<instant> confirmed_at_; ///< Of the steering state, as of the last tick.
     bool was_current_ = false;            ///< As of the last tick.
     bool was_connected_ = false;          ///< As of the last tick.
--- a/tests/roster_fleet/roster_fleet.cpp
+++ b/tests/roster_fleet/roster_fleet.cpp
@@ -432,6 +432,7 @@
         count_traffic(message);
     auto const* const exchange = message.body.get<messages::roster_exchange>();
     tables_sent_ += exchange != nullptr && exchange->has_all_targets;
+    states_sent_ += exchange != nullptr && exchange->steering != nullptr;
     if (exchange != nullptr)
         notices_between_controls_ += exchange->targets.size() + exchange->unchanged_targets.size();
     if (!is_dropped(message))
--- a/tests/roster_fleet/roster_fleet.hpp
+++ b/tests/roster_fleet/roster_fleet.hpp
@@ -168,6 +168,9 @@
     /// Returns how many messages between control instances contained a whole table of targets.
     int tables_sent() const { return tables_sent_; }
 
+    /// Returns how many messages between control instances contained a whole steering state.
+    int states_sent() const { return states_sent_; }
+
     /// Returns the number of notices of targets in all messages between control instances.
     std::size_t notices_between_controls() const { return notices_between_controls_; }
 
@@ -261,6 +264,7 @@
     std::map<control::operator_request_id, any_message> answers_;
     byte_count sent_to_entries_{0};
     int tables_sent_ = 0;
+    int states_sent_ = 0;
     std::size_t notices_between_controls_ = 0;
     std::map<wire::message_kind, message_total> traffic_;
     per_mille load_; ///< Of the customer's rate.
--- a/tests/roster_fleet/roster_fleet_test.cpp
+++ b/tests/roster_fleet/roster_fleet_test.cpp
@@ -63,6 +63,8 @@
     CPPUNIT_TEST(all_entries_receive_a_leave_after_control_instances_become_unreachable);
     CPPUNIT_TEST(a_switch_of_control_instance_transfers_only_the_differences);
     CPPUNIT_TEST(an_order_is_acknowledged_quickly_without_faults);
+    CPPUNIT_TEST(a_new_state_is_sent_once_to_each_control_instance);
+    CPPUNIT_TEST(a_state_is_requested_from_another_instance_if_it_does_not_come);
     CPPUNIT_TEST(an_order_that_no_majority_holds_is_not_acknowledged);
     CPPUNIT_TEST(entries_receive_an_order_that_their_control_instance_cannot_request);
     CPPUNIT_TEST(entries_receive_an_order_after_most_control_instances_return);
@@ -217,6 +219,34 @@
         CPPUNIT_ASSERT(is_accepted(id));
     }
 
+    // Guards against a waste of traffic and memory: an instance that had an older state asked all
+    // others for the newer one with each exchange, and a large plan went over each link many times.
+    void a_new_state_is_sent_once_to_each_control_instance()
+    {
+        for (int n = 0; n != 6; ++n)
+        {
+            auto const before = fleet_->states_sent();
+            acknowledge_evacuation(n % 2 == 0);
+            fleet_->run(seconds(1));
+            // Three of the nine apply the order themselves.
+            CPPUNIT_ASSERT_EQUAL(6, fleet_->states_sent() - before);
+        }
+    }
+
+    void a_state_is_requested_from_another_instance_if_it_does_not_come()
+    {
+        // What instance 5 sends to most of those that have the newer state is lost.
+        fleet_->cut({5}, {0, 1, 2, 3});
+        std::uint64_t generation = 1;
+        for (bool const begins : {true, false})
+        {
+            ++generation;
+            acknowledge_evacuation(begins);
+            fleet_->run(config_limit - milliseconds(1000));
+            CPPUNIT_ASSERT_EQUAL(0, entries_serving_before(generation_id(generation)));
+        }
+    }
+
     // Guards against a violation of CONFIG: a leader that was partitioned together with a
     // majority of the voters acknowledged an order that the other control instances and their
     // entries did not receive.
