--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -606,6 +606,35 @@
 
     // Control instances.
 
+    /// Returns what an exchange tells all control instances.
+    messages::roster_exchange make_exchange(shared_steering const& state, context& ctx)
+    {
+        messages::roster_exchange out{.who = ctx.self.self,
+                                      .operators = ctx.self.operators,
+                                      .generation = state->generation,
+                                      .steering = nullptr,
+                                      .boot = boot_,
+                                      .number = exchange_number_,
+                                      .targets = {},
+                                      .entries = {},
+                                      .control = {},
+                                      .heard = controls_.heard_since(ctx.now - control_timeout)};
+        out.leads = leads(ctx.now);
+        update_confirmation(ctx);
+        out.confirmed_age = confirmed_age(ctx.now);
+        out.intact = sync_.is_intact();
+        out.keeps_leaves = keeper_.is_enabled();
+        auto reports = entries_.take_unforwarded(ctx.now);
+        out.entries = std::move(reports.notices);
+        out.unchanged_entries = std::move(reports.unchanged);
+        if (ctx.now >= member_list_due_)
+        {
+            member_list_due_ = ctx.now + member_list_interval;
+            out.control = controls_.known_instances();
+        }
+        return out;
+    }
+
     void send_exchanges(context& ctx)
     {
         exchange_due_ = ctx.now + config_.exchange_interval;
@@ -613,30 +642,8 @@
         exchange_number_ = next_exchange_number();
         auto const state = steering().steering();
         sent_generation_ = state->generation;
-        messages::roster_exchange common{.who = ctx.self.self,
-                                         .operators = ctx.self.operators,
-                                         .generation = state->generation,
-                                         .steering = nullptr,
-                                         .boot = boot_,
-                                         .number = exchange_number_,
-                                         .targets = {},
-                                         .entries = {},
-                                         .control = {},
-                                         .heard = controls_.heard_since(ctx.now - control_timeout)};
-        common.leads = leads(ctx.now);
-        update_confirmation(ctx);
-        common.confirmed_age = confirmed_age(ctx.now);
+        auto const common = make_exchange(state, ctx);
         confirmation_.record_sent(exchange_number_, ctx.now);
-        common.intact = sync_.is_intact();
-        common.keeps_leaves = keeper_.is_enabled();
-        auto reports = entries_.take_unforwarded(ctx.now);
-        common.entries = std::move(reports.notices);
-        common.unchanged_entries = std::move(reports.unchanged);
-        if (ctx.now >= member_list_due_)
-        {
-            member_list_due_ = ctx.now + member_list_interval;
-            common.control = controls_.known_instances();
-        }
         // Tables that come while too few instances can be reached do not end the synchronization.
         bool const wants_tables = is_majority_reachable(ctx.now);
         auto const state_source =
--- a/tests/control/replica/long_log_test.cpp
+++ b/tests/control/replica/long_log_test.cpp
@@ -137,8 +137,10 @@
         long_log_group group({});
         auto const id = group.follower();
         group.freeze(id, seconds(3));
-        group.propose_series(8, large_command);
-        CPPUNIT_ASSERT(group.bytes_sent < byte_count(2 * 8 * large_command.count()));
+        constexpr int changes = 8;
+        group.propose_series(changes, large_command);
+        CPPUNIT_ASSERT(group.bytes_sent <
+                       byte_count(std::int64_t{2} * changes * large_command.count()));
         group.run_for(seconds(2));
         CPPUNIT_ASSERT(group.has_value(id, group.proposed));
     }
