--- a/plugins/control/roster/roster.cpp
+++ b/plugins/control/roster/roster.cpp
@@ -1,6 +1,8 @@
 #include "control_table.hpp"
 #include "entry_table.hpp"
 #include "leave_keeper.hpp"
+#include "roster_events.hpp"
+#include "roster_settings.hpp"
 #include "state_confirmation.hpp"
 #include "state_history.hpp"
 #include "state_requests.hpp"
@@ -23,51 +25,6 @@
 namespace
 {
 
-struct roster_settings
-{
-    milliseconds exchange_interval{200};
-    milliseconds poll_timeout{700};
-    milliseconds entry_timeout{2500};
-    milliseconds target_timeout{6000};
-    milliseconds leave_timeout{900};
-    milliseconds answer_lifetime{2000};
-    milliseconds confirmation_lifetime{1000};
-    std::int64_t max_look_up_entries = 64;
-};
-
-constexpr kernel::limits time_limits{10, 600'000};
-
-kernel::section<roster_settings> const roster_section{
-    "roster",
-    {
-        kernel::field("exchange_period", &roster_settings::exchange_interval, time_limits,
-                      "Milliseconds between two messages to each other control instance."),
-        kernel::field(
-            "poll_hold", &roster_settings::poll_timeout, time_limits,
-            "Milliseconds after which an entry's poll is answered even without an update."),
-        kernel::field(
-            "entry_silence", &roster_settings::entry_timeout, time_limits,
-            "Milliseconds without a report after which an entry is left out of look-ups."),
-        kernel::field(
-            "target_silence", &roster_settings::target_timeout, time_limits,
-            "Milliseconds without an announcement after which a target counts as gone; four "
-            "announcement intervals of targets."),
-        kernel::field(
-            "leave_limit", &roster_settings::leave_timeout, time_limits,
-            "Milliseconds within which a majority must hold that a target leaves; after that "
-            "the answer sends the target to another instance. Below a target's own timeout."),
-        kernel::field("answer_lifetime", &roster_settings::answer_lifetime, time_limits,
-                      "Milliseconds for which callers may use the answer to a look-up."),
-        kernel::field("look_up_entries", &roster_settings::max_look_up_entries, {1, 100'000},
-                      "Limit of the entries in the answer to a look-up; of more, some are drawn "
-                      "for each answer."),
-        kernel::field(
-            "confirmation_lifetime", &roster_settings::confirmation_lifetime, time_limits,
-            "Milliseconds after which an entry searches for another control instance if the "
-            "steering state of its own was not confirmed again; several exchange intervals and "
-            "round trips between regions."),
-    }};
-
 /// Time after its last message for which a control instance stays in the table.
 constexpr seconds control_retention{20};
 /// Time for which an instance that sent no message stays in the table after another one named it:
@@ -93,85 +50,6 @@
 /// Time after its last report to this instance for which an entry counts as one of its own: longer
 /// than the time for which a poll is held, and a round trip.
 constexpr milliseconds own_report_lifetime{1000};
-kernel::counter_kind const announced_counter{"roster.announcements",
-                                             "Announcements that targets sent to this instance."};
-kernel::counter_kind const stale_counter{
-    "roster.stale", "Announcements that changed nothing that is known of the target."};
-kernel::counter_kind const polls_counter{"roster.polls",
-                                         "Polls of entry instances, which contain their reports."};
-kernel::event_kind const target_event{
-    {.number = 720,
-     .name = "roster.target_changed",
-     .level = kernel::severity::info,
-     .meaning = "A notice changed the recorded state of a target.",
-     .action = "None."}};
-kernel::event_kind const leave_event{
-    {.number = 721,
-     .name = "roster.leave_answered",
-     .level = kernel::severity::info,
-     .meaning = "A leaving target got its answer; `held` is whether a majority of the control "
-                "instances keeps on its disks that it leaves, `holders` how many of them do, and "
-                "`kept_here` whether this one does.",
-     .action = "If `held` is false often, check the connections between control instances and "
-               "their disks."}};
-kernel::event_kind const pause_event{
-    {.number = 722,
-     .name = "roster.stood_still",
-     .level = kernel::severity::warning,
-     .meaning = "This process did not run for a while, so the timeouts of targets are extended.",
-     .action = "Check the load of the machine."}};
-
-kernel::event_kind const synchronized_event{
-    {.number = 723,
-     .name = "roster.synchronized",
-     .level = kernel::severity::info,
-     .meaning = "After a start, a pause or a loss of the other control instances, this one holds "
-                "every acknowledged leave of a target again; `tables` is the number of instances "
-                "that sent their whole tables.",
-     .action = "None. Without tables of half of the instances it waited for the targets' own "
-               "announcements; check the connections to the others."}};
-
-kernel::event_kind const confirmation_event{
-    {.number = 724,
-     .name = "roster.confirmation_changed",
-     .level = kernel::severity::info,
-     .meaning =
-         "The steering state of this instance is confirmed to contain all acknowledged orders, "
-         "or is not any more; `age_ms` is the time since the last confirmation, -1 without one, "
-         "`newest` the newest generation that another instance reported.",
-     .action = "If it stays unconfirmed while there is a leader, check the connections to and "
-               "from the other control instances."}};
-
-kernel::event_kind const connection_event{
-    {.number = 725,
-     .name = "roster.connection_changed",
-     .level = kernel::severity::warning,
-     .meaning =
-         "Entries may rely on this instance from now on, or must leave it (`connected`): it hears "
-         "`heard` of `of` control instances, itself included, and `synchronized` is whether its "
-         "table of targets holds every acknowledged leave. At a planned stop they must leave it.",
-     .action = "If it stays unconnected while it hears most of the others, see "
-               "`roster.synchronized`; otherwise check the connections between control instances "
-               "and whether `of` counts some that are gone."}};
-
-kernel::event_kind const restored_event{
-    {.number = 727,
-     .name = "roster.restored",
-     .level = kernel::severity::info,
-     .meaning = "The leaves of targets that an earlier start of this instance acknowledged, and "
-                "the control instances that it knew, were read from the disk. `intact` is whether "
-                "its table counts for other instances.",
-     .action = "None."}};
-
-kernel::counter_kind const refused_counter{
-    "roster.refused", "Announcements that could not be read or held values out of bounds."};
-kernel::event_kind const refused_event{
-    {.number = 726,
-     .name = "roster.announcement_refused",
-     .level = kernel::severity::warning,
-     .meaning = "An announcement of a target could not be read, or a value in it is out of bounds; "
-                "it names no target to use. At most once in 10 s for each target.",
-     .action = "Examine the software of that target, or whoever else sent the announcement."}};
 /// Least time between two events about announcements of one target that are refused.
 constexpr seconds refused_event_interval{10};
 /// Limit of the targets about which events are held back; exceeds the number of targets that
--- a/tests/control/replica/long_log_test.cpp
+++ b/tests/control/replica/long_log_test.cpp
@@ -1,4 +1,4 @@
-#include "fake_group.hpp"
+#include "running_group.hpp"
 
 #include <plugins/control/replica/replica_events.hpp>
 
@@ -14,7 +14,6 @@
 namespace
 {
 
-constexpr std::uint64_t seed = 20261208;
 /// A plan of 1,400 routes.
 constexpr byte_count large_command{600'000};
 /// Time between two changes of the plan in a series.
@@ -29,17 +28,11 @@
     return group.at(id).counters.value(kind);
 }
 
-/// A group with a leader whose log takes large commands.
-class long_log_group : public fake_group
+/// A group of three whose log takes large commands.
+class long_log_group : public running_group
 {
 public:
-    explicit long_log_group(replica_settings config) : fake_group(3, seed, config)
-    {
-        for (std::uint32_t id = 1; id <= size(); ++id)
-            start(id);
-        CPPUNIT_ASSERT(run_until([this] { return acting_leader() != 0; }, seconds(20)));
-        run_for(seconds(1));
-    }
+    explicit long_log_group(replica_settings config) : running_group(3, config) {}
 
     /// Proposes commands at regular intervals until `done` returns true or `count` were proposed;
     /// returns the last result of `done`.
@@ -56,26 +49,14 @@
         return done && done();
     }
 
-    std::uint32_t follower() { return acting_leader() == 1 ? 2 : 1; }
-
-    bool votes(std::uint32_t id)
-    {
-        auto const disk = at(id).disk.contents().state.disk;
-        auto const& group = at(acting_leader()).decision_core->services().require<voter_group>();
-        return group.membership().counts(instance_id(id), disk);
-    }
-
     /// Replaces a follower's disk by a blank one; returns the follower.
     std::uint32_t replace_follower_disk()
     {
         auto const id = follower();
-        kill(id);
-        at(id).disk.replace_contents({});
-        start(id);
+        replace_disk(id);
         return id;
     }
 
-    std::uint64_t proposed = 0;
     std::uint64_t most_log_bytes = 0; ///< Of one instance, after any interval so far.
 };
 
@@ -191,8 +172,7 @@
             group.at(id).decision_core->services().require<padding>().size = second_piece;
         group.propose_series(8, first_piece);
         group.network.bandwidth = small_link;
-        group.replace_follower_disk();
-        auto const id = group.follower();
+        auto const id = group.replace_follower_disk();
         CPPUNIT_ASSERT(group.propose_series(30, byte_count(8), [&] { return group.votes(id); }));
     }
 };
